--- /dev/null
+++ b/packages/benchmarks/src/main.ts
@@ -0,0 +1,1 @@
+process.stdout.write('no benchmarks yet\n');
--- /dev/null
+++ b/packages/cli/bin/chervilseam.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/cli/src/lib/commands/file-command.ts
@@ -0,0 +1,22 @@
+import { readFile } from 'node:fs/promises';
+import { formatFinding, parseConfig } from '@chervilseam/model';
+import { Option } from 'clipanion';
+import { BaseCommand } from './base-command.js';
+
+/** What commands share that read configuration files. */
+export abstract class FileCommand extends BaseCommand {
+  files = Option.Rest({ required: 1 });
+
+  /**
+   * Reads all files and prints every finding.
+   *
+   * @returns the objects, or `undefined` when there was any finding
+   */
+  protected async readFiles(): Promise<ReturnType<typeof parseConfig>['objects'] | undefined> {
+    const reading = this.files.map(async (file) => parseConfig(file, await readFile(file, 'utf8')));
+    const parsed = await Promise.all(reading);
+    const findings = parsed.flatMap((file) => file.findings);
+    findings.forEach((finding) => this.context.stderr.write(`${formatFinding(finding)}\n`));
+    return findings.length > 0 ? undefined : parsed.flatMap((file) => file.objects);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/lib/create-cli.ts
@@ -0,0 +1,40 @@
+import { Builtins, Cli } from 'clipanion';
+import { ApplyCommand } from './commands/apply-command.js';
+import { CheckCommand } from './commands/check-command.js';
+import { CompletionCommand } from './commands/completion-command.js';
+import { DiffCommand } from './commands/diff-command.js';
+import { DrainCommand } from './commands/drain-command.js';
+import { ExplainCommand } from './commands/explain-command.js';
+import { GetCommand } from './commands/get-command.js';
+import { HistoryCommand } from './commands/history-command.js';
+import { SnapshotCommand } from './commands/snapshot-command.js';
+import { StatusCommand } from './commands/status-command.js';
+
+const commands = [
+  ApplyCommand,
+  CheckCommand,
+  CompletionCommand,
+  DiffCommand,
+  DrainCommand,
+  ExplainCommand,
+  GetCommand,
+  HistoryCommand,
+  SnapshotCommand,
+  StatusCommand,
+  Builtins.HelpCommand,
+];
+
+/**
+ * Makes the operator program.
+ *
+ * @returns the command line, to be run with arguments
+ * @example
+ * ```ts
+ * const exitCode = await createCli().run(['check', 'shop.toml']);
+ * ```
+ */
+export function createCli(): Cli {
+  const cli = new Cli({ binaryName: 'chervilseam', binaryLabel: 'chervilseam' });
+  commands.forEach((command) => cli.register(command));
+  return cli;
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The serving daemon.
+ *
+ * @packageDocumentation
+ */
+export { Daemon } from './lib/daemon.js';
+export { parseSettings } from './lib/settings/parse-settings.js';
+export type { Settings } from './lib/settings/settings.js';
--- /dev/null
+++ b/packages/daemon/src/lib/daemon.ts
@@ -0,0 +1,447 @@
+import { randomBytes } from 'node:crypto';
+import {
+  defaultMembershipSettings,
+  loadChart,
+  Membership,
+  MemberState,
+  Random,
+  RouteTable,
+  weightedRendezvous,
+} from '@chervilseam/decisions';
+import type { ConfigSnapshot, Member, MembershipMessage, Rumor } from '@chervilseam/decisions';
+import { createDrivers } from '@chervilseam/endpoints';
+import type { PeerStream } from '@chervilseam/peer';
+import { HttpInstanceList, HttpLog } from '@chervilseam/platform';
+import type { ListedInstance } from '@chervilseam/platform';
+import { Directory } from './entry/directory.js';
+import { Entry } from './entry/entry.js';
+import { OwnerClient } from './entry/owner-client.js';
+import { CallerFront } from './http/caller-front.js';
+import { OperatorFront } from './http/operator-front.js';
+import { DecisionLog } from './observe/decision-log.js';
+import { Metrics } from './observe/metrics.js';
+import { PartLogger } from './observe/part-logger.js';
+import { HopTracer } from './observe/tracer.js';
+import { Owner } from './owner/owner.js';
+import { ReportLoop } from './owner/report-loop.js';
+import type { DispatchParams } from './peer/dispatch-params.js';
+import { PeerNode } from './peer/peer-node.js';
+import { ConfigSync } from './platform/config-sync.js';
+import type { Settings } from './settings/settings.js';
+
+const TICK_MS = 50;
+const REPORT_POLL_MS = 1_000;
+const SYNC_MS = 10_000;
+const PEER_CALL_TIMEOUT_MS = 2_000;
+const LINGER_MS = 50;
+
+/** Secrets of a daemon, apart from its settings so that settings can be printed. */
+interface Secrets {
+  readonly peerKey: string;
+  readonly operatorKey: string;
+}
+
+interface Ports {
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly peerPort: number;
+}
+
+const chart = loadChart('lifecycle');
+
+/** One instance: entry and owner at once, like every other. */
+export class Daemon {
+  readonly peers: PeerNode;
+  readonly metrics = new Metrics();
+  readonly tracer: HopTracer;
+  readonly config: ConfigSync;
+  readonly #settings: Settings;
+  readonly #secrets: Secrets;
+  readonly #logger: ReturnType<typeof PartLogger.forInstance>;
+  readonly #random: Random;
+  readonly #drivers = createDrivers();
+  readonly #decisions = new DecisionLog();
+  readonly #log: HttpLog;
+  readonly #list: HttpInstanceList;
+  readonly #incarnation: string;
+  readonly #directory: Directory;
+  readonly #owner: Owner;
+  readonly #entry: Entry;
+  readonly #reports: ReportLoop;
+  readonly #callerFront: CallerFront;
+  readonly #operatorFront: OperatorFront;
+  #membership: Membership | undefined;
+  #state = chart.initial;
+  #timers: NodeJS.Timeout[] = [];
+  #ports: Ports = { callerPort: 0, operatorPort: 0, peerPort: 0 };
+
+  /**
+   * @param settings - checked settings
+   * @param secrets - keys of peers and operators
+   * @param logStream - where log records go; standard output by default
+   */
+  constructor(settings: Settings, secrets: Secrets, logStream?: NodeJS.WritableStream) {
+    this.#settings = settings;
+    this.#secrets = secrets;
+    const { name } = settings.instance;
+    this.#incarnation = `${name}-${randomBytes(6).toString('hex')}`;
+    this.#logger = PartLogger.forInstance(name, settings.observe.logLevel, logStream);
+    this.#random = new Random(randomBytes(4).readInt32BE());
+    this.tracer = new HopTracer(name, settings.observe.traceShare);
+    const { logUrl, instanceListUrl, callTimeoutMs } = settings.platform;
+    this.#log = new HttpLog(logUrl, callTimeoutMs);
+    this.#list = new HttpInstanceList(instanceListUrl, callTimeoutMs);
+    this.config = this.#createConfig();
+    this.peers = this.#createPeers();
+    this.#directory = new Directory({ get: (key) => this.#rumor(key) }, () => this.config.view);
+    this.#owner = this.#createOwner();
+    this.#entry = this.#createEntry();
+    this.#reports = this.#createReports();
+    this.#callerFront = this.#createCallerFront();
+    this.#operatorFront = this.#createOperatorFront();
+  }
+
+  /** Ports taken by {@link start}. */
+  get ports(): Ports {
+    return this.#ports;
+  }
+
+  /** The members that this instance knows. */
+  get members(): readonly Member[] {
+    return [...(this.#membership?.members.values() ?? [])];
+  }
+
+  /**
+   * @param endpoint - name of an endpoint
+   * @returns whether this instance has heard what is resident there
+   */
+  knowsEndpoint(endpoint: string): boolean {
+    return this.#directory.factOf(endpoint) !== undefined;
+  }
+
+  /** Takes the ports, learns the configuration and starts to serve. */
+  async start(): Promise<void> {
+    await this.peers.listen();
+    const callerPort = await this.#callerFront.listen();
+    const operatorPort = await this.#operatorFront.listen();
+    this.#ports = { callerPort, operatorPort, peerPort: this.peers.port };
+    this.#membership = this.#createMembership();
+    await this.#pollList();
+    await this.#syncFacts();
+    await this.config.poll();
+    this.#startTimers();
+    this.#state = chart.next(this.#state, 'READY');
+    this.#logger('daemon').info('started', 'The instance is serving.', { ...this.#ports });
+  }
+
+  /** Takes no new work, lets what is in progress end, and closes. */
+  async stop(): Promise<void> {
+    if (!chart.can(this.#state, 'TERMINATE')) return;
+    const wasServing = this.#state === 'serving';
+    this.#state = chart.next(this.#state, 'TERMINATE');
+    if (!wasServing) return;
+    this.#logger('daemon').info('draining', 'Draining: readiness fails, requests go on.');
+    this.#membership?.announce('leaving');
+    await Daemon.#sleep(this.#settings.shutdown.noticeMs);
+    this.#callerFront.stopListening();
+    const isIdle = await this.#waitUntilIdle();
+    this.#state = chart.next(this.#state, isIdle ? 'IDLE' : 'TIMEOUT');
+    this.#membership?.announce('left');
+    await Daemon.#sleep(2 * this.#settings.membership.periodMs);
+    this.kill();
+    this.#state = chart.next(this.#state, 'CLOSED');
+    this.#logger('daemon').info('stopped', 'Stopped.', { isIdle });
+  }
+
+  /** Closes everything at once, as the death of the process would. */
+  kill(): void {
+    this.#timers.forEach((timer) => clearInterval(timer));
+    this.#timers = [];
+    this.#callerFront.close();
+    this.#operatorFront.close();
+    this.peers.close();
+    this.#log.close();
+    this.#list.close();
+    Object.values(this.#drivers).forEach((driver) => driver.close());
+  }
+
+  static #sleep(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, durationMs);
+    });
+  }
+
+  static #nowMs(): number {
+    return performance.now();
+  }
+
+  #rumor(key: string): Rumor | undefined {
+    return this.#membership?.rumors.get(key);
+  }
+
+  #ownerOf(endpoint: string): Member | undefined {
+    const domain = this.config.view.endpoints.get(endpoint)?.failureDomain;
+    const present = this.#membership?.present() ?? [];
+    const local = present.filter(({ failureDomain }) => failureDomain === domain);
+    return weightedRendezvous(endpoint, local.length > 0 ? local : present);
+  }
+
+  #createConfig(): ConfigSync {
+    return new ConfigSync({
+      log: this.#log,
+      logger: this.#logger('config'),
+      metrics: this.metrics,
+      askPeer: (fromOffset) => this.#askConfig(fromOffset),
+    });
+  }
+
+  #createPeers(): PeerNode {
+    const { name } = this.#settings.instance;
+    const { host, peerPort } = this.#settings.listen;
+    const countBytes = (metric: Metrics['peerBytes']) => (sent: number, received: number) => {
+      metric.inc({ direction: 'sent' }, sent);
+      metric.inc({ direction: 'received' }, received);
+    };
+    return new PeerNode({
+      name,
+      host,
+      port: peerPort,
+      secret: this.#secrets.peerKey,
+      handlers: {
+        dispatch: (params, stream) => this.#owner.dispatch(params as DispatchParams, stream),
+        config: (params, stream) => this.#answerConfig(params, stream),
+        facts: (params, stream) => this.#answerFacts(params, stream),
+      },
+      onDatagram: (message) => this.#takeDatagram(message as MembershipMessage),
+      onRejected: (reason) => this.#logger('peer').warn('peer_rejected', 'Closed.', { reason }),
+      onStreamBytes: countBytes(this.metrics.peerBytes),
+      onDatagramBytes: countBytes(this.metrics.memberBytes),
+    });
+  }
+
+  #createMembership(): Membership {
+    const { instance, listen, membership } = this.#settings;
+    const self: Member = {
+      name: instance.name,
+      host: listen.host,
+      port: this.peers.port,
+      failureDomain: instance.failureDomain,
+      region: instance.region,
+      size: instance.size,
+      incarnation: Date.now(),
+      state: MemberState.alive,
+    };
+    const settings = { ...defaultMembershipSettings, ...membership };
+    return new Membership(self, settings, this.#random);
+  }
+
+  #createOwner(): Owner {
+    return new Owner({
+      drivers: this.#drivers,
+      view: () => this.config.view,
+      tracer: this.tracer,
+      metrics: this.metrics,
+      nowMs: Daemon.#nowMs,
+      isLeaving: (endpoint) => this.#directory.isLeaving(endpoint),
+      fallbackConcurrency: this.#settings.limits.fallbackConcurrency,
+    });
+  }
+
+  #createEntry(): Entry {
+    const { name, failureDomain } = this.#settings.instance;
+    const owners = new OwnerClient({
+      self: () => name,
+      peers: this.peers,
+      ownerOf: (endpoint) => this.#ownerOf(endpoint),
+      handleLocally: (params, stream) => this.#owner.dispatch(params, stream),
+    });
+    return new Entry({
+      directory: this.#directory,
+      routes: new RouteTable(this.#random),
+      owners,
+      tracer: this.tracer,
+      metrics: this.metrics,
+      decisions: this.#decisions,
+      nowMs: Daemon.#nowMs,
+      answerTimeoutMs: this.#settings.limits.answerTimeoutMs,
+      isLocal: (endpoint) =>
+        this.config.view.endpoints.get(endpoint)?.failureDomain === failureDomain,
+      view: () => this.config.view,
+      incarnation: this.#incarnation,
+    });
+  }
+
+  #createReports(): ReportLoop {
+    const { name } = this.#settings.instance;
+    return new ReportLoop({
+      drivers: this.#drivers,
+      view: () => this.config.view,
+      self: name,
+      isOwned: (endpoint) => this.#ownerOf(endpoint)?.name === name,
+      factOf: (key) => this.#rumor(key),
+      publish: (rumor) => this.#membership?.takeRumor(rumor, Daemon.#nowMs()),
+      onReport: () => {},
+    });
+  }
+
+  #createCallerFront(): CallerFront {
+    return new CallerFront({
+      settings: this.#settings,
+      view: () => this.config.view,
+      entry: this.#entry,
+      refusal: () => {
+        if (this.#state === 'starting' || !this.config.isReady) return 'not_ready';
+        return this.#state === 'stopping' ? 'shutting_down' : undefined;
+      },
+    });
+  }
+
+  #createOperatorFront(): OperatorFront {
+    const { host, operatorPort } = this.#settings.listen;
+    return new OperatorFront({
+      host,
+      port: operatorPort,
+      operatorKey: this.#secrets.operatorKey,
+      isReady: () => this.#state === 'serving' && this.config.isReady,
+      metrics: () => this.metrics.text(),
+      pages: {
+        status: () => this.#status(),
+        'debug/decisions': ({ trace }) => this.#decisions.latest(trace),
+        'debug/spans': ({ trace }) => this.tracer.latest(trace),
+      },
+      actions: { drain: ({ endpoint }) => this.#drain(String(endpoint)) },
+    });
+  }
+
+  #status(): unknown {
+    const { offset, chain } = this.config.fold;
+    return {
+      instance: this.#settings.instance,
+      state: this.#state,
+      config: { offset, chain, isLogDown: this.config.isLogDown },
+      members: this.members,
+      endpoints: [...this.config.view.endpoints.keys()].map((name) => ({
+        name,
+        owner: this.#ownerOf(name)?.name,
+        isLeaving: this.#directory.isLeaving(name),
+        residents: this.#directory.factOf(name)?.residents ?? [],
+        load: this.#owner.loadOf(name),
+      })),
+      requests: this.#entry.runCount,
+    };
+  }
+
+  #drain(endpoint: string): unknown {
+    if (!this.config.view.endpoints.has(endpoint)) throw new Error(`no endpoint "${endpoint}"`);
+    const key = Directory.leavingKey(endpoint);
+    this.#membership?.takeRumor({ key, version: [1, 0], value: true }, Daemon.#nowMs());
+    return { endpoint, isLeaving: true };
+  }
+
+  #startTimers(): void {
+    const { configPollMs, listPollMs } = this.#settings.platform;
+    const every = (periodMs: number, action: () => void): void => {
+      this.#timers.push(setInterval(action, periodMs));
+    };
+    every(TICK_MS, () => this.#tick());
+    every(configPollMs, () => this.config.poll());
+    every(listPollMs, () => this.#pollList());
+    every(REPORT_POLL_MS, () => this.#reports.poll());
+    every(SYNC_MS, () => this.#syncFacts());
+    this.#reports.poll();
+  }
+
+  #tick(): void {
+    this.#owner.tick();
+    this.#sendAll(this.#membership?.tick(Daemon.#nowMs()) ?? []);
+  }
+
+  #takeDatagram(message: MembershipMessage): void {
+    this.#sendAll(this.#membership?.receive(message, Daemon.#nowMs()) ?? []);
+  }
+
+  #sendAll(messages: ReturnType<Membership['tick']>): void {
+    messages.forEach(({ to, message }) => this.peers.send(to, message));
+  }
+
+  async #pollList(): Promise<void> {
+    try {
+      const listed = await this.#list.list();
+      this.metrics.platformDown.set({ service: 'instances' }, 0);
+      this.#takeList(listed);
+    } catch {
+      this.metrics.platformDown.set({ service: 'instances' }, 1);
+    }
+  }
+
+  #takeList(listed: readonly ListedInstance[]): void {
+    const entries = listed.filter(({ role }) => role === 'entry');
+    this.#membership?.seed(
+      entries.map(({ name, host, peerPort, failureDomain, region, size }) => ({
+        name,
+        host,
+        port: peerPort,
+        failureDomain,
+        region,
+        size,
+      })),
+    );
+    listed
+      .filter(({ role, state }) => role === 'endpoint' && state === 'leaving')
+      .filter(({ name }) => this.config.view.endpoints.has(name))
+      .forEach(({ name }) => this.#drain(name));
+  }
+
+  #anyPeer(): Member | undefined {
+    const { name } = this.#settings.instance;
+    return this.#random.pick(
+      this.#membership?.present().filter((member) => member.name !== name) ?? [],
+    );
+  }
+
+  async #askConfig(fromOffset: number): Promise<ConfigSnapshot | undefined> {
+    const peer = this.#anyPeer();
+    if (!peer) return undefined;
+    const answer = await this.peers.call(peer, 'config', { fromOffset }, PEER_CALL_TIMEOUT_MS);
+    return (answer ?? undefined) as ConfigSnapshot | undefined;
+  }
+
+  #answerConfig(params: unknown, stream: PeerStream): void {
+    const { fromOffset } = params as { fromOffset: number };
+    const { fold } = this.config;
+    stream.end(fold.offset > fromOffset ? fold.snapshot() : null);
+  }
+
+  // Heartbeats spread news; now and then two instances compare everything, which mends what a lost
+  // datagram left behind and fills an instance that has just started.
+  async #syncFacts(): Promise<void> {
+    const peer = this.#anyPeer();
+    if (!peer) return;
+    try {
+      const mine = this.#membership?.rumors.all() ?? [];
+      const theirs = await this.peers.call(peer, 'facts', mine, PEER_CALL_TIMEOUT_MS);
+      this.#takeFacts(theirs as Rumor[]);
+    } catch {
+      // The next round asks another one.
+    }
+  }
+
+  #answerFacts(params: unknown, stream: PeerStream): void {
+    this.#takeFacts(params as Rumor[]);
+    stream.end(this.#membership?.rumors.all() ?? []);
+  }
+
+  #takeFacts(rumors: readonly Rumor[]): void {
+    rumors.forEach((rumor) => this.#membership?.takeRumor(rumor, Daemon.#nowMs()));
+  }
+
+  async #waitUntilIdle(): Promise<boolean> {
+    const endMs = Daemon.#nowMs() + this.#settings.shutdown.drainTimeoutMs;
+    while (this.#entry.runCount + this.#owner.requestCount > 0) {
+      if (Daemon.#nowMs() > endMs) return false;
+      // eslint-disable-next-line no-await-in-loop -- this is a wait
+      await Daemon.#sleep(LINGER_MS);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -0,0 +1,402 @@
+import { Outcome, RefusalError } from '@chervilseam/model';
+import { loadChart } from '@chervilseam/decisions';
+import type { RequestClass, RequestTarget, RouteTable } from '@chervilseam/decisions';
+import type { PeerStream } from '@chervilseam/peer';
+import type { Span } from '@opentelemetry/api';
+import type { DecisionLog } from '../observe/decision-log.js';
+import type { Metrics } from '../observe/metrics.js';
+import { HopTracer } from '../observe/tracer.js';
+import type { DispatchFailure } from '../peer/dispatch-failure.js';
+import type { DispatchHead } from '../peer/dispatch-head.js';
+import type { CallerReply } from './caller-reply.js';
+import type { CallerRequest } from './caller-request.js';
+import type { Directory } from './directory.js';
+import { EventStream } from './event-stream.js';
+import type { OwnerClient } from './owner-client.js';
+
+const ATTEMPT_COUNT_MAX = 4;
+const WHOLE_ANSWER_BYTES_MAX = 16 * 1024 * 1024;
+/** Headers of an endpoint's answer that a caller gets. */
+const FORWARDED_HEADERS = ['content-type', 'content-length', 'content-encoding', 'location'];
+
+/** What a run needs around it. */
+interface RequestRunContext {
+  readonly directory: Directory;
+  readonly routes: RouteTable;
+  readonly owners: OwnerClient;
+  readonly tracer: HopTracer;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly nowMs: () => number;
+  readonly answerTimeoutMs: number;
+  /** @returns whether an endpoint stands in this instance's failure domain */
+  readonly isLocal: (endpoint: string) => boolean;
+  readonly nextAttempt: () => string;
+  readonly onDone: (run: RequestRun) => void;
+}
+
+const chart = loadChart('dispatch');
+
+/** One request of a caller at its entry, through all its attempts. */
+export class RequestRun {
+  readonly #context: RequestRunContext;
+  readonly #request: CallerRequest;
+  readonly #reply: CallerReply;
+  readonly #target: RequestTarget;
+  readonly #class: RequestClass;
+  readonly #caller: string;
+  readonly #span: Span;
+  readonly #startedMs: number;
+  readonly #deadlineMs: number;
+  readonly #tried = new Set<string>();
+  readonly #events = new EventStream();
+  #state = chart.initial;
+  #attemptCount = 0;
+  #endpoint = '';
+  #stream: PeerStream | undefined;
+  #whole: Uint8Array[] = [];
+  #wholeBytes = 0;
+  #head: DispatchHead | undefined;
+  #isHeadSent = false;
+  #isEndSeen = false;
+  #tokenCount = 0;
+  #bodyQueue: Buffer[] | undefined;
+  #isBodyEnded = false;
+  /** Whether any attempt so far may have taken effect. */
+  #mayHaveRun = false;
+
+  /** Called when a streamed body may go on. */
+  onBodyDrain: () => void = () => {};
+
+  /** Called once with the outcome, before the caller hears it; for the key ledger. */
+  onOutcome: (outcome: Outcome, status: number, body: Buffer | undefined) => void = () => {};
+
+  constructor(
+    context: RequestRunContext,
+    caller: string,
+    target: RequestTarget,
+    requestClass: RequestClass,
+    request: CallerRequest,
+    reply: CallerReply,
+  ) {
+    this.#context = context;
+    this.#caller = caller;
+    this.#target = target;
+    this.#class = requestClass;
+    this.#request = request;
+    this.#reply = reply;
+    this.#startedMs = context.nowMs();
+    const deadlineMs = Math.min(requestClass.deadlineMs, request.deadlineMs ?? Infinity);
+    this.#deadlineMs = this.#startedMs + deadlineMs;
+    this.#span = context.tracer.start('entry', request.traceparent);
+    this.#bodyQueue = request.body === undefined ? [] : undefined;
+    Object.assign(this.#reply, {
+      onClose: () => this.#cancel(),
+      onDrain: () => this.#stream?.resume(),
+    });
+  }
+
+  /** The trace that the request belongs to. */
+  get traceId(): string {
+    return this.#span.spanContext().traceId;
+  }
+
+  /** Header that lets the caller join its own trace. */
+  get traceparent(): string {
+    return HopTracer.header(this.#span);
+  }
+
+  /** Whether the request is over. */
+  get isDone(): boolean {
+    return chart.isFinal(this.#state);
+  }
+
+  /** Starts the first attempt. */
+  start(): void {
+    if (this.isDone) return;
+    this.#follow('ADMIT');
+    this.#attempt();
+  }
+
+  /**
+   * Refuses the request before any attempt.
+   *
+   * @param error - why
+   */
+  refuse(error: RefusalError): void {
+    if (this.isDone) return;
+    this.#finish('REFUSE', error);
+  }
+
+  /**
+   * Takes a part of a streamed body.
+   *
+   * @param data - the bytes
+   * @returns whether more are welcome at once; otherwise wait for `onBodyDrain`
+   */
+  writeBody(data: Buffer): boolean {
+    if (this.#bodyQueue) {
+      this.#bodyQueue.push(data);
+      return false;
+    }
+    return this.#stream?.write(data) ?? true;
+  }
+
+  /** Ends a streamed body. */
+  endBody(): void {
+    this.#isBodyEnded = true;
+    if (!this.#bodyQueue) this.#stream?.end();
+  }
+
+  #follow(event: string): void {
+    this.#state = chart.next(this.#state, event);
+  }
+
+  #attempt(): void {
+    const { directory, routes, isLocal, nowMs } = this.#context;
+    const names = directory.candidates(this.#target);
+    const fresh = names.filter((name) => !this.#tried.has(name));
+    const candidates = (fresh.length > 0 ? fresh : names).map((endpoint) => ({
+      endpoint,
+      isLocal: isLocal(endpoint),
+    }));
+    const chosen = routes.choose(candidates);
+    const leftMs = this.#deadlineMs - nowMs();
+    if (!chosen || leftMs <= 0) {
+      const code = chosen ? 'deadline' : 'no_endpoint';
+      const message = chosen ? 'the deadline has passed' : 'no endpoint has what is asked for';
+      this.#giveUp({ code, outcome: Outcome.notRun, message });
+      return;
+    }
+    this.#attemptCount += 1;
+    this.#tried.add(chosen.endpoint);
+    this.#endpoint = chosen.endpoint;
+    this.#explain('route', `chose ${chosen.endpoint} of ${candidates.length}`, {
+      candidates: candidates.map(({ endpoint }) => endpoint),
+    });
+    this.#send(leftMs);
+  }
+
+  #send(leftMs: number): void {
+    const { method, path, headers, body } = this.#request;
+    const attempt = this.#context.nextAttempt();
+    const params = {
+      endpoint: this.#endpoint,
+      attempt,
+      caller: this.#caller,
+      priority: this.#class.priority,
+      startInMs: leftMs,
+      headTimeoutMs: this.#context.answerTimeoutMs,
+      method,
+      path,
+      headers,
+      body: this.#attemptBody(body),
+      isBodyStreamed: body === undefined,
+      traceparent: HopTracer.header(this.#span),
+      isFallback: false,
+    };
+    this.#follow('SEND');
+    const number = this.#attemptCount;
+    this.#context.owners.open(params).then(
+      (stream) => this.#opened(stream, number),
+      (error: Error) => {
+        const { message } = error;
+        this.#failed({ code: 'peer_lost', outcome: Outcome.notRun, message });
+      },
+    );
+  }
+
+  // A stream that broke goes on after the tokens that the caller has.
+  #attemptBody(body: Buffer | undefined): Buffer | undefined {
+    if (!body || this.#tokenCount === 0) return body;
+    const value = JSON.parse(body.toString()) as Record<string, unknown>;
+    return Buffer.from(JSON.stringify({ ...value, resume_after_tokens: this.#tokenCount }));
+  }
+
+  #opened(stream: PeerStream, number: number): void {
+    if (this.isDone) {
+      stream.fail({ code: 'cancelled' });
+      return;
+    }
+    this.#stream = stream;
+    // Only the attempt in force may speak: an earlier one's answer is late and dropped.
+    const isCurrent = (): boolean => !this.isDone && number === this.#attemptCount;
+    const guard =
+      <T>(take: (value: T) => void) =>
+      (value: T): void => {
+        if (isCurrent()) take(value);
+        else this.#context.metrics.dropped.inc();
+      };
+    // eslint-disable-next-line no-param-reassign -- the opener sets the listener of its stream
+    stream.listener = {
+      onHead: guard((head: unknown) => this.#onHead(head as DispatchHead)),
+      onData: guard((data: Uint8Array) => this.#onData(data)),
+      onEnd: guard(() => this.#onEnd()),
+      onFail: (reason) => {
+        if (isCurrent()) this.#onFail(reason);
+      },
+      onDrain: () => this.onBodyDrain(),
+    };
+    this.#sendBody(stream);
+  }
+
+  #sendBody(stream: PeerStream): void {
+    const queued = this.#bodyQueue ?? [];
+    this.#bodyQueue = undefined;
+    queued.forEach((data) => stream.write(data));
+    if (this.#request.body !== undefined || this.#isBodyEnded) stream.end();
+    else this.onBodyDrain();
+  }
+
+  #onHead(head: DispatchHead): void {
+    this.#follow('HEAD');
+    this.#head = head;
+    this.#context.routes.update(this.#endpoint, head.load);
+    this.#context.metrics.observe('first_token', this.#context.nowMs() - this.#startedMs);
+    if (this.#request.carriage !== 'whole') this.#sendHead(head);
+  }
+
+  #sendHead({ status, headers }: DispatchHead): void {
+    if (this.#isHeadSent) return;
+    this.#isHeadSent = true;
+    const forwarded = FORWARDED_HEADERS.filter((name) => headers[name] !== undefined);
+    const chosen = Object.fromEntries(forwarded.map((name) => [name, headers[name]]));
+    this.#reply.head(status, { ...chosen, 'chervilseam-outcome': Outcome.ran });
+  }
+
+  #onData(data: Uint8Array): void {
+    const handlers = {
+      whole: () => this.#collect(data),
+      events: () => this.#forwardEvents(data),
+      pipe: () => this.#forward(data),
+    };
+    handlers[this.#request.carriage]();
+  }
+
+  #collect(data: Uint8Array): void {
+    this.#whole.push(data);
+    this.#wholeBytes += data.length;
+    if (this.#wholeBytes <= WHOLE_ANSWER_BYTES_MAX) return;
+    this.#stream?.fail({ code: 'cancelled' });
+    const message = 'the answer is too large';
+    this.#giveUp({ code: 'endpoint_failed', outcome: Outcome.unknown, message });
+  }
+
+  #forwardEvents(data: Uint8Array): void {
+    const { events, tokenCount, isDone } = this.#events.push(Buffer.from(data));
+    if (!events) return;
+    this.#tokenCount += tokenCount;
+    this.#isEndSeen ||= isDone;
+    this.#forward(events);
+  }
+
+  #forward(data: Uint8Array): void {
+    if (!this.#reply.write(data)) this.#stream?.pause();
+  }
+
+  #onEnd(): void {
+    if (this.#request.carriage === 'events' && !this.#isEndSeen && this.#isGood()) {
+      this.#onFail({ code: 'answer_cut', outcome: Outcome.unknown, message: 'no end marker' });
+      return;
+    }
+    this.#finish('END', undefined);
+  }
+
+  #isGood(): boolean {
+    return this.#head?.status === 200;
+  }
+
+  #onFail(reason: unknown): void {
+    const { code, outcome, message, load, retryAfterMs } = (reason ?? {}) as DispatchFailure;
+    if (load) this.#context.routes.update(this.#endpoint, load);
+    // A peer that was lost may have handed the request on: only its own word proves "not run".
+    const known = Object.values(Outcome).includes(outcome) ? outcome : Outcome.unknown;
+    const isKnownCode = known !== Outcome.unknown || code !== undefined;
+    this.#failed({
+      code: isKnownCode && known === outcome ? code : 'peer_lost',
+      outcome: known,
+      message: message ?? 'the dispatch failed',
+      retryAfterMs,
+    });
+  }
+
+  #failed(failure: DispatchFailure): void {
+    if (this.isDone) return;
+    this.#context.metrics.attempts.inc({ result: failure.code });
+    this.#explain('attempt-failed', failure.message, { ...failure, endpoint: this.#endpoint });
+    this.#mayHaveRun ||= failure.outcome !== Outcome.notRun;
+    if (this.#mayRetry(failure)) {
+      this.#follow('RETRY');
+      this.#whole = [];
+      this.#wholeBytes = 0;
+      this.#events.reset();
+      this.#attempt();
+      return;
+    }
+    this.#giveUp(failure);
+  }
+
+  // A later attempt's "not run" says nothing of an earlier one that may have run.
+  #giveUp({ code, outcome, message, retryAfterMs }: DispatchFailure): void {
+    const isProven = outcome === Outcome.notRun && !this.#mayHaveRun;
+    const joined = isProven ? Outcome.notRun : Outcome.unknown;
+    const error = new RefusalError({ code, outcome: joined, retryAfterMs }, message);
+    this.#finish(isProven ? 'REFUSE' : 'LOSE', error);
+  }
+
+  #mayRetry({ outcome }: DispatchFailure): boolean {
+    if (this.#attemptCount >= ATTEMPT_COUNT_MAX) return false;
+    if (this.#request.body === undefined) return false;
+    if (this.#isHeadSent && this.#request.carriage !== 'events') return false;
+    return outcome === Outcome.notRun || !this.#class.isNonIdempotent;
+  }
+
+  #cancel(): void {
+    if (this.isDone) return;
+    this.#stream?.fail({ code: 'cancelled', message: 'the caller closed its connection' });
+    const isSent = this.#state === 'sent' || this.#state === 'streaming';
+    const outcome = isSent || this.#mayHaveRun ? Outcome.unknown : Outcome.notRun;
+    this.#finish('CANCEL', new RefusalError({ code: 'cancelled', outcome }, 'cancelled'));
+  }
+
+  #finish(event: string, error: RefusalError | undefined): void {
+    // A refusal after bytes were handed on never happens: the chart has no such transition.
+    this.#follow(event);
+    const outcome = error?.outcome ?? Outcome.ran;
+    const code = error?.code ?? 'ok';
+    this.#context.metrics.requests.inc({ outcome, code });
+    this.#context.metrics.observe('request', this.#context.nowMs() - this.#startedMs);
+    this.#span.setAttribute('outcome', outcome);
+    if (error) HopTracer.fail(this.#span, error.message);
+    this.#span.end();
+    if (error) this.#explain('refused', error.message, { code, outcome });
+    this.#context.onDone(this);
+    if (error) this.#answerError(error);
+    else this.#answerWhole();
+  }
+
+  #answerError(error: RefusalError): void {
+    this.onOutcome(error.outcome, error.status, undefined);
+    if (this.#isHeadSent) this.#reply.cut();
+    else this.#reply.refuse(error);
+  }
+
+  #answerWhole(): void {
+    const status = this.#head?.status ?? 200;
+    if (this.#request.carriage !== 'whole') {
+      this.onOutcome(Outcome.ran, status, undefined);
+      this.#reply.end(Outcome.ran);
+      return;
+    }
+    const body = Buffer.concat(this.#whole);
+    this.onOutcome(Outcome.ran, status, body);
+    this.#sendHead({ ...(this.#head as DispatchHead), status });
+    this.#reply.write(body);
+    this.#reply.end(Outcome.ran);
+  }
+
+  #explain(decision: string, reason: string, inputs: Readonly<Record<string, unknown>>): void {
+    const atMs = this.#context.nowMs();
+    this.#context.decisions.add({ atMs, trace: this.traceId, decision, reason, inputs });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http/caller-front.ts
@@ -0,0 +1,231 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import findMyWay from 'find-my-way';
+import { classifyRequest } from '@chervilseam/decisions';
+import type { ConfigView, RequestTarget } from '@chervilseam/decisions';
+import { Outcome, RefusalError } from '@chervilseam/model';
+import type { RefusalCode } from '@chervilseam/model';
+import type { CallerRequest } from '../entry/caller-request.js';
+import type { Entry } from '../entry/entry.js';
+import type { Settings } from '../settings/settings.js';
+import { authenticate } from './authenticate.js';
+import { HttpReply } from './http-reply.js';
+import { parseModelRequest } from './parse-model-request.js';
+import { readBody } from './read-body.js';
+import { requestHeaders } from './request-headers.js';
+import { streamBody } from './stream-body.js';
+
+const DEADLINE_HEADER = 'chervilseam-deadline-ms';
+const KEY_LENGTH_MAX = 200;
+
+/** What the front needs around it. */
+interface CallerFrontContext {
+  readonly settings: Settings;
+  readonly view: () => ConfigView;
+  readonly entry: Entry;
+  /** @returns why no new request is taken, or `undefined` when all is well */
+  readonly refusal: () => RefusalCode | undefined;
+}
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly reply: HttpReply;
+  readonly params: Readonly<Record<string, string | undefined>>;
+}
+
+type Handler = (exchange: Exchange) => void | Promise<void>;
+
+const refusal = (code: RefusalCode, message: string): RefusalError =>
+  new RefusalError({ code, outcome: Outcome.notRun }, message);
+
+/** The HTTP server for callers: OpenAI's paths, and plain services. */
+export class CallerFront {
+  readonly #context: CallerFrontContext;
+  readonly #server: Server;
+  readonly #router = findMyWay({
+    ignoreTrailingSlash: true,
+    defaultRoute: (_request, response) =>
+      new HttpReply(response).refuse(refusal('route_not_found', 'no such path')),
+  });
+
+  /** @param context - settings, configuration and entry */
+  constructor(context: CallerFrontContext) {
+    this.#context = context;
+    const { limits } = context.settings;
+    this.#server = createServer(
+      {
+        maxHeaderSize: limits.headerBytesMax,
+        headersTimeout: limits.headerTimeoutMs,
+        requestTimeout: limits.bodyTimeoutMs,
+      },
+      (request, response) => this.#router.lookup(request, response),
+    );
+    this.#server.maxHeadersCount = limits.headerCountMax;
+    this.#server.maxConnections = limits.connectionCountMax;
+    this.#route('POST', '/v1/chat/completions', (exchange) => this.#model(exchange, 'messages'));
+    this.#route('POST', '/v1/completions', (exchange) => this.#model(exchange, 'prompt'));
+    this.#route('GET', '/v1/models', (exchange) => this.#models(exchange));
+    this.#route('POST', '/v1/keys', (exchange) => this.#mintKey(exchange));
+    this.#router.all(
+      '/services/:service',
+      this.#handler((exchange) => this.#service(exchange)),
+    );
+    this.#router.all(
+      '/services/:service/*',
+      this.#handler((exchange) => this.#service(exchange)),
+    );
+  }
+
+  /** Starts to listen; returns the port taken. */
+  async listen(): Promise<number> {
+    const { host, callerPort } = this.#context.settings.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(callerPort, host, resolve);
+    });
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Takes no new connections; those that are idle close, the others go on. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Cuts every connection. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #route(method: 'GET' | 'POST', path: string, handler: Handler): void {
+    this.#router.on(method, path, this.#handler(handler));
+  }
+
+  #handler(handler: Handler) {
+    return (request: unknown, response: unknown, params: Exchange['params']): void => {
+      const reply = new HttpReply(response as ServerResponse);
+      this.#run(handler, { request: request as IncomingMessage, reply, params });
+    };
+  }
+
+  async #run(handler: Handler, exchange: Exchange): Promise<void> {
+    try {
+      const code = this.#context.refusal();
+      if (code) throw refusal(code, 'this instance takes no new requests');
+      await handler(exchange);
+    } catch (error) {
+      const known = error instanceof RefusalError;
+      const options = {
+        code: 'internal',
+        outcome: Outcome.unknown,
+        cause: error as Error,
+      } as const;
+      exchange.reply.refuse(known ? error : new RefusalError(options, 'an unexpected fault'));
+      exchange.request.resume();
+    }
+  }
+
+  async #model(exchange: Exchange, promptField: 'messages' | 'prompt'): Promise<void> {
+    const { request, reply } = exchange;
+    const caller = this.#caller(request);
+    const body = await readBody(request, this.#context.settings.limits.bodyBytesMax);
+    const { target, isStreamed } = parseModelRequest(body, promptField);
+    this.#checkModel(target);
+    const carriage = isStreamed ? 'events' : 'whole';
+    this.#begin(
+      caller,
+      target,
+      this.#callerRequest(request, request.url ?? '/', body, carriage),
+      reply,
+    );
+  }
+
+  #checkModel({ model, adapter }: RequestTarget & { kind: 'model' }): void {
+    const view = this.#context.view();
+    if (!view.models.has(model)) throw refusal('model_not_found', `no model "${model}"`);
+    if (adapter === undefined || view.adapters.get(adapter)?.model === model) return;
+    throw refusal('model_not_found', `model "${model}" has no adapter "${adapter}"`);
+  }
+
+  #models({ request, reply }: Exchange): void {
+    this.#caller(request);
+    const view = this.#context.view();
+    const adapters = [...view.adapters.values()].map(({ model, name }) => `${model}:${name}`);
+    const data = [...view.models.keys(), ...adapters].map((id) => ({
+      id,
+      object: 'model',
+      created: 0,
+      owned_by: 'chervilseam',
+    }));
+    reply.json(200, { object: 'list', data }, Outcome.ran);
+  }
+
+  #mintKey({ request, reply }: Exchange): void {
+    this.#caller(request);
+    request.resume();
+    reply.json(200, { key: this.#context.entry.mintKey() }, Outcome.ran);
+  }
+
+  async #service({ request, reply, params }: Exchange): Promise<void> {
+    const caller = this.#caller(request);
+    const service = params.service ?? '';
+    if (!this.#context.view().services.has(service)) {
+      throw refusal('service_not_found', `no service "${service}"`);
+    }
+    const method = request.method ?? 'GET';
+    const target: RequestTarget = { kind: 'service', service, method };
+    const path = (request.url ?? '/').slice(`/services/${service}`.length) || '/';
+    const { body, rest } = await streamBody(request);
+    const callerRequest = this.#callerRequest(request, path, body, 'pipe');
+    const run = this.#begin(caller, target, callerRequest, reply);
+    if (run) rest(run);
+  }
+
+  #begin(
+    caller: string,
+    target: RequestTarget,
+    request: CallerRequest,
+    reply: HttpReply,
+  ): ReturnType<Entry['begin']> {
+    const requestClass = classifyRequest(this.#context.view(), caller, target);
+    return this.#context.entry.begin(caller, target, requestClass, request, reply);
+  }
+
+  #caller(request: IncomingMessage): string {
+    return authenticate(this.#context.view(), request.headers.authorization);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- reads best beside its users
+  #callerRequest(
+    request: IncomingMessage,
+    path: string,
+    body: Buffer | undefined,
+    carriage: CallerRequest['carriage'],
+  ): CallerRequest {
+    const { headers, method } = request;
+    return {
+      method: method ?? 'GET',
+      path,
+      headers: requestHeaders(headers),
+      body,
+      carriage,
+      traceparent: headers.traceparent as string | undefined,
+      idempotencyKey: CallerFront.#key(headers['idempotency-key'] as string | undefined),
+      deadlineMs: CallerFront.#deadline(headers[DEADLINE_HEADER] as string | undefined),
+    };
+  }
+
+  static #key(value: string | undefined): string | undefined {
+    if (value === undefined || (value !== '' && value.length <= KEY_LENGTH_MAX)) return value;
+    throw refusal('bad_request', `Idempotency-Key must have 1 to ${KEY_LENGTH_MAX} letters`);
+  }
+
+  static #deadline(value: string | undefined): number | undefined {
+    if (value === undefined) return undefined;
+    const deadlineMs = Number(value);
+    if (Number.isInteger(deadlineMs) && deadlineMs > 0) return deadlineMs;
+    throw refusal('bad_request', `${DEADLINE_HEADER} must be a whole number of milliseconds`);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http/operator-front.ts
@@ -0,0 +1,108 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import findMyWay from 'find-my-way';
+import { Outcome } from '@chervilseam/model';
+import { HttpReply } from './http-reply.js';
+import { readBody } from './read-body.js';
+
+const CONNECTION_COUNT_MAX = 100;
+const BODY_BYTES_MAX = 64 * 1024;
+
+type Query = Readonly<Record<string, string | undefined>>;
+
+/** What operators can ask; each answer is a JSON value, or text. */
+interface OperatorContext {
+  readonly host: string;
+  readonly port: number;
+  readonly operatorKey: string;
+  /** Answers without a key, for the platform's health checks. */
+  readonly isReady: () => boolean;
+  readonly metrics: () => Promise<string>;
+  /** Answers by path below `/`, for operators with the key. */
+  readonly pages: Readonly<Record<string, (query: Query) => unknown>>;
+  /** Actions by path below `/`, for operators with the key. */
+  readonly actions: Readonly<Record<string, (body: Readonly<Record<string, unknown>>) => unknown>>;
+}
+
+const digestOf = (text: string): Buffer => createHash('sha256').update(text).digest();
+
+/** The HTTP server for operators and health checks, apart from that for callers. */
+export class OperatorFront {
+  readonly #context: OperatorContext;
+  readonly #server: Server;
+  readonly #router = findMyWay({
+    defaultRoute: (_request, response) =>
+      new HttpReply(response).json(404, { error: 'no such page' }),
+  });
+
+  /** @param context - what can be asked */
+  constructor(context: OperatorContext) {
+    this.#context = context;
+    this.#server = createServer((request, response) => this.#router.lookup(request, response));
+    this.#server.maxConnections = CONNECTION_COUNT_MAX;
+    this.#router.on('GET', '/livez', (_request, response) => {
+      new HttpReply(response).json(200, { live: true });
+    });
+    this.#router.on('GET', '/readyz', (_request, response) => {
+      const isReady = context.isReady();
+      new HttpReply(response).json(isReady ? 200 : 503, { ready: isReady });
+    });
+    this.#router.on('GET', '/metrics', (_request, response) => {
+      this.#metrics(response);
+    });
+    Object.entries(context.pages).forEach(([path, page]) => this.#page(path, page));
+    Object.entries(context.actions).forEach(([path, action]) => this.#action(path, action));
+  }
+
+  /** Starts to listen; returns the port taken. */
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.#context.port, this.#context.host, resolve);
+    });
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Cuts every connection. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #page(path: string, page: OperatorContext['pages'][string]): void {
+    this.#router.on('GET', `/${path}`, (request, response, _params, _store, query) => {
+      const reply = new HttpReply(response);
+      if (!this.#isOperator(request)) reply.json(401, { error: 'no key' });
+      else reply.json(200, page(query), Outcome.ran);
+    });
+  }
+
+  #action(path: string, action: OperatorContext['actions'][string]): void {
+    this.#router.on('POST', `/${path}`, async (request, response) => {
+      const reply = new HttpReply(response);
+      if (!this.#isOperator(request)) {
+        reply.json(401, { error: 'no key' });
+        return;
+      }
+      try {
+        const body = await readBody(request, BODY_BYTES_MAX);
+        reply.json(200, action(JSON.parse(body.toString())), Outcome.ran);
+      } catch (error) {
+        reply.json(400, { error: (error as Error).message });
+      }
+    });
+  }
+
+  async #metrics(response: ServerResponse): Promise<void> {
+    const text = await this.#context.metrics();
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(text);
+  }
+
+  #isOperator(request: IncomingMessage): boolean {
+    const given = digestOf(request.headers.authorization ?? '');
+    return timingSafeEqual(given, digestOf(`Bearer ${this.#context.operatorKey}`));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http/read-body.ts
@@ -0,0 +1,27 @@
+import type { IncomingMessage } from 'node:http';
+import { Outcome, RefusalError } from '@chervilseam/model';
+
+/**
+ * Reads a whole body.
+ *
+ * @param request - the request
+ * @param bytesMax - most bytes allowed
+ * @returns the body
+ * @throws RefusalError when the body is too large or breaks off
+ */
+export function readBody(request: IncomingMessage, bytesMax: number): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    const refuse = (code: 'body_too_large' | 'cancelled', message: string): void => {
+      reject(new RefusalError({ code, outcome: Outcome.notRun }, message));
+    };
+    request.on('data', (part: Buffer) => {
+      bytes += part.length;
+      if (bytes <= bytesMax) parts.push(part);
+      else refuse('body_too_large', `the body has more than ${bytesMax} bytes`);
+    });
+    request.on('end', () => resolve(Buffer.concat(parts)));
+    request.on('error', () => refuse('cancelled', 'the body broke off'));
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/lib/owner/owned-request.ts
@@ -0,0 +1,142 @@
+import { Outcome } from '@chervilseam/model';
+import type { EndpointDriver, EndpointExchange, EndpointListener } from '@chervilseam/endpoints';
+import type { PeerStream } from '@chervilseam/peer';
+import type { Span } from '@opentelemetry/api';
+import { HopTracer } from '../observe/tracer.js';
+import type { DispatchFailure } from '../peer/dispatch-failure.js';
+import type { DispatchHead } from '../peer/dispatch-head.js';
+import type { DispatchParams } from '../peer/dispatch-params.js';
+import type { OwnedEndpoint } from './owned-endpoint.js';
+
+/** What a request at the owner needs around it. */
+interface OwnedRequestContext {
+  readonly endpoint: OwnedEndpoint;
+  readonly origin: string;
+  readonly driver: EndpointDriver;
+  readonly tracer: HopTracer;
+  /** A clock that only goes forward, in milliseconds. */
+  readonly nowMs: () => number;
+  readonly onDone: (request: OwnedRequest, isWhole: boolean) => void;
+}
+
+const ATTEMPT_HEADER = 'x-chervilseam-attempt';
+
+/** A request at the owner: it waits, is sent once, and its answer goes back along its stream. */
+export class OwnedRequest implements EndpointListener {
+  readonly params: DispatchParams;
+  readonly endpoint: OwnedEndpoint;
+  readonly #stream: PeerStream;
+  readonly #context: OwnedRequestContext;
+  readonly #span: Span;
+  #endpointSpan: Span | undefined;
+  #exchange: EndpointExchange | undefined;
+  #sentMs = 0;
+  #isDone = false;
+
+  /**
+   * @param params - what the entry asks for
+   * @param stream - the way back
+   * @param context - endpoint, driver and tracer
+   */
+  constructor(params: DispatchParams, stream: PeerStream, context: OwnedRequestContext) {
+    this.params = params;
+    this.endpoint = context.endpoint;
+    this.#stream = stream;
+    this.#context = context;
+    this.#span = context.tracer.start('owner', params.traceparent);
+    this.#span.setAttribute('endpoint', params.endpoint);
+    // Body bytes stay with their sender until the endpoint takes them.
+    if (params.isBodyStreamed) stream.pause();
+    this.#listen();
+  }
+
+  /** Sends the request; called once, when its turn has come. */
+  start(): void {
+    const { params } = this;
+    const { driver, origin, tracer, nowMs } = this.#context;
+    this.#sentMs = nowMs();
+    this.#endpointSpan = tracer.start('endpoint', HopTracer.header(this.#span));
+    const headers = {
+      ...params.headers,
+      [ATTEMPT_HEADER]: params.attempt,
+      'x-chervilseam-priority': String(params.priority),
+      traceparent: HopTracer.header(this.#endpointSpan),
+    };
+    const { method, path, body, isBodyStreamed, headTimeoutMs } = params;
+    const request = { origin, method, path, headers, body, isBodyStreamed, headTimeoutMs };
+    this.#exchange = driver.send(request, this);
+    if (isBodyStreamed) this.#stream.resume();
+  }
+
+  /**
+   * Ends the request without an answer.
+   *
+   * @param failure - why, and what is known of effects
+   */
+  fail(failure: DispatchFailure): void {
+    if (this.#isDone) return;
+    HopTracer.fail(this.#span, failure.message);
+    this.#stream.fail({ ...failure, load: this.endpoint.load });
+    this.#finish(false);
+  }
+
+  onHead(status: number, headers: Readonly<Record<string, string>>): void {
+    this.endpoint.observeHead(this.#context.nowMs() - this.#sentMs);
+    const echoed = headers[ATTEMPT_HEADER];
+    if (echoed !== undefined && echoed !== '' && echoed !== this.params.attempt) {
+      this.#exchange?.cancel();
+      const message = `the endpoint answered attempt ${echoed} in place of this one`;
+      this.fail({ code: 'endpoint_failed', outcome: Outcome.unknown, message });
+      return;
+    }
+    const head: DispatchHead = { status, headers, load: this.endpoint.load };
+    this.#stream.head(head);
+  }
+
+  onData(data: Buffer): boolean {
+    if (this.#isDone) return true;
+    return this.#stream.write(data);
+  }
+
+  onEnd(): void {
+    if (this.#isDone) return;
+    this.endpoint.observeEnd(this.#context.nowMs() - this.#sentMs);
+    this.#finish(true);
+    this.#stream.end({ load: this.endpoint.load });
+  }
+
+  onFail({ outcome, message, isTimeout }: Parameters<EndpointListener['onFail']>[0]): void {
+    const code = isTimeout ? 'endpoint_timeout' : 'endpoint_failed';
+    this.fail({ code: outcome === Outcome.notRun ? 'endpoint_refused' : code, outcome, message });
+  }
+
+  onDrain(): void {
+    this.#stream.resume();
+  }
+
+  #listen(): void {
+    this.#stream.listener = {
+      onData: (data) => {
+        if (this.#exchange?.write(data) === false) this.#stream.pause();
+      },
+      onEnd: () => this.#exchange?.endBody(),
+      onDrain: () => this.#exchange?.resume(),
+      onFail: () => this.#cancel(),
+    };
+  }
+
+  // The entry gave up or is gone: the endpoint must not go on for nobody.
+  #cancel(): void {
+    if (this.#isDone) return;
+    HopTracer.fail(this.#span, 'cancelled');
+    this.#finish(false);
+    this.#exchange?.cancel();
+  }
+
+  #finish(isWhole: boolean): void {
+    this.#isDone = true;
+    this.#endpointSpan?.end();
+    this.#span.end();
+    this.#context.onDone(this, isWhole);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/owner/owner.ts
@@ -0,0 +1,135 @@
+import type { ConfigView, EndpointLoad } from '@chervilseam/decisions';
+import { Outcome } from '@chervilseam/model';
+import type { RefusalCode } from '@chervilseam/model';
+import type { createDrivers } from '@chervilseam/endpoints';
+import type { PeerStream } from '@chervilseam/peer';
+import type { Metrics } from '../observe/metrics.js';
+import type { HopTracer } from '../observe/tracer.js';
+import type { DispatchParams } from '../peer/dispatch-params.js';
+import { OwnedEndpoint } from './owned-endpoint.js';
+import { OwnedRequest } from './owned-request.js';
+
+/** What the owner of endpoints needs around it. */
+interface OwnerContext {
+  readonly drivers: ReturnType<typeof createDrivers>;
+  readonly view: () => ConfigView;
+  readonly tracer: HopTracer;
+  readonly metrics: Metrics;
+  readonly nowMs: () => number;
+  readonly isLeaving: (endpoint: string) => boolean;
+  readonly fallbackConcurrency: number;
+}
+
+const verdictCodes = {
+  full: { code: 'overloaded', message: 'the queue of the endpoint is full' },
+  late: { code: 'deadline', message: 'it cannot start in time' },
+} as const satisfies Record<string, { code: RefusalCode; message: string }>;
+
+/** All work of this instance for endpoints: each has one queue and one set of running requests. */
+export class Owner {
+  readonly #context: OwnerContext;
+  readonly #endpoints = new Map<string, OwnedEndpoint>();
+  readonly #requests = new Map<string, OwnedRequest>();
+
+  /** @param context - drivers, configuration and clock */
+  constructor(context: OwnerContext) {
+    this.#context = context;
+  }
+
+  /** Requests that wait or run here; a count. */
+  get requestCount(): number {
+    return this.#requests.size;
+  }
+
+  /**
+   * @param endpoint - name of an endpoint
+   * @returns its load as seen here, if it has had work here
+   */
+  loadOf(endpoint: string): EndpointLoad | undefined {
+    return this.#endpoints.get(endpoint)?.load;
+  }
+
+  /**
+   * Takes a request from an entry.
+   *
+   * @param params - what is asked for
+   * @param stream - the way back
+   */
+  dispatch(params: DispatchParams, stream: PeerStream): void {
+    const { view, drivers, tracer, nowMs, isLeaving } = this.#context;
+    const config = view().endpoints.get(params.endpoint);
+    if (!config || isLeaving(params.endpoint) || this.#requests.has(params.attempt)) {
+      const message = config ? 'the endpoint is leaving' : 'the endpoint is not known here';
+      stream.fail({ code: 'no_endpoint', outcome: Outcome.notRun, message });
+      return;
+    }
+    const endpoint = this.#endpoint(params, config.concurrencyMax);
+    const request = new OwnedRequest(params, stream, {
+      endpoint,
+      origin: config.url,
+      driver: drivers[config.driver],
+      tracer,
+      nowMs,
+      onDone: (done) => this.#finish(done),
+    });
+    this.#requests.set(params.attempt, request);
+    this.#offer(request);
+  }
+
+  /** Refuses what has waited too long and starts what may start. */
+  tick(): void {
+    this.#endpoints.forEach((endpoint) => this.#advance(endpoint));
+  }
+
+  #offer(request: OwnedRequest): void {
+    const { attempt, caller, priority, startInMs } = request.params;
+    const nowMs = this.#context.nowMs();
+    const ticket = { id: attempt, caller, priority, startByMs: nowMs + startInMs };
+    const verdict = request.endpoint.queue.offer(ticket, nowMs);
+    if (verdict === 'start') request.start();
+    if (verdict === 'full' || verdict === 'late') Owner.#refuse(request, verdict);
+    this.#gauge(request.endpoint);
+  }
+
+  #advance(endpoint: OwnedEndpoint): void {
+    const { started, late } = endpoint.queue.advance(this.#context.nowMs());
+    started.forEach(({ id }) => this.#requests.get(id)?.start());
+    late.forEach(({ id }) => {
+      const request = this.#requests.get(id);
+      if (request) Owner.#refuse(request, 'late');
+    });
+    this.#gauge(endpoint);
+  }
+
+  static #refuse(request: OwnedRequest, verdict: keyof typeof verdictCodes): void {
+    const retryAfterMs = request.endpoint.load.waitMs;
+    request.fail({ ...verdictCodes[verdict], outcome: Outcome.notRun, retryAfterMs });
+  }
+
+  #finish(request: OwnedRequest): void {
+    this.#requests.delete(request.params.attempt);
+    request.endpoint.queue.remove(request.params.attempt);
+    this.#advance(request.endpoint);
+  }
+
+  // An instance that stands in for an unreachable owner keeps a small limit of its own, so that
+  // several that do so at once cannot swamp the endpoint.
+  #endpoint(params: DispatchParams, concurrencyMax: number): OwnedEndpoint {
+    const limit = params.isFallback
+      ? Math.min(this.#context.fallbackConcurrency, concurrencyMax)
+      : concurrencyMax;
+    const known = this.#endpoints.get(params.endpoint);
+    if (known) {
+      known.queue.limit = limit;
+      return known;
+    }
+    const endpoint = new OwnedEndpoint(params.endpoint, limit);
+    this.#endpoints.set(params.endpoint, endpoint);
+    return endpoint;
+  }
+
+  #gauge({ name, queue }: OwnedEndpoint): void {
+    this.#context.metrics.running.set({ endpoint: name }, queue.runningCount);
+    this.#context.metrics.waiting.set({ endpoint: name }, queue.waitingCount);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/chart/load-chart.ts
@@ -0,0 +1,17 @@
+import { createRequire } from 'node:module';
+import { StateChart } from './state-chart.js';
+
+const load = createRequire(import.meta.url);
+
+type ChartName =
+  'dispatch' | 'lifecycle' | 'member' | 'ownership' | 'reservation' | 'key' | 'endpoint-health';
+
+/**
+ * Loads a chart of this package.
+ *
+ * @param name - file name without its ending
+ * @returns the chart, ready to be followed
+ */
+export function loadChart(name: ChartName): StateChart {
+  return new StateChart(load(`../../../charts/${name}.json`) as never);
+}
--- /dev/null
+++ b/packages/decisions/src/lib/membership/default-membership-settings.ts
@@ -0,0 +1,12 @@
+import type { MembershipSettings } from './membership-settings.js';
+
+/** Times that carry the stated target. */
+export const defaultMembershipSettings: MembershipSettings = {
+  periodMs: 500,
+  pingTimeoutMs: 200,
+  indirectCount: 3,
+  suspicionMs: 4_000,
+  rumorBytes: 1_000,
+  remoteEvery: 4,
+  reviveMs: 3_000,
+};
--- /dev/null
+++ b/packages/decisions/src/lib/membership/membership-message.ts
@@ -0,0 +1,25 @@
+import type { Rumor } from './rumor.js';
+
+/** A heartbeat datagram. */
+export type MembershipMessage =
+  | {
+      readonly type: 'ping';
+      readonly from: string;
+      readonly sequence: number;
+      readonly rumors: readonly Rumor[];
+    }
+  | {
+      readonly type: 'ack';
+      readonly from: string;
+      readonly sequence: number;
+      readonly rumors: readonly Rumor[];
+      /** Keys of the ping's rumors that were no news. */
+      readonly known: readonly string[];
+    }
+  | {
+      readonly type: 'pingRequest';
+      readonly from: string;
+      readonly sequence: number;
+      /** Name of the member to ping on the sender's behalf. */
+      readonly target: string;
+    };
--- /dev/null
+++ b/packages/decisions/src/lib/request/request-target.ts
@@ -0,0 +1,4 @@
+/** What a request asks for. */
+export type RequestTarget =
+  | { readonly kind: 'model'; readonly model: string; readonly adapter: string | undefined }
+  | { readonly kind: 'service'; readonly service: string; readonly method: string };
--- /dev/null
+++ b/packages/endpoints/src/lib/http-driver.ts
@@ -0,0 +1,57 @@
+import { Agent } from 'undici';
+import verror from 'verror';
+import type { EndpointDriver } from './endpoint-driver.js';
+import { EndpointExchange } from './endpoint-exchange.js';
+import type { EndpointListener } from './endpoint-listener.js';
+import type { EndpointRequest } from './endpoint-request.js';
+import type { EngineOrder } from './engine-order.js';
+import type { EngineReport } from './engine-report.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const REPORT_TIMEOUT_MS = 2_000;
+const ORDER_TIMEOUT_MS = 120_000;
+const KEEP_ALIVE_TIMEOUT_MS = 4_000;
+
+/** Endpoints that speak plain HTTP; engines also take orders and give reports. */
+export class HttpDriver implements EndpointDriver {
+  readonly #agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    pipelining: 1,
+  });
+
+  readonly #givesReports: boolean;
+
+  /** @param givesReports - whether the endpoints are engines */
+  constructor(givesReports: boolean) {
+    this.#givesReports = givesReports;
+  }
+
+  send(request: EndpointRequest, listener: EndpointListener): EndpointExchange {
+    return new EndpointExchange(this.#agent, request, listener);
+  }
+
+  async report(origin: string): Promise<EngineReport | undefined> {
+    if (!this.#givesReports) return undefined;
+    const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
+    const answer = await this.#agent.request({ origin, method: 'GET', path: '/report', signal });
+    return (await answer.body.json()) as EngineReport;
+  }
+
+  async order(origin: string, order: EngineOrder): ReturnType<EndpointDriver['order']> {
+    if (!this.#givesReports) throw new verror.VError('services take no orders');
+    const answer = await this.#agent.request({
+      origin,
+      method: 'POST',
+      path: '/orders',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(order),
+      signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+    });
+    return (await answer.body.json()) as Awaited<ReturnType<EndpointDriver['order']>>;
+  }
+
+  close(): Promise<void> {
+    return this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Typed configuration objects, selectors, outcomes and errors. No input or output.
+ *
+ * @packageDocumentation
+ */
+export { canonicalDigest } from './lib/canonical-digest.js';
+export type { ConfigBody } from './lib/config-body.js';
+export type { ConfigChange } from './lib/config-change.js';
+export { ConfigKind } from './lib/config-kind.js';
+export { configSchemas } from './lib/config-schemas.js';
+export type { Finding } from './lib/finding.js';
+export { formatFinding } from './lib/format-finding.js';
+export { matchesSelector } from './lib/matches-selector.js';
+export { nearName } from './lib/near-name.js';
+export { Outcome } from './lib/outcome.js';
+export { parseConfig } from './lib/parse-config.js';
+export { refusalCodes, type RefusalCode } from './lib/refusal-code.js';
+export { RefusalError } from './lib/refusal-error.js';
+export { schemaFindings } from './lib/schema-findings.js';
+export type { Selector } from './lib/selector.js';
+export { TomlSource } from './lib/toml-source.js';
--- /dev/null
+++ b/packages/model/src/lib/parse-config.ts
@@ -0,0 +1,86 @@
+import { configSchemas } from './config-schemas.js';
+import { ConfigKind } from './config-kind.js';
+import type { Finding } from './finding.js';
+import { nearName } from './near-name.js';
+import { schemaFindings } from './schema-findings.js';
+import { TomlSource } from './toml-source.js';
+
+interface ParsedObject {
+  readonly kind: ConfigKind;
+  readonly name: string;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Objects and findings of one configuration file. */
+interface ParsedConfig {
+  readonly objects: readonly ParsedObject[];
+  readonly findings: readonly Finding[];
+}
+
+const isKind = (key: string): key is ConfigKind => Object.hasOwn(ConfigKind, key);
+
+function unknownKind(toml: TomlSource, key: string): Finding {
+  const kinds = Object.keys(ConfigKind);
+  const near = nearName(key, kinds);
+  return toml.findingAt([key], {
+    object: key,
+    rule: 'unknown-kind',
+    message: `unknown kind "${key}"`,
+    mend: near ? `did you mean "${near}"?` : `use one of ${kinds.join(', ')}`,
+  });
+}
+
+function parseEntry(toml: TomlSource, kind: ConfigKind, entry: unknown, index: number) {
+  const schema = configSchemas[kind];
+  const name = String((entry as { name?: unknown } | null)?.name ?? `#${index + 1}`);
+  const result = schema.safeParse(entry);
+  if (result.success) return { object: { kind, name, body: result.data }, findings: [] };
+  const known = Object.keys(schema.shape);
+  const findings = schemaFindings(`${kind}/${name}`, result.error.issues, [kind, index], known);
+  return { findings: findings.map(({ path, finding }) => toml.findingAt(path, finding)) };
+}
+
+function duplicateFindings(toml: TomlSource, objects: readonly ParsedObject[]): Finding[] {
+  const seen = new Set<string>();
+  return objects.flatMap(({ kind, name }) => {
+    const key = `${kind}/${name}`;
+    if (!seen.has(key)) {
+      seen.add(key);
+      return [];
+    }
+    const mend = 'keep one of the two';
+    return [toml.findingAt([kind], { object: key, rule: 'duplicate', message: 'twice', mend })];
+  });
+}
+
+/**
+ * Parses a configuration file and reports everything wrong with it at once.
+ *
+ * @param source - file name for findings
+ * @param text - TOML text with tables named after the kinds
+ * @returns the objects that are sound, and all findings; objects must not be used while a finding
+ * stands
+ * @example
+ * ```ts
+ * const { objects, findings } = parseConfig('shop.toml', text);
+ * ```
+ */
+export function parseConfig(source: string, text: string): ParsedConfig {
+  const toml = new TomlSource(source, text);
+  const findings: Finding[] = [...toml.syntaxFindings];
+  const objects: ParsedObject[] = [];
+  Object.entries(toml.value).forEach(([key, entries]) => {
+    if (!isKind(key)) {
+      findings.push(unknownKind(toml, key));
+      return;
+    }
+    const list: unknown[] = Array.isArray(entries) ? entries : [entries];
+    list.forEach((entry, index) => {
+      const parsed = parseEntry(toml, key, entry, index);
+      findings.push(...parsed.findings);
+      if (parsed.object) objects.push(parsed.object);
+    });
+  });
+  findings.push(...duplicateFindings(toml, objects));
+  return { objects, findings };
+}
--- /dev/null
+++ b/packages/model/src/test/parse-config_test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { formatFinding, matchesSelector, parseConfig } from '../index.js';
+
+describe('parseConfig', () => {
+  it('reports all findings with their places and suggests the near key', () => {
+    const text = [
+      '[[model]]',
+      'name = "die"',
+      'weightBytes = 5',
+      '[[polcy]]',
+      'name = "x"',
+      '[[caller]]',
+      'name = "Bad Name"',
+      'keySha256 = "zz"',
+    ].join('\n');
+    const { findings } = parseConfig('shop.toml', text);
+    const lines = findings.map(formatFinding).join('\n');
+    expect(lines).to.include('shop.toml:3:1: model/die: unknown key "weightBytes"');
+    expect(lines).to.include('did you mean "weightsBytes"?');
+    expect(lines).to.include('shop.toml:4:3: polcy: unknown kind "polcy"');
+    expect(lines).to.include('shop.toml:7:1: caller/Bad Name');
+    expect(lines).to.include('shop.toml:8:1: caller/Bad Name');
+  });
+
+  it('gives a place for a text that is no TOML', () => {
+    const [finding] = parseConfig('a.toml', 'x = [').findings;
+    expect(finding.rule).to.equal('toml-syntax');
+    expect(finding.line).to.equal(1);
+  });
+
+  it('never throws, whatever the text', () => {
+    const word = fc.constantFrom('[[model]]\n', 'name="a"\n', 'labels={', '}', '=', '[', '\n', 'x');
+    fc.assert(
+      fc.property(
+        fc.oneof(
+          fc.string(),
+          fc.array(word).map((list) => list.join('')),
+        ),
+        (text) => {
+          parseConfig('fuzz.toml', text);
+        },
+      ),
+      { numRuns: 300, seed: 7 },
+    );
+  });
+});
+
+describe('matchesSelector', () => {
+  const empty = { equal: {}, anyOf: {}, noneOf: {}, exists: [], absent: [] };
+
+  it('joins all conditions', () => {
+    const selector = { ...empty, equal: { desk: 'counter' }, absent: ['test'] };
+    expect(matchesSelector(selector, { desk: 'counter' })).to.equal(true);
+    expect(matchesSelector(selector, { desk: 'counter', test: '1' })).to.equal(false);
+    expect(matchesSelector(selector, {})).to.equal(false);
+  });
+
+  it('takes sets, negated sets and existence', () => {
+    const selector = { ...empty, anyOf: { a: ['1', '2'] }, noneOf: { b: ['x'] }, exists: ['c'] };
+    expect(matchesSelector(selector, { a: '2', c: '' })).to.equal(true);
+    expect(matchesSelector(selector, { a: '2', b: 'x', c: '' })).to.equal(false);
+    expect(matchesSelector(selector, { a: '3', c: '' })).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Framed TCP streams between instances, with a handshake, flow control and reconnection.
+ *
+ * @packageDocumentation
+ */
+export { PeerPool } from './lib/peer-pool.js';
+export { PeerServer } from './lib/peer-server.js';
+export type { PeerStream } from './lib/peer-stream.js';
+export { createStreamPair } from './lib/create-stream-pair.js';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Ports to the platform's log and list of instances, and their clients over HTTP.
+ *
+ * @packageDocumentation
+ */
+export { HttpInstanceList } from './lib/http-instance-list.js';
+export { HttpLog } from './lib/http-log.js';
+export type { InstanceListPort } from './lib/instance-list-port.js';
+export type { ListedInstance } from './lib/listed-instance.js';
+export type { LogPage } from './lib/log-page.js';
+export type { LogPort } from './lib/log-port.js';
+export type { LogRecord } from './lib/log-record.js';
--- /dev/null
+++ b/packages/stand-ins/src/lib/log-stand-in.ts
@@ -0,0 +1,180 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { HttpStandIn } from './http-stand-in.js';
+
+const READ_COUNT_MAX = 1_000;
+
+interface StoredRecord {
+  readonly offset: number;
+  readonly timeMs: number;
+  readonly value: unknown;
+}
+
+interface StoredStream {
+  firstOffset: number;
+  nextOffset: number;
+  records: StoredRecord[];
+}
+
+/** Faults of the log; all may be set at any time. */
+interface LogFaults {
+  /** Refuses every call. */
+  isDown: boolean;
+  /** Delays every answer, in milliseconds. */
+  delayMs: number;
+  /** Appends, then cuts the connection in place of the next answers; a count. */
+  lostAnswerCount: number;
+  /** Appends the same records twice, for the next calls; a count. */
+  doubledAppendCount: number;
+}
+
+interface LogOptions {
+  /** How long records are kept, in milliseconds. */
+  readonly retentionMs?: number;
+  /** Most appends in a second; more are refused with status 429. */
+  readonly appendsPerSecond?: number;
+}
+
+/** The platform's append-only log: streams of records with offsets from 1. */
+export class LogStandIn extends HttpStandIn {
+  readonly faults: LogFaults = {
+    isDown: false,
+    delayMs: 0,
+    lostAnswerCount: 0,
+    doubledAppendCount: 0,
+  };
+
+  /** Counts of calls since the start. */
+  readonly counts = { appends: 0, records: 0, reads: 0, refused: 0 };
+  readonly #streams = new Map<string, StoredStream>();
+  readonly #retentionMs: number;
+  readonly #appendsPerSecond: number;
+  #windowStartMs = 0;
+  #windowAppends = 0;
+
+  /** @param options - retention and rate limit */
+  constructor(options: LogOptions = {}) {
+    super();
+    this.#retentionMs = options.retentionMs ?? Infinity;
+    this.#appendsPerSecond = options.appendsPerSecond ?? 300;
+    this.route('POST', '/log/:stream', async ({ request, response, params }) => {
+      const { records } = await HttpStandIn.readJson<{ records: unknown[] }>(request);
+      await this.#guard(response, () => this.#append(response, params.stream ?? '', records));
+    });
+    this.route('GET', '/log/:stream', async ({ response, params, query }) => {
+      await this.#guard(response, () =>
+        this.#read(response, params.stream ?? '', Number(query.from), Number(query.limit)),
+      );
+    });
+  }
+
+  /**
+   * Reads a stream directly, for tests.
+   *
+   * @param name - the stream
+   * @returns its records that are still kept
+   */
+  peek(name: string): readonly StoredRecord[] {
+    return this.#stream(name).records;
+  }
+
+  /**
+   * Drops the oldest records, as retention does.
+   *
+   * @param name - the stream
+   * @param beforeOffset - first offset that stays
+   */
+  forget(name: string, beforeOffset: number): void {
+    const stream = this.#stream(name);
+    stream.records = stream.records.filter(({ offset }) => offset >= beforeOffset);
+    stream.firstOffset = Math.max(stream.firstOffset, beforeOffset);
+  }
+
+  async #guard(
+    response: Parameters<typeof HttpStandIn.reply>[0],
+    action: () => void,
+  ): Promise<void> {
+    if (this.faults.isDown) {
+      this.counts.refused += 1;
+      response.destroy();
+      return;
+    }
+    if (this.faults.delayMs > 0) await sleep(this.faults.delayMs);
+    action();
+  }
+
+  #append(
+    response: Parameters<typeof HttpStandIn.reply>[0],
+    name: string,
+    values: unknown[],
+  ): void {
+    if (!this.#takeAppend()) {
+      this.counts.refused += 1;
+      HttpStandIn.reply(response, 429, { error: 'too many appends' });
+      return;
+    }
+    const stream = this.#stream(name);
+    const firstOffset = stream.nextOffset;
+    this.#store(stream, values);
+    if (this.faults.doubledAppendCount > 0) {
+      this.faults.doubledAppendCount -= 1;
+      this.#store(stream, values);
+    }
+    this.#expire(name, stream);
+    if (this.faults.lostAnswerCount > 0) {
+      this.faults.lostAnswerCount -= 1;
+      response.destroy();
+      return;
+    }
+    HttpStandIn.reply(response, 200, { firstOffset });
+  }
+
+  #store(stream: StoredStream, values: unknown[]): void {
+    this.counts.appends += 1;
+    this.counts.records += values.length;
+    values.forEach((value) => {
+      stream.records.push({ offset: stream.nextOffset, timeMs: Date.now(), value });
+      // One stand-in stream is mutable state by design.
+      // eslint-disable-next-line no-param-reassign
+      stream.nextOffset += 1;
+    });
+  }
+
+  #read(
+    response: Parameters<typeof HttpStandIn.reply>[0],
+    name: string,
+    from: number,
+    limit: number,
+  ): void {
+    this.counts.reads += 1;
+    const stream = this.#stream(name);
+    this.#expire(name, stream);
+    const { firstOffset, nextOffset } = stream;
+    const start = Math.max(0, from - firstOffset);
+    const records = stream.records.slice(start, start + Math.min(limit, READ_COUNT_MAX));
+    HttpStandIn.reply(response, 200, { firstOffset, nextOffset, records });
+  }
+
+  #stream(name: string): StoredStream {
+    const existing = this.#streams.get(name);
+    if (existing) return existing;
+    const stream = { firstOffset: 1, nextOffset: 1, records: [] };
+    this.#streams.set(name, stream);
+    return stream;
+  }
+
+  #expire(name: string, stream: StoredStream): void {
+    const oldestMs = Date.now() - this.#retentionMs;
+    const keep = stream.records.find(({ timeMs }) => timeMs >= oldestMs);
+    if (this.#retentionMs < Infinity) this.forget(name, keep?.offset ?? stream.nextOffset);
+  }
+
+  #takeAppend(): boolean {
+    const nowMs = Date.now();
+    if (nowMs - this.#windowStartMs >= 1_000) {
+      this.#windowStartMs = nowMs;
+      this.#windowAppends = 0;
+    }
+    this.#windowAppends += 1;
+    return this.#windowAppends <= this.#appendsPerSecond;
+  }
+}
