Order keys of non-idempotent requests by the log, or by their minter

Cause: an order sent twice under one key took effect 2 times in the demo: nothing ordered its keys. Ruled out: one home claiming again with the same attempt id after another was lost. A late release of the first home would free a key that has run; each claim now has an attempt id of its own. Found by fuzzing and mended: a release lost to a failed append was never repeated, so a key stayed held for good (counterexample ok, dropped, dropped); a truncated stream looked whole at time 0. Conclusion: at most one effect a key, with or without the log.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -22,6 +22,7 @@
 import { Metrics } from './observe/metrics.js';
 import { PartLogger } from './observe/part-logger.js';
 import { HopTracer } from './observe/tracer.js';
+import { KeyService } from './keys/key-service.js';
 import { Owner } from './owner/owner.js';
 import { ReportLoop } from './owner/report-loop.js';
 import type { DispatchParams } from './peer/dispatch-params.js';
@@ -67,6 +68,7 @@
   readonly #directory: Directory;
   readonly #owner: Owner;
   readonly #entry: Entry;
+  readonly #keys: KeyService;
   readonly #reports: ReportLoop;
   readonly #callerFront: CallerFront;
   readonly #operatorFront: OperatorFront;
@@ -94,6 +96,7 @@
     this.config = this.#createConfig();
     this.peers = this.#createPeers();
     this.#directory = new Directory({ get: (key) => this.#rumor(key) }, () => this.config.view);
+    this.#keys = this.#createKeys();
     this.#owner = this.#createOwner();
     this.#entry = this.#createEntry();
     this.#reports = this.#createReports();
@@ -211,6 +214,9 @@
         dispatch: (params, stream) => this.#owner.dispatch(params as DispatchParams, stream),
         config: (params, stream) => this.#answerConfig(params, stream),
         facts: (params, stream) => this.#answerFacts(params, stream),
+        keyClaim: (params, stream) => this.#keys.handlers.keyClaim(params, stream),
+        keySettle: (params, stream) => this.#keys.handlers.keySettle(params, stream),
+        keyAttempt: (params, stream) => this.#keys.handlers.keyAttempt(params, stream),
       },
       onDatagram: (message) => this.#takeDatagram(message as MembershipMessage),
       onRejected: (reason) => this.#logger('peer').warn('peer_rejected', 'Closed.', { reason }),
@@ -235,6 +241,20 @@
     return new Membership(self, settings, this.#random);
   }
 
+  #createKeys(): KeyService {
+    return new KeyService({
+      log: this.#log,
+      peers: this.peers,
+      self: this.#settings.instance.name,
+      incarnation: this.#incarnation,
+      members: () => this.#membership?.present() ?? [],
+      metrics: this.metrics,
+      logger: this.#logger('keys'),
+      nowMs: Daemon.#nowMs,
+      memoryMs: this.#settings.limits.keyMemoryMs,
+    });
+  }
+
   #createOwner(): Owner {
     return new Owner({
       drivers: this.#drivers,
@@ -267,6 +287,7 @@
       isLocal: (endpoint) =>
         this.config.view.endpoints.get(endpoint)?.failureDomain === failureDomain,
       view: () => this.config.view,
+      keys: this.#keys,
       incarnation: this.#incarnation,
     });
   }
@@ -353,6 +374,7 @@
 
   #tick(): void {
     this.#owner.tick();
+    this.#keys.tick();
     this.#sendAll(this.#membership?.tick(Daemon.#nowMs()) ?? []);
   }
 
@@ -435,9 +457,15 @@
     rumors.forEach((rumor) => this.#membership?.takeRumor(rumor, Daemon.#nowMs()));
   }
 
+  #workCount(): number {
+    // Outcomes of keys that only the log can keep are work as well, while the log answers.
+    const keys = this.config.isLogDown ? 0 : this.#keys.pendingCount;
+    return this.#entry.runCount + this.#owner.requestCount + keys;
+  }
+
   async #waitUntilIdle(): Promise<boolean> {
     const endMs = Daemon.#nowMs() + this.#settings.shutdown.drainTimeoutMs;
-    while (this.#entry.runCount + this.#owner.requestCount > 0) {
+    while (this.#workCount() > 0) {
       if (Daemon.#nowMs() > endMs) return false;
       // eslint-disable-next-line no-await-in-loop -- this is a wait
       await Daemon.#sleep(LINGER_MS);
--- a/packages/daemon/src/lib/entry/request-run.ts
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -15,6 +15,8 @@
 import type { OwnerClient } from './owner-client.js';
 
 const ATTEMPT_COUNT_MAX = 4;
+/** Piped answers up to this length are kept until their end, for the key ledger, in bytes. */
+const CAPTURE_BYTES_MAX = 2_048;
 const WHOLE_ANSWER_BYTES_MAX = 16 * 1024 * 1024;
 /** Headers of an endpoint's answer that a caller gets. */
 const FORWARDED_HEADERS = ['content-type', 'content-length', 'content-encoding', 'location'];
@@ -128,6 +130,27 @@
     this.#finish('REFUSE', error);
   }
 
+  /**
+   * Gives the answer of an earlier request under the same key again.
+   *
+   * @param status - HTTP status of the first answer
+   * @param body - its body, if it was short enough to be kept
+   */
+  replay(status: number, body: string | undefined): void {
+    if (this.isDone) return;
+    this.#follow('REPLAY');
+    this.#span.setAttribute('outcome', Outcome.ran);
+    this.#span.end();
+    this.#explain('replay', 'the key has run before', { status });
+    this.#context.metrics.requests.inc({ outcome: Outcome.ran, code: 'replay' });
+    this.#context.onDone(this);
+    const headers = { 'chervilseam-replayed': 'true', 'chervilseam-outcome': Outcome.ran };
+    const text = body ?? JSON.stringify({ outcome: Outcome.ran, status });
+    this.#reply.head(status, { ...headers, 'content-type': 'application/json' });
+    this.#reply.write(Buffer.from(text));
+    this.#reply.end(Outcome.ran);
+  }
+
   /**
    * Takes a part of a streamed body.
    *
@@ -291,6 +314,10 @@
   }
 
   #forward(data: Uint8Array): void {
+    if (this.#wholeBytes <= CAPTURE_BYTES_MAX) {
+      this.#whole.push(data);
+      this.#wholeBytes += data.length;
+    }
     if (!this.#reply.write(data)) this.#stream?.pause();
   }
 
@@ -384,7 +411,8 @@
   #answerWhole(): void {
     const status = this.#head?.status ?? 200;
     if (this.#request.carriage !== 'whole') {
-      this.onOutcome(Outcome.ran, status, undefined);
+      const isCaptured = this.#wholeBytes <= CAPTURE_BYTES_MAX;
+      this.onOutcome(Outcome.ran, status, isCaptured ? Buffer.concat(this.#whole) : undefined);
       this.#reply.end(Outcome.ran);
       return;
     }
--- a/packages/daemon/src/lib/http/caller-front.ts
+++ b/packages/daemon/src/lib/http/caller-front.ts
@@ -18,6 +18,8 @@
 
 const DEADLINE_HEADER = 'chervilseam-deadline-ms';
 const KEY_LENGTH_MAX = 200;
+/** Bodies up to this length are kept so that they can be sent again, in bytes. */
+const REPEATABLE_BYTES_MAX = 64 * 1024;
 
 /** What the front needs around it. */
 interface CallerFrontContext {
@@ -177,7 +179,11 @@
     const method = request.method ?? 'GET';
     const target: RequestTarget = { kind: 'service', service, method };
     const path = (request.url ?? '/').slice(`/services/${service}`.length) || '/';
-    const { body, rest } = await streamBody(request);
+    const isKeyed = request.headers['idempotency-key'] !== undefined;
+    const { bodyBytesMax } = this.#context.settings.limits;
+    const { body, rest } = await streamBody(request, isKeyed ? bodyBytesMax : REPEATABLE_BYTES_MAX);
+    // A key belongs to one request, so the whole request must be known before it runs.
+    if (isKeyed && !body) throw refusal('body_too_large', 'the body is too large for a key');
     const callerRequest = this.#callerRequest(request, path, body, 'pipe');
     const run = this.#begin(caller, target, callerRequest, reply);
     if (run) rest(run);
--- a/packages/daemon/src/lib/http/stream-body.ts
+++ b/packages/daemon/src/lib/http/stream-body.ts
@@ -1,8 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { Outcome, RefusalError } from '@chervilseam/model';
 
-const WHOLE_BYTES_MAX = 64 * 1024;
-
 /** Takes the parts of a body that is not read in whole. */
 interface BodySink {
   writeBody(data: Buffer): boolean;
@@ -32,10 +30,11 @@
  * one is fed on as it comes.
  *
  * @param request - the request
+ * @param wholeBytesMax - most bytes to read in whole
  * @returns the body, or the way to feed it
  * @throws RefusalError when the body breaks off
  */
-export function streamBody(request: IncomingMessage): Promise<StreamedBody> {
+export function streamBody(request: IncomingMessage, wholeBytesMax: number): Promise<StreamedBody> {
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
     let bytes = 0;
@@ -46,7 +45,7 @@
     request.on('data', (part: Buffer) => {
       parts.push(part);
       bytes += part.length;
-      if (bytes <= WHOLE_BYTES_MAX) return;
+      if (bytes <= wholeBytesMax) return;
       stop();
       request.pause();
       resolve({ body: undefined, rest: (sink) => feed(request, parts, sink) });
--- a/packages/daemon/src/lib/settings/settings-schema.ts
+++ b/packages/daemon/src/lib/settings/settings-schema.ts
@@ -46,6 +46,7 @@
       headerTimeoutMs: ms(10_000, 'Longest wait for the head of a request, in milliseconds.'),
       bodyTimeoutMs: ms(60_000, 'Longest wait for the whole of a request, in milliseconds.'),
       answerTimeoutMs: ms(120_000, 'Longest wait for the head of an answer, in milliseconds.'),
+      keyMemoryMs: ms(3_600_000, 'How long an Idempotency-Key is remembered, in milliseconds.'),
       fallbackConcurrency: count(2, 'Requests at an endpoint whose owner cannot be reached.'),
     })
     .prefault({}),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -28,3 +28,8 @@
 export type { EndpointFact } from './lib/routing/endpoint-fact.js';
 export type { EndpointLoad } from './lib/routing/endpoint-load.js';
 export { RouteTable } from './lib/routing/route-table.js';
+export type { KeyClaim } from './lib/keys/key-claim.js';
+export type { KeyEntry } from './lib/keys/key-entry.js';
+export { KeyHome } from './lib/keys/key-home.js';
+export type { KeyVerdict } from './lib/keys/key-verdict.js';
+export { MintedKeys } from './lib/keys/minted-keys.js';
--- /dev/null
+++ b/packages/decisions/src/test/fake-log.ts
@@ -0,0 +1,50 @@
+interface FakeRecord {
+  readonly offset: number;
+  readonly timeMs: number;
+  readonly value: unknown;
+}
+
+/** One stream of a log in memory, with records that can be late, doubled or gone. */
+export class FakeLog {
+  firstOffset = 1;
+  timeMs = 0;
+  records: FakeRecord[] = [];
+  #late: unknown[][] = [];
+
+  get nextOffset(): number {
+    return (this.records.at(-1)?.offset ?? this.firstOffset - 1) + 1;
+  }
+
+  append(values: readonly unknown[]): number {
+    const first = this.nextOffset;
+    values.forEach((value) => {
+      this.records.push({ offset: this.nextOffset, timeMs: this.timeMs, value });
+    });
+    return first;
+  }
+
+  /** Holds an append back; it takes effect when {@link deliver} is called. */
+  delay(values: readonly unknown[]): void {
+    this.#late.push([...values]);
+  }
+
+  deliver(): void {
+    const values = this.#late.shift();
+    if (values) this.append(values);
+  }
+
+  read(
+    fromOffset: number,
+    limit = 100,
+  ): { firstOffset: number; nextOffset: number; records: FakeRecord[] } {
+    const records = this.records.filter(({ offset }) => offset >= fromOffset).slice(0, limit);
+    return { firstOffset: this.firstOffset, nextOffset: this.nextOffset, records };
+  }
+
+  forget(beforeOffset: number): void {
+    const first = Math.min(beforeOffset, this.nextOffset);
+    if (first <= this.firstOffset) return;
+    this.firstOffset = first;
+    this.records = this.records.filter(({ offset }) => offset >= first);
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/test/keys/key-world.ts
@@ -0,0 +1,165 @@
+import { KeyHome } from '../../lib/keys/key-home.js';
+import type { KeyVerdict } from '../../lib/keys/key-verdict.js';
+import { FakeLog } from '../fake-log.js';
+
+/** How a call to the log goes. */
+type LogFate = 'ok' | 'answerLost' | 'dropped' | 'delayed' | 'doubled';
+
+/** How a granted attempt ends. */
+type RunFate = 'ran' | 'lost' | 'refused' | 'pausedThenRan';
+
+interface Attempt {
+  readonly key: string;
+  readonly home: number;
+  readonly incarnation: number;
+  state: 'claimed' | 'givenUp' | 'granted' | 'over';
+}
+
+const OPTIONS = { memoryMs: 1e9, lingerMs: 0, snapshotEvery: 6 };
+
+/**
+ * Homes that decide claims over one faulty log, and an oracle that counts effects by key. Homes die
+ * and come back; attempts are dispatched only by the home's own callers, once.
+ */
+export class KeyWorld {
+  readonly log = new FakeLog();
+  readonly effects = new Map<string, number>();
+  readonly saidNotRun = new Set<string>();
+  readonly violations: string[] = [];
+  readonly attempts = new Map<string, Attempt>();
+  readonly verdicts: KeyVerdict['type'][] = [];
+  readonly #homes: KeyHome[] = [];
+  readonly #incarnations: number[] = [];
+  #count = 0;
+
+  constructor(homeCount: number) {
+    for (let index = 0; index < homeCount; index += 1) {
+      this.#incarnations.push(0);
+      this.#homes.push(this.#createHome(index));
+    }
+  }
+
+  claim(home: number, key: string): void {
+    this.#count += 1;
+    const attempt = `a${this.#count}`;
+    const incarnation = this.#incarnations[home];
+    this.attempts.set(attempt, { key, home, incarnation, state: 'claimed' });
+    const dispatcher = `h${home}.${incarnation}`;
+    this.#homes[home].claim({ key, digest: key, attempt, dispatcher });
+    this.#takeAnswers(home);
+  }
+
+  step(home: number, fate: LogFate): void {
+    this.log.timeMs += 1;
+    const action = this.#homes[home].next(this.log.timeMs);
+    if (action?.type === 'append') this.#append(home, action.values, fate);
+    if (action?.type === 'read') this.#read(home, action.fromOffset, fate);
+    this.#takeAnswers(home);
+  }
+
+  /** Ends a granted attempt. */
+  run(fate: RunFate): void {
+    const found = [...this.attempts].find(([, { state }]) => state === 'granted');
+    if (!found) return;
+    const [id, attempt] = found;
+    attempt.state = 'over';
+    const { key, home, incarnation } = attempt;
+    const isAlive = this.#incarnations[home] === incarnation;
+    if (fate !== 'refused') this.#effect(id, key);
+    if (!isAlive || fate === 'pausedThenRan') return;
+    const common = { key, attempt: id };
+    if (fate === 'ran') {
+      this.#homes[home].settle({
+        ...common,
+        type: 'outcome',
+        outcome: 'ran',
+        status: 200,
+        body: id,
+      });
+    }
+    if (fate === 'lost') {
+      this.#homes[home].settle({
+        ...common,
+        type: 'outcome',
+        outcome: 'unknown',
+        status: 0,
+        body: undefined,
+      });
+    }
+    if (fate === 'refused') {
+      this.saidNotRun.add(id);
+      this.#homes[home].settle({ ...common, type: 'release' });
+    }
+  }
+
+  /** A dispatcher stops waiting for a claim; another home frees the key on its word. */
+  giveUp(releasingHome: number): void {
+    const found = [...this.attempts].find(([, { state }]) => state === 'claimed');
+    if (!found) return;
+    const [id, attempt] = found;
+    attempt.state = 'givenUp';
+    this.saidNotRun.add(id);
+    this.#homes[releasingHome].settle({ key: attempt.key, attempt: id, type: 'release' });
+  }
+
+  /** A home and its dispatcher die; their grants may already be under way and still run. */
+  kill(home: number): void {
+    this.#incarnations[home] += 1;
+    this.#homes[home] = this.#createHome(home);
+    this.attempts.forEach((attempt) => {
+      // eslint-disable-next-line no-param-reassign -- the world's own record
+      if (attempt.home === home && attempt.state === 'claimed') attempt.state = 'over';
+    });
+  }
+
+  /** Lets every home finish without faults. */
+  settle(): void {
+    for (let round = 0; round < 60; round += 1) {
+      this.log.deliver();
+      this.#homes.forEach((_, home) => this.step(home, 'ok'));
+    }
+  }
+
+  #createHome(index: number): KeyHome {
+    return new KeyHome(`h${index}.${this.#incarnations[index]}`, OPTIONS);
+  }
+
+  #append(home: number, values: readonly unknown[], fate: LogFate): void {
+    if (fate === 'dropped') this.#homes[home].onAppendFailed();
+    if (fate === 'delayed') {
+      this.log.delay(values);
+      this.#homes[home].onAppendFailed();
+    }
+    if (fate === 'answerLost') {
+      this.log.append(values);
+      this.#homes[home].onAppendFailed();
+    }
+    if (fate === 'ok' || fate === 'doubled') {
+      const first = this.log.append(values);
+      if (fate === 'doubled') this.log.delay(values);
+      this.#homes[home].onAppended(first);
+    }
+  }
+
+  #read(home: number, fromOffset: number, fate: LogFate): void {
+    if (fate === 'ok' || fate === 'doubled') this.#homes[home].onRead(this.log.read(fromOffset, 5));
+    else this.#homes[home].onReadFailed();
+  }
+
+  #takeAnswers(home: number): void {
+    this.#homes[home].takeAnswers().forEach(({ attempt: id, verdict }) => {
+      const attempt = this.attempts.get(id);
+      if (attempt?.state !== 'claimed') return;
+      this.verdicts.push(verdict.type);
+      attempt.state = verdict.type === 'granted' ? 'granted' : 'givenUp';
+      if (verdict.type !== 'granted') this.saidNotRun.add(id);
+    });
+  }
+
+  #effect(id: string, key: string): void {
+    const count = (this.effects.get(key) ?? 0) + 1;
+    this.effects.set(key, count);
+    if (count > 1) this.violations.push(`key ${key} took effect ${count} times`);
+    if (this.saidNotRun.has(id)) this.violations.push(`${id} ran after it was said not to`);
+  }
+}
