Measure the request path in virtual time against baselines and a bound

Cause: the users' four measures are won by policy, and nothing measured the policy yet. Owners decide by EndpointControl (adaptive limit, queue by priority, age and share), entries by RouteTable; the daemons use the same classes.

--- /dev/null
+++ b/packages/benchmarks/src/lib/policy/policy-rows.ts
@@ -0,0 +1,128 @@
+import type { BenchRow } from '../bench-row.js';
+import { deploymentShapes } from './deployment-shapes.js';
+import { DirectPolicy } from './direct-policy.js';
+import { policyScenarios } from './policy-scenarios.js';
+
+type ShapeName = keyof typeof deploymentShapes;
+type Figures = Readonly<Record<string, number>>;
+
+const OURS = 'chervilseam';
+const LONG_SHARE = 0.02;
+const SLOW_FACTOR = 8;
+const LOADS_FOR_PEAK = [0.8, 1, 1.2];
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+interface Measured {
+  /** Figures of one run of one policy. */
+  readonly run: (shape: ShapeName, policy: string, seed: number) => Figures;
+  /** Bound of each figure that has one. */
+  readonly bounds: Readonly<Record<string, string>>;
+  /** Unit of each figure. */
+  readonly units: Readonly<Record<string, string>>;
+  /** Whether the clairvoyant policy belongs beside it. */
+  readonly hasClairvoyant: boolean;
+}
+
+/** The scenarios of the request path. */
+const scenarios: Readonly<Record<string, Measured>> = {
+  crest: {
+    run: (shape, policy, seed) => {
+      const { attainment, counterAttainment, firstTokenP99Ms, refusedShare } =
+        policyScenarios.crest({ shape, policy, seed });
+      return { attainment, counterAttainment, firstTokenP99Ms, refusedShare };
+    },
+    bounds: { counterAttainment: '>= 0.99' },
+    units: { firstTokenP99Ms: 'ms' },
+    hasClairvoyant: true,
+  },
+  overload: {
+    run: (shape, policy, seed) => {
+      const run = { shape, policy, seed };
+      const peaks = LOADS_FOR_PEAK.map((load) => policyScenarios.steady(run, load, 40));
+      const peak = Math.max(...peaks.map(({ goodputPerSecond }) => goodputPerSecond));
+      const tripled = policyScenarios.steady(run, 3, 120);
+      return {
+        goodputOfPeak: tripled.goodputPerSecond / Math.max(1e-9, peak),
+        goodputPerSecond: tripled.goodputPerSecond,
+        refusalP99Ms: tripled.refusalP99Ms,
+        counterAttainment: tripled.counterAttainment,
+      };
+    },
+    bounds: { goodputOfPeak: '>= 0.9', refusalP99Ms: '<= 100' },
+    units: { goodputPerSecond: '1/s', refusalP99Ms: 'ms' },
+    hasClairvoyant: true,
+  },
+  headofline: {
+    run: (shape, policy, seed) => {
+      const run = { shape, policy, seed };
+      const mixed = policyScenarios.headOfLine(run, LONG_SHARE);
+      const alone = policyScenarios.headOfLine(run, 0);
+      return {
+        shortFirstTokenRatio: mixed.short.firstTokenP99Ms / alone.short.firstTokenP99Ms,
+        shortPaceRatio: mixed.short.paceP99Ms / alone.short.paceP99Ms,
+        longRatioP95: mixed.longRatioP95,
+        shortAttainment: mixed.short.attainment,
+      };
+    },
+    bounds: { shortFirstTokenRatio: '<= 1.5', shortPaceRatio: '<= 1.5', longRatioP95: '<= 2' },
+    units: {},
+    hasClairvoyant: true,
+  },
+  slowed: {
+    run: (shape, policy, seed) => {
+      const run = { shape, policy, seed };
+      const disturbed = policyScenarios.slowed(run, SLOW_FACTOR);
+      const calm = policyScenarios.slowed(run, 1);
+      return {
+        firstTokenRatio: disturbed.firstTokenP99Ms / calm.firstTokenP99Ms,
+        paceRatio: disturbed.paceP99Ms / calm.paceP99Ms,
+        attainment: disturbed.attainment,
+        moves: disturbed.moves,
+      };
+    },
+    bounds: { firstTokenRatio: '<= 1.5', paceRatio: '<= 1.5' },
+    units: { moves: 'count' },
+    hasClairvoyant: false,
+  },
+};
+
+function meanFigures(runs: readonly Figures[]): Figures {
+  const keys = Object.keys(runs[0]);
+  return Object.fromEntries(keys.map((key) => [key, mean(runs.map((run) => run[key]))]));
+}
+
+/**
+ * Measures the request path in virtual time against the baselines and the bound.
+ *
+ * @param scenario - name of the scenario
+ * @param seeds - runs of each policy, with seeds from 1; a count
+ * @returns a row for each figure and deployment
+ */
+export function policyRows(scenario: string, seeds: number): BenchRow[] {
+  const { run, bounds, units, hasClairvoyant } = scenarios[scenario];
+  const policies = [OURS, ...DirectPolicy.names, ...(hasClairvoyant ? ['clairvoyant'] : [])];
+  return (Object.keys(deploymentShapes) as ShapeName[]).flatMap((shape) => {
+    const results = policies.map((policy) => {
+      const runs = Array.from({ length: seeds }, (_, index) => run(shape, policy, index + 1));
+      return [policy, meanFigures(runs)] as const;
+    });
+    const [, ours] = results[0];
+    const others = results.slice(1);
+    const rows = Object.entries(ours).map(([metric, value]) => ({
+      scenario: `${scenario}/${shape}`,
+      metric,
+      value,
+      unit: units[metric] ?? 'ratio',
+      bound: bounds[metric] ?? '',
+      baselines: Object.fromEntries(others.map(([policy, figures]) => [policy, figures[metric]])),
+      seeds,
+    }));
+    if (scenario !== 'crest') return rows;
+    const { attainment } = rows[0].baselines as { attainment?: number };
+    const clairvoyant = rows[0].baselines.clairvoyant ?? attainment ?? 1;
+    const relative = { ...rows[0], metric: 'ofClairvoyant', bound: '>= 0.95', baselines: {} };
+    return [...rows, { ...relative, value: rows[0].value / clairvoyant }];
+  });
+}
--- /dev/null
+++ b/packages/benchmarks/src/lib/policy/policy-scenarios.ts
@@ -0,0 +1,107 @@
+import { createPolicy } from './create-policy.js';
+import { deploymentShapes } from './deployment-shapes.js';
+import { measureRun } from './measure-run.js';
+import { runLoad } from './run-load.js';
+import type { SimRequest } from './sim-request.js';
+import { SimWorld } from './sim-world.js';
+
+type ShapeName = keyof typeof deploymentShapes;
+type Measure = ReturnType<typeof measureRun>;
+
+interface ScenarioRun {
+  readonly shape: ShapeName;
+  readonly policy: string;
+  readonly seed: number;
+}
+
+const LONG_TOKENS = 6_000;
+const MEAN_TOKENS = 120;
+const TAIL_S = 40;
+
+const createWorld = ({ shape, seed }: ScenarioRun): SimWorld =>
+  new SimWorld(deploymentShapes[shape], seed);
+
+/** Popularity falls with the rank; the ranking shifts by an offset. */
+const zipf = (count: number, offset: number): readonly number[] =>
+  Array.from({ length: count }, (_, model) => 1 / (1 + ((model + offset) % count)) ** 0.5);
+
+const arrivedIn = (fromS: number, toS: number) => ({ arrivedMs }: SimRequest): boolean =>
+  arrivedMs >= fromS * 1_000 && arrivedMs < toS * 1_000;
+
+/** Demand rises tenfold in 5 s, stays for 60 s while models shift. */
+function crest(run: ScenarioRun): Measure {
+  const world = createWorld(run);
+  const peak = world.capacityPerSecond * 0.75;
+  const rise = (atS: number): number => Math.min(1, Math.max(0, (atS - 20) / 5));
+  const requests = runLoad(world, createPolicy(run.policy, world), {
+    ratePerSecond: (atMs) =>
+      atMs < 85_000 ? peak * (0.1 + 0.9 * rise(atMs / 1_000)) : peak * 0.1,
+    weights: (atMs) => zipf(world.replicas.length, Math.floor(atMs / 15_000) * 3),
+    durationMs: 100_000,
+  });
+  return measureRun(requests.filter(arrivedIn(20, 85)), 65_000);
+}
+
+/** A steady load, as a share of the capacity. */
+function steady(run: ScenarioRun, load: number, seconds: number): Measure {
+  const world = createWorld(run);
+  const requests = runLoad(world, createPolicy(run.policy, world), {
+    ratePerSecond: () => world.capacityPerSecond * load,
+    weights: () => world.replicas.map(() => 1),
+    durationMs: (seconds + 20) * 1_000,
+  });
+  return measureRun(requests.filter(arrivedIn(20, 20 + seconds)), seconds * 1_000);
+}
+
+/** A share of the requests is fifty times longer; or none is, for comparison. */
+function headOfLine(run: ScenarioRun, longShare: number): { short: Measure; longRatioP95: number } {
+  const world = createWorld(run);
+  const requests = runLoad(world, createPolicy(run.policy, world), {
+    ratePerSecond: () => world.capacityPerSecond * 0.3,
+    weights: () => world.replicas.map(() => 1),
+    tokens: () => (world.random.unit() < longShare ? LONG_TOKENS : undefined),
+    durationMs: 120_000,
+  });
+  const counted = requests.filter(arrivedIn(40, 120));
+  const short = measureRun(
+    counted.filter(({ isLong }) => !isLong),
+    80_000,
+  );
+  const ratios = counted
+    .filter(({ isLong, doneMs }) => isLong && doneMs !== undefined)
+    .map(({ doneMs, arrivedMs, model }) => {
+      const lone = Math.max(...world.replicas[model].map((i) => world.engines[i].shape.loneTokenMs));
+      return ((doneMs as number) - arrivedMs) / (LONG_TOKENS * lone);
+    })
+    .sort((left, right) => left - right);
+  const longRatioP95 = ratios[Math.floor(ratios.length * 0.95)] ?? 0;
+  return { short, longRatioP95 };
+}
+
+/** Each engine in turn is slowed eightfold for 2 s; or none is, for comparison. */
+function slowed(run: ScenarioRun, factor: number): Measure {
+  const world = createWorld(run);
+  const seconds = world.engines.length * 2 * 2;
+  for (let turn = 0; turn * 2 < seconds; turn += 1) {
+    const engine = world.engines[turn % world.engines.length];
+    world.clock.after(20_000 + turn * 2_000, () => {
+      engine.slowFactor = factor;
+    });
+    world.clock.after(20_000 + (turn + 1) * 2_000, () => {
+      engine.slowFactor = 1;
+    });
+  }
+  const requests = runLoad(world, createPolicy(run.policy, world), {
+    ratePerSecond: () => world.capacityPerSecond * 0.5,
+    weights: () => world.replicas.map(() => 1),
+    durationMs: (20 + seconds + TAIL_S) * 1_000,
+  });
+  const counted = requests.filter(arrivedIn(20, 20 + seconds));
+  return measureRun(
+    counted.filter(({ tokens }) => tokens > MEAN_TOKENS / 6),
+    seconds * 1_000,
+  );
+}
+
+/** The runs that the scenarios of the policy are made of. */
+export const policyScenarios = { crest, steady, headOfLine, slowed };
--- /dev/null
+++ b/packages/benchmarks/src/lib/print-rows.ts
@@ -0,0 +1,39 @@
+import type { BenchRow } from './bench-row.js';
+
+const DIGITS = 4;
+
+const round = (value: number): number => Number(value.toPrecision(DIGITS));
+
+const comparisons: Readonly<Record<string, (value: number, limit: number) => boolean>> = {
+  '>=': (value, limit) => value >= limit,
+  '<=': (value, limit) => value <= limit,
+};
+
+function verdict({ bound, value }: BenchRow): string {
+  if (bound === '') return '';
+  const [operator, limit] = bound.split(' ');
+  return comparisons[operator](value, Number(limit)) ? 'reached' : 'NOT REACHED';
+}
+
+/**
+ * Writes rows.
+ *
+ * @param rows - the figures
+ * @param isJson - whether to write one JSON object a line
+ * @param write - takes each line
+ */
+export function printRows(
+  rows: readonly BenchRow[],
+  isJson: boolean,
+  write: (line: string) => void,
+): void {
+  rows.forEach((row) => {
+    if (isJson) {
+      write(JSON.stringify(row));
+      return;
+    }
+    const others = Object.entries(row.baselines).map(([name, value]) => `${name} ${round(value)}`);
+    const parts = [row.scenario, row.metric, `${round(row.value)} ${row.unit}`, row.bound];
+    write([...parts, verdict(row), others.join(', ')].join(' | '));
+  });
+}
--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -1,1 +1,36 @@
-process.stdout.write('no benchmarks yet\n');
+import { parseArgs } from 'node:util';
+import type { BenchRow } from './lib/bench-row.js';
+import { policyRows } from './lib/policy/policy-rows.js';
+import { printRows } from './lib/print-rows.js';
+
+const DEFAULT_SEEDS = '10';
+
+/** Benchmarks by name. */
+const benchmarks: Readonly<Record<string, (seeds: number) => BenchRow[] | Promise<BenchRow[]>>> = {
+  crest: (seeds) => policyRows('crest', seeds),
+  overload: (seeds) => policyRows('overload', seeds),
+  headofline: (seeds) => policyRows('headofline', seeds),
+  slowed: (seeds) => policyRows('slowed', seeds),
+};
+
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: {
+    json: { type: 'boolean', default: false },
+    seeds: { type: 'string', default: DEFAULT_SEEDS },
+  },
+});
+
+const chosen = positionals.length > 0 ? positionals : Object.keys(benchmarks);
+const unknown = chosen.filter((name) => !Object.hasOwn(benchmarks, name));
+if (unknown.length > 0) {
+  const known = Object.keys(benchmarks).join(', ');
+  process.stderr.write(`no benchmark "${unknown.join(', ')}"; there are ${known}\n`);
+  process.exit(2);
+}
+// eslint-disable-next-line no-restricted-syntax -- one benchmark at a time, or they disturb each other
+for (const name of chosen) {
+  // eslint-disable-next-line no-await-in-loop -- as above
+  const rows = await benchmarks[name](Number(values.seeds));
+  printRows(rows, values.json, (line) => process.stdout.write(`${line}\n`));
+}
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -31,6 +31,7 @@
 import type { Settings } from './settings/settings.js';
 
 const TICK_MS = 50;
+const OWNER_TICK_MS = 100;
 const REPORT_POLL_MS = 1_000;
 const SYNC_MS = 10_000;
 const PEER_CALL_TIMEOUT_MS = 2_000;
@@ -286,6 +287,7 @@
       answerTimeoutMs: this.#settings.limits.answerTimeoutMs,
       isLocal: (endpoint) =>
         this.config.view.endpoints.get(endpoint)?.failureDomain === failureDomain,
+      shareOf: (caller) => this.config.view.callers.get(caller)?.share ?? 1,
       view: () => this.config.view,
       keys: this.#keys,
       incarnation: this.#incarnation,
@@ -365,6 +367,7 @@
       this.#timers.push(setInterval(action, periodMs));
     };
     every(TICK_MS, () => this.#tick());
+    every(OWNER_TICK_MS, () => this.#owner.tick());
     every(configPollMs, () => this.config.poll());
     every(listPollMs, () => this.#pollList());
     every(REPORT_POLL_MS, () => this.#reports.poll());
@@ -373,7 +376,6 @@
   }
 
   #tick(): void {
-    this.#owner.tick();
     this.#keys.tick();
     this.#sendAll(this.#membership?.tick(Daemon.#nowMs()) ?? []);
   }
--- a/packages/daemon/src/lib/entry/request-run.ts
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -33,6 +33,7 @@
   readonly answerTimeoutMs: number;
   /** @returns whether an endpoint stands in this instance's failure domain */
   readonly isLocal: (endpoint: string) => boolean;
+  readonly shareOf: (caller: string) => number;
   readonly nextAttempt: () => string;
   readonly onDone: (run: RequestRun) => void;
 }
@@ -207,6 +208,7 @@
       endpoint: this.#endpoint,
       attempt,
       caller: this.#caller,
+      share: this.#context.shareOf(this.#caller),
       priority: this.#class.priority,
       startInMs: leftMs,
       headTimeoutMs: this.#context.answerTimeoutMs,
--- a/packages/daemon/src/lib/owner/owned-endpoint.ts
+++ b/packages/daemon/src/lib/owner/owned-endpoint.ts
@@ -1,38 +1,49 @@
-import { EndpointQueue } from '@chervilseam/decisions';
-import type { EndpointLoad } from '@chervilseam/decisions';
+import { EndpointControl } from '@chervilseam/decisions';
 
-const SMOOTHING = 0.2;
+const TOKEN_TARGET_MS = 37;
+const EVENT_END = '\n\n';
 
-/** The queue of one endpoint and what its answers showed of its speed. */
+/** One endpoint at its owner: what decides, and the tokens that pass. */
 export class OwnedEndpoint {
   readonly name: string;
-  readonly queue: EndpointQueue;
-  #firstTokenMs = 0;
-  #serviceMs = 0;
+  readonly control: EndpointControl;
+  /** Answers that are being streamed; a count. */
+  streamCount = 0;
+  #tokenCount = 0;
+  #windowStartMs: number;
 
   /**
    * @param name - the endpoint
-   * @param limit - requests that may run side by side
+   * @param driver - its kind
+   * @param concurrencyMax - the operator's bound on requests side by side
+   * @param nowMs - a clock that only goes forward, in milliseconds
    */
-  constructor(name: string, limit: number) {
+  constructor(name: string, driver: 'engine' | 'service', concurrencyMax: number, nowMs: number) {
     this.name = name;
-    this.queue = new EndpointQueue(limit);
+    const tokenTargetMs = driver === 'engine' ? TOKEN_TARGET_MS : undefined;
+    this.control = new EndpointControl({ concurrencyMax, tokenTargetMs });
+    this.#windowStartMs = nowMs;
   }
 
-  /** The load, as entries are told. */
-  get load(): EndpointLoad {
-    const { runningCount, waitingCount, limit } = this.queue;
-    const waitMs = (waitingCount * this.#serviceMs) / limit;
-    return { runningCount, waitingCount, limit, waitMs, firstTokenMs: this.#firstTokenMs };
-  }
-
-  /** @param durationMs - time from sending to the head of the answer, in milliseconds */
-  observeHead(durationMs: number): void {
-    this.#firstTokenMs += SMOOTHING * (durationMs - this.#firstTokenMs);
+  /**
+   * Counts the tokens of a part of a stream. An event is a token, near enough.
+   *
+   * @param data - the part
+   */
+  countTokens(data: Buffer): void {
+    for (let at = data.indexOf(EVENT_END); at >= 0; at = data.indexOf(EVENT_END, at + 2)) {
+      this.#tokenCount += 1;
+    }
   }
 
-  /** @param durationMs - time from sending to the end of the answer, in milliseconds */
-  observeEnd(durationMs: number): void {
-    this.#serviceMs += SMOOTHING * (durationMs - this.#serviceMs);
+  /**
+   * Ends a window of time.
+   *
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  endWindow(nowMs: number): void {
+    this.control.onWindow(this.streamCount, this.#tokenCount, nowMs - this.#windowStartMs);
+    this.#tokenCount = 0;
+    this.#windowStartMs = nowMs;
   }
 }
--- a/packages/daemon/src/lib/owner/owned-request.ts
+++ b/packages/daemon/src/lib/owner/owned-request.ts
@@ -16,9 +16,11 @@
   readonly tracer: HopTracer;
   /** A clock that only goes forward, in milliseconds. */
   readonly nowMs: () => number;
-  readonly onDone: (request: OwnedRequest, isWhole: boolean) => void;
+  /** Told the time that the request ran, or `undefined` when its end says nothing of speed. */
+  readonly onDone: (request: OwnedRequest, durationMs: number | undefined) => void;
 }
 
+const EVENT_STREAM = 'text/event-stream';
 const ATTEMPT_HEADER = 'x-chervilseam-attempt';
 
 /** A request at the owner: it waits, is sent once, and its answer goes back along its stream. */
@@ -32,6 +34,7 @@
   #exchange: EndpointExchange | undefined;
   #sentMs = 0;
   #isDone = false;
+  #isStreaming = false;
 
   /**
    * @param params - what the entry asks for
@@ -76,12 +79,14 @@
   fail(failure: DispatchFailure): void {
     if (this.#isDone) return;
     HopTracer.fail(this.#span, failure.message);
-    this.#stream.fail({ ...failure, load: this.endpoint.load });
-    this.#finish(false);
+    this.#stream.fail({ ...failure, load: this.endpoint.control.load });
+    this.#finish(undefined);
   }
 
   onHead(status: number, headers: Readonly<Record<string, string>>): void {
-    this.endpoint.observeHead(this.#context.nowMs() - this.#sentMs);
+    this.endpoint.control.onFirstToken(this.#context.nowMs() - this.#sentMs);
+    this.#isStreaming = headers['content-type'] === EVENT_STREAM;
+    if (this.#isStreaming) this.endpoint.streamCount += 1;
     const echoed = headers[ATTEMPT_HEADER];
     if (echoed !== undefined && echoed !== '' && echoed !== this.params.attempt) {
       this.#exchange?.cancel();
@@ -89,20 +94,20 @@
       this.fail({ code: 'endpoint_failed', outcome: Outcome.unknown, message });
       return;
     }
-    const head: DispatchHead = { status, headers, load: this.endpoint.load };
+    const head: DispatchHead = { status, headers, load: this.endpoint.control.load };
     this.#stream.head(head);
   }
 
   onData(data: Buffer): boolean {
     if (this.#isDone) return true;
+    if (this.#isStreaming) this.endpoint.countTokens(data);
     return this.#stream.write(data);
   }
 
   onEnd(): void {
     if (this.#isDone) return;
-    this.endpoint.observeEnd(this.#context.nowMs() - this.#sentMs);
-    this.#finish(true);
-    this.#stream.end({ load: this.endpoint.load });
+    this.#finish(this.#context.nowMs() - this.#sentMs);
+    this.#stream.end({ load: this.endpoint.control.load });
   }
 
   onFail({ outcome, message, isTimeout }: Parameters<EndpointListener['onFail']>[0]): void {
@@ -129,14 +134,15 @@
   #cancel(): void {
     if (this.#isDone) return;
     HopTracer.fail(this.#span, 'cancelled');
-    this.#finish(false);
+    this.#finish(undefined);
     this.#exchange?.cancel();
   }
 
-  #finish(isWhole: boolean): void {
+  #finish(durationMs: number | undefined): void {
     this.#isDone = true;
+    if (this.#isStreaming) this.endpoint.streamCount -= 1;
     this.#endpointSpan?.end();
     this.#span.end();
-    this.#context.onDone(this, isWhole);
+    this.#context.onDone(this, durationMs);
   }
 }
--- a/packages/daemon/src/lib/owner/owner.ts
+++ b/packages/daemon/src/lib/owner/owner.ts
@@ -1,6 +1,6 @@
 import type { ConfigView, EndpointLoad } from '@chervilseam/decisions';
 import { Outcome } from '@chervilseam/model';
-import type { RefusalCode } from '@chervilseam/model';
+import type { ConfigBody, RefusalCode } from '@chervilseam/model';
 import type { createDrivers } from '@chervilseam/endpoints';
 import type { PeerStream } from '@chervilseam/peer';
 import type { Metrics } from '../observe/metrics.js';
@@ -20,6 +20,8 @@
   readonly fallbackConcurrency: number;
 }
 
+type EndpointConfig = ConfigBody<'endpoint'>;
+
 const verdictCodes = {
   full: { code: 'overloaded', message: 'the queue of the endpoint is full' },
   late: { code: 'deadline', message: 'it cannot start in time' },
@@ -46,7 +48,7 @@
    * @returns its load as seen here, if it has had work here
    */
   loadOf(endpoint: string): EndpointLoad | undefined {
-    return this.#endpoints.get(endpoint)?.load;
+    return this.#endpoints.get(endpoint)?.control.load;
   }
 
   /**
@@ -63,36 +65,40 @@
       stream.fail({ code: 'no_endpoint', outcome: Outcome.notRun, message });
       return;
     }
-    const endpoint = this.#endpoint(params, config.concurrencyMax);
+    const endpoint = this.#endpoint(params, config);
     const request = new OwnedRequest(params, stream, {
       endpoint,
       origin: config.url,
       driver: drivers[config.driver],
       tracer,
       nowMs,
-      onDone: (done) => this.#finish(done),
+      onDone: (done, durationMs) => this.#finish(done, durationMs),
     });
     this.#requests.set(params.attempt, request);
     this.#offer(request);
   }
 
-  /** Refuses what has waited too long and starts what may start. */
+  /** Ends a window of time: learns speeds, refuses what waited too long, starts what may start. */
   tick(): void {
-    this.#endpoints.forEach((endpoint) => this.#advance(endpoint));
+    const nowMs = this.#context.nowMs();
+    this.#endpoints.forEach((endpoint) => {
+      endpoint.endWindow(nowMs);
+      this.#advance(endpoint);
+    });
   }
 
   #offer(request: OwnedRequest): void {
-    const { attempt, caller, priority, startInMs } = request.params;
+    const { attempt, caller, share, priority, startInMs } = request.params;
     const nowMs = this.#context.nowMs();
-    const ticket = { id: attempt, caller, priority, startByMs: nowMs + startInMs };
-    const verdict = request.endpoint.queue.offer(ticket, nowMs);
+    const ticket = { id: attempt, caller, share, priority, startByMs: nowMs + startInMs };
+    const verdict = request.endpoint.control.offer(ticket, nowMs);
     if (verdict === 'start') request.start();
     if (verdict === 'full' || verdict === 'late') Owner.#refuse(request, verdict);
     this.#gauge(request.endpoint);
   }
 
   #advance(endpoint: OwnedEndpoint): void {
-    const { started, late } = endpoint.queue.advance(this.#context.nowMs());
+    const { started, late } = endpoint.control.queue.advance(this.#context.nowMs());
     started.forEach(({ id }) => this.#requests.get(id)?.start());
     late.forEach(({ id }) => {
       const request = this.#requests.get(id);
@@ -102,33 +108,30 @@
   }
 
   static #refuse(request: OwnedRequest, verdict: keyof typeof verdictCodes): void {
-    const retryAfterMs = request.endpoint.load.waitMs;
+    const retryAfterMs = request.endpoint.control.queue.expectedWaitMs(request.params.priority);
     request.fail({ ...verdictCodes[verdict], outcome: Outcome.notRun, retryAfterMs });
   }
 
-  #finish(request: OwnedRequest): void {
+  #finish(request: OwnedRequest, durationMs: number | undefined): void {
     this.#requests.delete(request.params.attempt);
-    request.endpoint.queue.remove(request.params.attempt);
+    request.endpoint.control.onEnd(request.params.attempt, durationMs);
     this.#advance(request.endpoint);
   }
 
   // An instance that stands in for an unreachable owner keeps a small limit of its own, so that
   // several that do so at once cannot swamp the endpoint.
-  #endpoint(params: DispatchParams, concurrencyMax: number): OwnedEndpoint {
-    const limit = params.isFallback
-      ? Math.min(this.#context.fallbackConcurrency, concurrencyMax)
-      : concurrencyMax;
-    const known = this.#endpoints.get(params.endpoint);
-    if (known) {
-      known.queue.limit = limit;
-      return known;
+  #endpoint({ endpoint: name, isFallback }: DispatchParams, config: EndpointConfig): OwnedEndpoint {
+    const { driver, concurrencyMax } = config;
+    let endpoint = this.#endpoints.get(name);
+    if (!endpoint) {
+      endpoint = new OwnedEndpoint(name, driver, concurrencyMax, this.#context.nowMs());
+      this.#endpoints.set(name, endpoint);
     }
-    const endpoint = new OwnedEndpoint(params.endpoint, limit);
-    this.#endpoints.set(params.endpoint, endpoint);
+    endpoint.control.bound(isFallback ? this.#context.fallbackConcurrency : concurrencyMax);
     return endpoint;
   }
 
-  #gauge({ name, queue }: OwnedEndpoint): void {
+  #gauge({ name, control: { queue } }: OwnedEndpoint): void {
     this.#context.metrics.running.set({ endpoint: name }, queue.runningCount);
     this.#context.metrics.waiting.set({ endpoint: name }, queue.waitingCount);
   }
--- a/packages/daemon/src/lib/peer/dispatch-params.ts
+++ b/packages/daemon/src/lib/peer/dispatch-params.ts
@@ -4,6 +4,8 @@
   /** Unique id of this attempt; endpoints echo it. */
   readonly attempt: string;
   readonly caller: string;
+  /** The caller's weight against other callers. */
+  readonly share: number;
   readonly priority: number;
   /** Time left until it must have started, in milliseconds. */
   readonly startInMs: number;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export type { ConfigRecord } from './lib/config/config-record.js';
 export type { ConfigSnapshot } from './lib/config/config-snapshot.js';
 export { ConfigView } from './lib/config/config-view.js';
+export { EndpointControl } from './lib/limits/endpoint-control.js';
 export { EndpointQueue } from './lib/limits/endpoint-queue.js';
 export type { QueueTicket } from './lib/limits/queue-ticket.js';
 export { TokenBucket } from './lib/limits/token-bucket.js';
--- a/packages/decisions/src/lib/routing/route-table.ts
+++ b/packages/decisions/src/lib/routing/route-table.ts
@@ -1,6 +1,15 @@
 import type { Random } from '../random.js';
 import type { EndpointLoad } from './endpoint-load.js';
 
+/** Time that a hop to another failure domain costs in the choice, in milliseconds. */
+const REMOTE_MS = 2;
+/** Time that a slowed endpoint costs in the choice, in milliseconds. */
+const SLOWED_MS = 1_000;
+/** Costs this near to the best are equal: the choice among them is random, to avoid herds. */
+const TIE_MS = 5;
+/** How much each running request counts in the choice even while places are free, as a share. */
+const OCCUPANCY_MS = 200;
+
 interface RouteEntry {
   load: EndpointLoad;
   /** Requests sent from here since the owner's last word. */
@@ -16,9 +25,11 @@
 const unknownLoad: EndpointLoad = {
   runningCount: 0,
   waitingCount: 0,
-  limit: 1,
-  waitMs: 0,
+  limit: 4,
+  serviceMs: 0,
   firstTokenMs: 0,
+  tokenMs: 0,
+  isSlowed: false,
 };
 
 /** An entry's view of the endpoints' loads, and the choice among them. */
@@ -48,23 +59,25 @@
    * @returns the chosen one, or `undefined` when there is none
    */
   choose(candidates: readonly RouteCandidate[]): RouteCandidate | undefined {
-    let best: RouteCandidate | undefined;
-    let bestScore = Infinity;
-    this.#random.shuffle(candidates).forEach((candidate) => {
-      const score = this.#score(candidate);
-      if (score < bestScore) {
-        best = candidate;
-        bestScore = score;
-      }
-    });
+    const costs = candidates.map((candidate) => this.costMs(candidate));
+    const limitMs = Math.min(...costs) + TIE_MS;
+    const best = this.#random.pick(candidates.filter((_, index) => costs[index] <= limitMs));
     if (best) this.#entry(best.endpoint).sentSinceCount += 1;
     return best;
   }
 
-  #score({ endpoint, isLocal }: RouteCandidate): number {
+  /**
+   * @param candidate - an endpoint
+   * @returns the time that a request is expected to lose there, in milliseconds
+   */
+  costMs({ endpoint, isLocal }: RouteCandidate): number {
     const { load, sentSinceCount } = this.#entry(endpoint);
     const outstanding = load.runningCount + load.waitingCount + sentSinceCount;
-    return (outstanding + (isLocal ? 0 : 1)) / load.limit;
+    const excess = Math.max(0, outstanding + 1 - load.limit);
+    const waitMs = (excess * load.serviceMs) / load.limit;
+    const occupancyMs = (OCCUPANCY_MS * outstanding) / load.limit;
+    const slowedMs = load.isSlowed ? SLOWED_MS : 0;
+    return waitMs + load.firstTokenMs + occupancyMs + slowedMs + (isLocal ? 0 : REMOTE_MS);
   }
 
   #entry(endpoint: string): RouteEntry {
