Refuse at once, keep places for the counter, move streams away from slowed endpoints

Change: requests are refused on arrival when the cautious wait takes more than 0.3 of their time; a tenth of the places stays free for the highest priority seen of late; the limit is cut from what runs; speed is judged in windows of 50 ms; waiting requests of a slowed endpoint are given back, three running ones a window are advised to move; word of an endpoint grows better with its age; retries come from a budget. The daemons do the same, through the same classes.

--- a/packages/benchmarks/src/lib/policy/fluid-engine.ts
+++ b/packages/benchmarks/src/lib/policy/fluid-engine.ts
@@ -5,7 +5,7 @@
 const NEVER = -1;
 
 interface EngineShape {
-  readonly name: string;
+  readonly index: number;
   readonly domain: number;
   /** Time between tokens of a lone stream, in milliseconds. */
   readonly loneTokenMs: number;
@@ -118,6 +118,7 @@
       startProgress: 0,
       startSlow: 0,
     };
+    Object.assign(request, { engine: this.shape.index });
     this.#waiting.push(stream);
     this.#note();
     this.#startPrefill();
@@ -134,7 +135,7 @@
     if (this.#decoding.size >= this.shape.streamCountMax) return;
     const stream = this.#waiting.shift() as Stream;
     this.#prefill = stream;
-    stream.state = 'prefill';
+    Object.assign(stream, { state: 'prefill' });
     this.#clock.after(this.prefillMs(stream.promptTokens), () => this.#endPrefill(stream));
   }
 
--- a/packages/benchmarks/src/lib/policy/measure-run.ts
+++ b/packages/benchmarks/src/lib/policy/measure-run.ts
@@ -56,7 +56,9 @@
   const done = requests.filter(({ doneMs }) => doneMs !== undefined);
   const waits = refused.map(({ refusedMs, arrivedMs }) => (refusedMs as number) - arrivedMs);
   const firsts = done.map(({ firstTokenMs, arrivedMs }) => (firstTokenMs as number) - arrivedMs);
-  const paces = done.map(({ doneMs, arrivedMs, tokens }) => ((doneMs as number) - arrivedMs) / tokens);
+  const paces = done.map(
+    ({ doneMs, arrivedMs, tokens }) => ((doneMs as number) - arrivedMs) / tokens,
+  );
   return {
     attainment: share(good.length, requests.length),
     counterAttainment: share(good.filter(({ isCounter }) => isCounter).length, counter.length),
--- a/packages/benchmarks/src/lib/policy/owned-policy.ts
+++ b/packages/benchmarks/src/lib/policy/owned-policy.ts
@@ -4,7 +4,7 @@
 import type { SimRequest } from './sim-request.js';
 import type { SimWorld } from './sim-world.js';
 
-const WINDOW_MS = 100;
+const WINDOW_MS = 50;
 const DEADLINE_MS = 1_400;
 const TOKEN_TARGET_MS = 37;
 const TRY_COUNT_MAX = 3;
@@ -56,7 +56,7 @@
       endpoint: String(engine),
       isLocal: engines[engine].shape.domain === request.entry % 3,
     }));
-    const chosen = this.#routes[request.entry].choose(candidates);
+    const chosen = this.#routes[request.entry].choose(candidates, clock.nowMs);
     const leftMs = request.arrivedMs + DEADLINE_MS - clock.nowMs;
     if (!chosen || tries >= TRY_COUNT_MAX || (leftMs <= 0 && tokensDone === 0)) {
       request.refusedMs = clock.nowMs;
@@ -88,7 +88,7 @@
   #tellEntry(request: SimRequest, engine: number, then: () => void = () => {}): void {
     const { load } = this.#controls[engine];
     this.#world.clock.after(this.#world.hopMs(request.entry, engine), () => {
-      this.#routes[request.entry].update(String(engine), load);
+      this.#routes[request.entry].update(String(engine), load, this.#world.clock.nowMs);
       then();
     });
   }
@@ -146,10 +146,11 @@
   // Streams at a slowed endpoint go on elsewhere, each if its entry knows a place that is free.
   #moveAway(index: number): void {
     const { engines, replicas, clock } = this.#world;
-    const probes = this.#controls[index].queue.limit;
-    const moving = [...this.#running[index].values()].slice(probes);
-    moving.forEach(({ request, cancel, tokensDone }) => {
-      if (request.firstTokenMs === undefined) return;
+    this.#redirectWaiting(index);
+    const all = [...this.#running[index].values()].reverse();
+    const isFresh = ({ request }: Running): boolean => request.firstTokenMs === undefined;
+    const moving = [...all.filter(isFresh), ...all.filter((running) => !isFresh(running))];
+    moving.slice(0, this.#controls[index].moveCount).forEach(({ request, cancel, tokensDone }) => {
       const others = replicas[request.model].filter((other) => {
         const { runningCount, limit, isSlowed, waitingCount } = this.#controls[other].load;
         return other !== index && !isSlowed && waitingCount === 0 && runningCount < limit;
@@ -166,4 +167,15 @@
       });
     });
   }
+
+  #redirectWaiting(index: number): void {
+    this.#controls[index].takeRedirected().forEach(({ id }) => {
+      const waiting = this.#waiting.get(id);
+      this.#waiting.delete(id);
+      if (!waiting) return;
+      this.#tellEntry(waiting.request, index, () => {
+        this.#route(waiting.request, waiting.tokensDone, new Set([index]), 1);
+      });
+    });
+  }
 }
--- a/packages/benchmarks/src/lib/policy/policy-scenarios.ts
+++ b/packages/benchmarks/src/lib/policy/policy-scenarios.ts
@@ -25,8 +25,10 @@
 const zipf = (count: number, offset: number): readonly number[] =>
   Array.from({ length: count }, (_, model) => 1 / (1 + ((model + offset) % count)) ** 0.5);
 
-const arrivedIn = (fromS: number, toS: number) => ({ arrivedMs }: SimRequest): boolean =>
-  arrivedMs >= fromS * 1_000 && arrivedMs < toS * 1_000;
+const arrivedIn =
+  (fromS: number, toS: number) =>
+  ({ arrivedMs }: SimRequest): boolean =>
+    arrivedMs >= fromS * 1_000 && arrivedMs < toS * 1_000;
 
 /** Demand rises tenfold in 5 s, stays for 60 s while models shift. */
 function crest(run: ScenarioRun): Measure {
@@ -34,8 +36,7 @@
   const peak = world.capacityPerSecond * 0.75;
   const rise = (atS: number): number => Math.min(1, Math.max(0, (atS - 20) / 5));
   const requests = runLoad(world, createPolicy(run.policy, world), {
-    ratePerSecond: (atMs) =>
-      atMs < 85_000 ? peak * (0.1 + 0.9 * rise(atMs / 1_000)) : peak * 0.1,
+    ratePerSecond: (atMs) => (atMs < 85_000 ? peak * (0.1 + 0.9 * rise(atMs / 1_000)) : peak * 0.1),
     weights: (atMs) => zipf(world.replicas.length, Math.floor(atMs / 15_000) * 3),
     durationMs: 100_000,
   });
@@ -69,9 +70,9 @@
   );
   const ratios = counted
     .filter(({ isLong, doneMs }) => isLong && doneMs !== undefined)
-    .map(({ doneMs, arrivedMs, model }) => {
-      const lone = Math.max(...world.replicas[model].map((i) => world.engines[i].shape.loneTokenMs));
-      return ((doneMs as number) - arrivedMs) / (LONG_TOKENS * lone);
+    .map(({ doneMs, arrivedMs, engine }) => {
+      const aloneMs = LONG_TOKENS * world.engines[engine].shape.loneTokenMs;
+      return ((doneMs as number) - arrivedMs) / aloneMs;
     })
     .sort((left, right) => left - right);
   const longRatioP95 = ratios[Math.floor(ratios.length * 0.95)] ?? 0;
--- a/packages/benchmarks/src/lib/policy/run-load.ts
+++ b/packages/benchmarks/src/lib/policy/run-load.ts
@@ -14,7 +14,7 @@
   readonly durationMs: number;
 }
 
-const STEP_MS = 10;
+const STEP_MS = 500;
 
 function pickModel(world: SimWorld, weights: readonly number[]): number {
   const total = weights.reduce((sum, weight) => sum + weight, 0);
@@ -40,19 +40,21 @@
   { ratePerSecond, weights, tokens, durationMs }: LoadOptions,
 ): readonly SimRequest[] {
   const { clock, random, shape } = world;
-  const next = (): void => {
-    const rate = Math.max(1e-6, ratePerSecond(clock.nowMs));
-    const gapMs = random.exponential(1_000 / rate);
-    // A gap longer than a step is drawn anew from the rate of that time.
-    if (gapMs > 50 * STEP_MS) clock.after(50 * STEP_MS, next);
-    else clock.after(gapMs, arrive);
-  };
   const arrive = (): void => {
-    if (clock.nowMs >= durationMs) return;
     const model = pickModel(world, weights(clock.nowMs));
     const request = world.createRequest(model, { tokens: tokens?.() });
     clock.after(shape.callerMs, () => policy.submit(request));
-    next();
+  };
+  const next = (): void => {
+    if (clock.nowMs >= durationMs) return;
+    const rate = Math.max(1e-6, ratePerSecond(clock.nowMs));
+    const gapMs = random.exponential(1_000 / rate);
+    // A gap longer than a step is drawn anew from the rate of that time.
+    const isLong = gapMs > STEP_MS;
+    clock.after(isLong ? STEP_MS : gapMs, () => {
+      if (!isLong) arrive();
+      next();
+    });
   };
   next();
   clock.run(durationMs + SETTLE_MS);
--- a/packages/benchmarks/src/lib/policy/sim-request.ts
+++ b/packages/benchmarks/src/lib/policy/sim-request.ts
@@ -9,6 +9,8 @@
   readonly isCounter: boolean;
   readonly isLong: boolean;
   readonly caller: string;
+  /** Engine that ran it last. */
+  engine: number;
   firstTokenMs: number | undefined;
   doneMs: number | undefined;
   refusedMs: number | undefined;
--- a/packages/benchmarks/src/lib/policy/sim-world.ts
+++ b/packages/benchmarks/src/lib/policy/sim-world.ts
@@ -45,7 +45,7 @@
     this.engines = speeds.map(
       (speed, index) =>
         new FluidEngine(this.clock, {
-          name: `engine-${index}`,
+          index,
           domain: index % DOMAIN_COUNT,
           loneTokenMs: LONE_TOKEN_MS / speed,
           crowding: CROWDING,
@@ -84,6 +84,7 @@
       isCounter,
       isLong: options.tokens !== undefined,
       caller: isCounter ? 'counter' : `caller-${this.random.below(5)}`,
+      engine: -1,
       firstTokenMs: undefined,
       doneMs: undefined,
       refusedMs: undefined,
--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -26,10 +26,10 @@
 if (unknown.length > 0) {
   const known = Object.keys(benchmarks).join(', ');
   process.stderr.write(`no benchmark "${unknown.join(', ')}"; there are ${known}\n`);
-  process.exit(2);
+  process.exitCode = 2;
 }
 // eslint-disable-next-line no-restricted-syntax -- one benchmark at a time, or they disturb each other
-for (const name of chosen) {
+for (const name of unknown.length > 0 ? [] : chosen) {
   // eslint-disable-next-line no-await-in-loop -- as above
   const rows = await benchmarks[name](Number(values.seeds));
   printRows(rows, values.json, (line) => process.stdout.write(`${line}\n`));
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -31,7 +31,7 @@
 import type { Settings } from './settings/settings.js';
 
 const TICK_MS = 50;
-const OWNER_TICK_MS = 100;
+const OWNER_TICK_MS = 50;
 const REPORT_POLL_MS = 1_000;
 const SYNC_MS = 10_000;
 const PEER_CALL_TIMEOUT_MS = 2_000;
@@ -123,6 +123,14 @@
     return this.#directory.factOf(endpoint) !== undefined;
   }
 
+  /**
+   * @param endpoint - name of an endpoint
+   * @returns whether this instance knows that the endpoint is leaving
+   */
+  isLeaving(endpoint: string): boolean {
+    return this.#directory.isLeaving(endpoint);
+  }
+
   /** Takes the ports, learns the configuration and starts to serve. */
   async start(): Promise<void> {
     await this.peers.listen();
@@ -284,6 +292,7 @@
       metrics: this.metrics,
       decisions: this.#decisions,
       nowMs: Daemon.#nowMs,
+      randomUnit: () => this.#random.unit(),
       answerTimeoutMs: this.#settings.limits.answerTimeoutMs,
       isLocal: (endpoint) =>
         this.config.view.endpoints.get(endpoint)?.failureDomain === failureDomain,
--- a/packages/daemon/src/lib/entry/entry.ts
+++ b/packages/daemon/src/lib/entry/entry.ts
@@ -1,6 +1,6 @@
 import { canonicalDigest, Outcome, RefusalError } from '@chervilseam/model';
 import type { RefusalCode } from '@chervilseam/model';
-import { TokenBucket } from '@chervilseam/decisions';
+import { RetryBudget, TokenBucket } from '@chervilseam/decisions';
 import type { ConfigView, RequestClass, RequestTarget } from '@chervilseam/decisions';
 import type { HttpReply } from '../http/http-reply.js';
 import type { AttemptState } from '../keys/attempt-memory.js';
@@ -8,7 +8,8 @@
 import type { CallerRequest } from './caller-request.js';
 import { RequestRun } from './request-run.js';
 
-type RunContext = Omit<ConstructorParameters<typeof RequestRun>[0], 'nextAttempt' | 'onDone'>;
+type OwnFields = 'nextAttempt' | 'onDone' | 'retries';
+type RunContext = Omit<ConstructorParameters<typeof RequestRun>[0], OwnFields>;
 
 /** What an entry needs around it. */
 interface EntryContext extends RunContext {
@@ -43,6 +44,7 @@
 export class Entry {
   readonly #context: EntryContext;
   readonly #runs = new Set<RequestRun>();
+  readonly #retries = new RetryBudget();
   readonly #buckets = new Map<string, TokenBucket>();
   #attemptCount = 0;
 
@@ -81,6 +83,7 @@
     const run = new RequestRun(
       {
         ...this.#context,
+        retries: this.#retries,
         nextAttempt: () => this.#nextAttempt(),
         onDone: (done) => this.#runs.delete(done),
       },
@@ -91,6 +94,7 @@
       reply,
     );
     this.#runs.add(run);
+    this.#retries.earn();
     reply.setHeader('traceparent', run.traceparent);
     const waitMs = this.#takeToken(caller);
     if (waitMs > 0) {
--- a/packages/daemon/src/lib/entry/request-run.ts
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -1,11 +1,12 @@
 import { Outcome, RefusalError } from '@chervilseam/model';
-import { loadChart } from '@chervilseam/decisions';
+import { loadChart, RetryBudget } from '@chervilseam/decisions';
 import type { RequestClass, RequestTarget, RouteTable } from '@chervilseam/decisions';
 import type { PeerStream } from '@chervilseam/peer';
 import type { Span } from '@opentelemetry/api';
 import type { DecisionLog } from '../observe/decision-log.js';
 import type { Metrics } from '../observe/metrics.js';
 import { HopTracer } from '../observe/tracer.js';
+import type { DispatchAdvice } from '../peer/dispatch-advice.js';
 import type { DispatchFailure } from '../peer/dispatch-failure.js';
 import type { DispatchHead } from '../peer/dispatch-head.js';
 import type { CallerReply } from './caller-reply.js';
@@ -14,7 +15,7 @@
 import { EventStream } from './event-stream.js';
 import type { OwnerClient } from './owner-client.js';
 
-const ATTEMPT_COUNT_MAX = 4;
+const FAILURE_COUNT_MAX = 3;
 /** Piped answers up to this length are kept until their end, for the key ledger, in bytes. */
 const CAPTURE_BYTES_MAX = 2_048;
 const WHOLE_ANSWER_BYTES_MAX = 16 * 1024 * 1024;
@@ -34,6 +35,9 @@
   /** @returns whether an endpoint stands in this instance's failure domain */
   readonly isLocal: (endpoint: string) => boolean;
   readonly shareOf: (caller: string) => number;
+  readonly retries: RetryBudget;
+  /** @returns a random number from 0 up to 1 */
+  readonly randomUnit: () => number;
   readonly nextAttempt: () => string;
   readonly onDone: (run: RequestRun) => void;
 }
@@ -55,6 +59,7 @@
   readonly #events = new EventStream();
   #state = chart.initial;
   #attemptCount = 0;
+  #failureCount = 0;
   #endpoint = '';
   #stream: PeerStream | undefined;
   #whole: Uint8Array[] = [];
@@ -184,7 +189,7 @@
       endpoint,
       isLocal: isLocal(endpoint),
     }));
-    const chosen = routes.choose(candidates);
+    const chosen = routes.choose(candidates, nowMs());
     const leftMs = this.#deadlineMs - nowMs();
     if (!chosen || leftMs <= 0) {
       const code = chosen ? 'deadline' : 'no_endpoint';
@@ -254,7 +259,10 @@
       };
     // eslint-disable-next-line no-param-reassign -- the opener sets the listener of its stream
     stream.listener = {
-      onHead: guard((head: unknown) => this.#onHead(head as DispatchHead)),
+      onHead: guard((head: unknown) => {
+        if ('advice' in (head as object)) this.#onAdvice(head as DispatchAdvice);
+        else this.#onHead(head as DispatchHead);
+      }),
       onData: guard((data: Uint8Array) => this.#onData(data)),
       onEnd: guard(() => this.#onEnd()),
       onFail: (reason) => {
@@ -276,11 +284,62 @@
   #onHead(head: DispatchHead): void {
     this.#follow('HEAD');
     this.#head = head;
-    this.#context.routes.update(this.#endpoint, head.load);
+    this.#context.routes.update(this.#endpoint, head.load, this.#context.nowMs());
     this.#context.metrics.observe('first_token', this.#context.nowMs() - this.#startedMs);
     if (this.#request.carriage !== 'whole') this.#sendHead(head);
   }
 
+  // A move breaks before it makes: what the old engine says after the new one was asked to go on
+  // would not fit the new one's words.
+  #onAdvice({ load }: DispatchAdvice): void {
+    const { routes, directory, nowMs } = this.#context;
+    routes.update(this.#endpoint, load, nowMs());
+    const isMovable = this.#mayRetry({ code: 'overloaded', outcome: Outcome.unknown, message: '' });
+    const others = directory.candidates(this.#target).filter((name) => name !== this.#endpoint);
+    const hereMs = this.#costMs(this.#endpoint);
+    if (!isMovable || !others.some((name) => this.#costMs(name) < hereMs)) return;
+    const from = this.#endpoint;
+    this.#stream?.fail({ code: 'cancelled', message: 'moved to another endpoint' });
+    this.#context.metrics.attempts.inc({ result: 'moved' });
+    this.#explain('move', 'the endpoint is slowed', { from, tokens: this.#tokenCount });
+    this.#mayHaveRun = true;
+    this.#again();
+  }
+
+  #costMs(endpoint: string): number {
+    const { routes, isLocal, nowMs } = this.#context;
+    return routes.costMs({ endpoint, isLocal: isLocal(endpoint) }, nowMs());
+  }
+
+  #again(): void {
+    this.#forgetAttempt();
+    this.#attempt();
+  }
+
+  #forgetAttempt(): void {
+    this.#follow('RETRY');
+    this.#stream = undefined;
+    this.#whole = [];
+    this.#wholeBytes = 0;
+    this.#events.reset();
+  }
+
+  // Another endpoint is tried at once; one that failed before is given time.
+  #retry(): void {
+    this.#forgetAttempt();
+    const names = this.#context.directory.candidates(this.#target);
+    const hasFresh = names.some((name) => !this.#tried.has(name));
+    const unit = this.#context.randomUnit();
+    const delayMs = hasFresh ? 0 : RetryBudget.backoffMs(this.#failureCount, unit);
+    if (delayMs === 0) {
+      this.#attempt();
+      return;
+    }
+    setTimeout(() => {
+      if (!this.isDone) this.#attempt();
+    }, delayMs);
+  }
+
   #sendHead({ status, headers }: DispatchHead): void {
     if (this.#isHeadSent) return;
     this.#isHeadSent = true;
@@ -337,7 +396,7 @@
 
   #onFail(reason: unknown): void {
     const { code, outcome, message, load, retryAfterMs } = (reason ?? {}) as DispatchFailure;
-    if (load) this.#context.routes.update(this.#endpoint, load);
+    if (load) this.#context.routes.update(this.#endpoint, load, this.#context.nowMs());
     // A peer that was lost may have handed the request on: only its own word proves "not run".
     const known = Object.values(Outcome).includes(outcome) ? outcome : Outcome.unknown;
     const isKnownCode = known !== Outcome.unknown || code !== undefined;
@@ -354,12 +413,9 @@
     this.#context.metrics.attempts.inc({ result: failure.code });
     this.#explain('attempt-failed', failure.message, { ...failure, endpoint: this.#endpoint });
     this.#mayHaveRun ||= failure.outcome !== Outcome.notRun;
-    if (this.#mayRetry(failure)) {
-      this.#follow('RETRY');
-      this.#whole = [];
-      this.#wholeBytes = 0;
-      this.#events.reset();
-      this.#attempt();
+    if (this.#mayRetry(failure) && this.#isInBudget(failure)) {
+      this.#failureCount += 1;
+      this.#retry();
       return;
     }
     this.#giveUp(failure);
@@ -374,12 +430,17 @@
   }
 
   #mayRetry({ outcome }: DispatchFailure): boolean {
-    if (this.#attemptCount >= ATTEMPT_COUNT_MAX) return false;
+    if (this.#failureCount >= FAILURE_COUNT_MAX) return false;
     if (this.#request.body === undefined) return false;
     if (this.#isHeadSent && this.#request.carriage !== 'events') return false;
     return outcome === Outcome.notRun || !this.#class.isNonIdempotent;
   }
 
+  // What was refused without running cost next to nothing; what failed counts against the budget.
+  #isInBudget({ outcome }: DispatchFailure): boolean {
+    return outcome === Outcome.notRun || this.#context.retries.spend();
+  }
+
   #cancel(): void {
     if (this.isDone) return;
     this.#stream?.fail({ code: 'cancelled', message: 'the caller closed its connection' });
--- a/packages/daemon/src/lib/owner/owned-request.ts
+++ b/packages/daemon/src/lib/owner/owned-request.ts
@@ -3,6 +3,7 @@
 import type { PeerStream } from '@chervilseam/peer';
 import type { Span } from '@opentelemetry/api';
 import { HopTracer } from '../observe/tracer.js';
+import type { DispatchAdvice } from '../peer/dispatch-advice.js';
 import type { DispatchFailure } from '../peer/dispatch-failure.js';
 import type { DispatchHead } from '../peer/dispatch-head.js';
 import type { DispatchParams } from '../peer/dispatch-params.js';
@@ -35,6 +36,7 @@
   #sentMs = 0;
   #isDone = false;
   #isStreaming = false;
+  #isAdvised = false;
 
   /**
    * @param params - what the entry asks for
@@ -71,6 +73,21 @@
     if (isBodyStreamed) this.#stream.resume();
   }
 
+  /**
+   * @param endpoint - a slowed endpoint
+   * @returns whether the request runs there and has not been advised yet
+   */
+  isAdvisable(endpoint: OwnedEndpoint): boolean {
+    return this.endpoint === endpoint && this.#exchange !== undefined && !this.#isAdvised;
+  }
+
+  /** Tells the entry that the request would be better off elsewhere. */
+  adviseMove(): void {
+    this.#isAdvised = true;
+    const advice: DispatchAdvice = { advice: 'move', load: this.endpoint.control.load };
+    this.#stream.head(advice);
+  }
+
   /**
    * Ends the request without an answer.
    *
--- a/packages/daemon/src/lib/owner/owner.ts
+++ b/packages/daemon/src/lib/owner/owner.ts
@@ -83,10 +83,25 @@
     const nowMs = this.#context.nowMs();
     this.#endpoints.forEach((endpoint) => {
       endpoint.endWindow(nowMs);
+      this.#relieve(endpoint);
       this.#advance(endpoint);
     });
   }
 
+  // Requests at a slowed endpoint are better off elsewhere. Whether there is a place, their entries
+  // know; those that wait are given back, and the newest that run are told first, since they have
+  // the least to lose.
+  #relieve(endpoint: OwnedEndpoint): void {
+    endpoint.control.takeRedirected().forEach(({ id }) => {
+      const message = 'the endpoint is slowed';
+      this.#requests.get(id)?.fail({ code: 'overloaded', outcome: Outcome.notRun, message });
+    });
+    const { moveCount } = endpoint.control;
+    if (moveCount === 0) return;
+    const running = [...this.#requests.values()].filter((request) => request.isAdvisable(endpoint));
+    running.slice(-moveCount).forEach((request) => request.adviseMove());
+  }
+
   #offer(request: OwnedRequest): void {
     const { attempt, caller, share, priority, startInMs } = request.params;
     const nowMs = this.#context.nowMs();
--- a/packages/decisions/src/lib/limits/concurrency-limit.ts
+++ b/packages/decisions/src/lib/limits/concurrency-limit.ts
@@ -1,7 +1,7 @@
-const DECREASE_FACTOR = 0.92;
+const DECREASE_FACTOR = 0.96;
 const INITIAL_SHARE = 0.5;
 /** Room kept below the target, so that most tokens and not only the mean come within it. */
-const TARGET_SHARE = 0.9;
+const TARGET_SHARE = 0.93;
 
 /** How many requests may run side by side, found by the time between tokens that they get. */
 export class ConcurrencyLimit {
@@ -33,8 +33,10 @@
    */
   observe(tokenMs: number, runningCount: number, isWaiting: boolean): void {
     if (tokenMs > this.#targetMs) {
-      const reached = Math.min(this.#limit, Math.max(1, runningCount));
-      this.#limit = Math.max(1, reached * DECREASE_FACTOR);
+      // The cut is measured from what runs, which takes seconds to fall: cutting the limit itself
+      // again in each window would close the endpoint long before the first cut shows.
+      const reached = Math.max(1, runningCount) * DECREASE_FACTOR;
+      this.#limit = Math.max(1, Math.min(this.#limit, reached));
       return;
     }
     const isAtLimit = runningCount >= this.limit || isWaiting;
--- a/packages/decisions/src/lib/limits/endpoint-control.ts
+++ b/packages/decisions/src/lib/limits/endpoint-control.ts
@@ -5,8 +5,13 @@
 import type { QueueTicket } from './queue-ticket.js';
 
 const SMOOTHING = 0.1;
-/** Requests that keep running at a slowed endpoint, to notice when it is well again; a count. */
-const PROBE_COUNT = 2;
+/** Requests that may run at a slowed endpoint, to notice when it is well again; a count. */
+const PROBE_COUNT = 1;
+/**
+ * Requests moved away from a slowed endpoint in a window; a count. All at once would fill the other
+ * endpoints with prompts to be read again, and those who arrive there would wait for that.
+ */
+const MOVES_PER_WINDOW = 3;
 
 interface ControlOptions {
   /** The operator's bound on requests side by side; a count. */
@@ -49,6 +54,17 @@
     };
   }
 
+  /** Running requests that should go on elsewhere now; a count. One stays, to notice the end. */
+  get moveCount(): number {
+    if (!this.#speed.isSlowed) return 0;
+    return Math.max(0, Math.min(MOVES_PER_WINDOW, this.queue.runningCount - PROBE_COUNT));
+  }
+
+  /** @returns tickets that should wait elsewhere; none of them ran */
+  takeRedirected(): QueueTicket[] {
+    return this.#speed.isSlowed ? this.queue.takeWaiting() : [];
+  }
+
   /**
    * Bounds the requests side by side for a while, as an instance does that stands in for an owner.
    *
@@ -106,7 +122,7 @@
     this.#speed.observe(streamCount, tokenCount, durationMs);
     const tokenMs = streamCount > 0 ? this.#speed.tokenMs : 0;
     // A slowed endpoint says nothing about how many requests it carries when it is well.
-    if (!this.#speed.isSlowed) {
+    if (!this.#speed.isSlowed && !this.#speed.isProbed) {
       this.#limit?.observe(tokenMs, this.queue.runningCount, this.queue.waitingCount > 0);
     }
     this.#applyLimit();
@@ -114,6 +130,7 @@
 
   #applyLimit(): void {
     const usual = Math.min(this.#limitMax, this.#limit?.limit ?? this.#concurrencyMax);
-    this.queue.limit = this.#speed.isSlowed ? Math.min(usual, PROBE_COUNT) : usual;
+    const isDoubtful = this.#speed.isSlowed || this.#speed.isProbed;
+    this.queue.limit = isDoubtful ? Math.min(usual, PROBE_COUNT) : usual;
   }
 }
--- a/packages/decisions/src/lib/limits/endpoint-queue.ts
+++ b/packages/decisions/src/lib/limits/endpoint-queue.ts
@@ -6,6 +6,15 @@
 const SHARE_POINTS = 20;
 const MS_PER_SECOND = 1_000;
 const QUEUE_COUNT_MAX = 1_000;
+/** Share of the places kept free for the highest priority seen of late. */
+const RESERVED_SHARE = 0.1;
+/** A priority not seen for this long reserves nothing, in milliseconds. */
+const TOP_MEMORY_MS = 10_000;
+const TOP_SHARE_WEIGHT = 0.02;
+/** Waits are expected to be longer than the mean by about this many standard deviations. */
+const CAUTION = 1;
+/** Share of the time left that a request may be expected to wait; the rest is for the unexpected. */
+const WAIT_SHARE = 0.3;
 
 interface WaitingTicket {
   readonly ticket: QueueTicket;
@@ -27,6 +36,10 @@
   readonly #running = new Map<string, QueueTicket>();
   readonly #runningByCaller = new Map<string, number>();
   #waiting: WaitingTicket[] = [];
+  #topPriority = 0;
+  #topSeenMs = -Infinity;
+  /** Share of the starts that went to the highest priority. */
+  #topShare = 0;
 
   /** @param limit - requests that may run side by side */
   constructor(limit: number) {
@@ -44,18 +57,22 @@
   }
 
   /**
-   * Expects how long a new request would wait.
+   * Expects how long a new request would wait, on the cautious side.
    *
    * @param priority - its priority
    * @returns the expected wait, in milliseconds
    */
   expectedWaitMs(priority: number): number {
-    const free = this.limit - this.#running.size - this.#waiting.length;
-    if (free > 0) return 0;
+    const places = this.#places(priority);
     const isAhead = ({ ticket }: WaitingTicket): boolean => ticket.priority >= priority;
     const ahead = this.#waiting.filter(isAhead).length;
-    const excess = Math.max(0, this.#running.size - this.limit);
-    return ((ahead + excess + 1) * this.serviceMs) / this.limit;
+    const position = this.#running.size + ahead + 1 - places;
+    if (position <= 0) return 0;
+    const gapMs = this.serviceMs / this.limit;
+    if (priority >= this.#topPriority) return position * gapMs;
+    // Places that come free go to the highest priority first, also to those yet to arrive.
+    const left = Math.max(RESERVED_SHARE, 1 - this.#topShare);
+    return ((position + CAUTION * Math.sqrt(position - 1)) * gapMs) / left;
   }
 
   /**
@@ -66,14 +83,15 @@
    * @returns whether it starts, waits, or is refused without having run
    */
   offer(ticket: QueueTicket, nowMs: number): OfferVerdict {
-    const isFree = this.#running.size < this.limit && this.#waiting.length === 0;
     if (nowMs > ticket.startByMs) return 'late';
-    if (isFree) {
+    this.#notePriority(ticket.priority, nowMs);
+    const isFirst = !this.#waiting.some((waiting) => waiting.ticket.priority >= ticket.priority);
+    if (isFirst && this.#running.size < this.#places(ticket.priority)) {
       this.#start(ticket);
       return 'start';
     }
     if (this.#waiting.length >= QUEUE_COUNT_MAX) return 'full';
-    if (nowMs + this.expectedWaitMs(ticket.priority) > ticket.startByMs) return 'late';
+    if (this.expectedWaitMs(ticket.priority) > this.#waitBudgetMs(ticket, nowMs)) return 'late';
     this.#waiting.push({ ticket, sinceMs: nowMs });
     return 'wait';
   }
@@ -93,6 +111,15 @@
     this.#waiting = this.#waiting.filter(({ ticket }) => ticket.id !== id);
   }
 
+  /**
+   * Gives up all that waits, to be tried elsewhere.
+   *
+   * @returns the tickets, none of which ran
+   */
+  takeWaiting(): QueueTicket[] {
+    return this.#waiting.splice(0).map(({ ticket }) => ticket);
+  }
+
   /**
    * Starts what may start now.
    *
@@ -105,15 +132,34 @@
       this.#waiting = this.#waiting.filter(({ ticket }) => nowMs <= ticket.startByMs);
     }
     const started: QueueTicket[] = [];
-    while (this.#running.size < this.limit && this.#waiting.length > 0) {
-      const next = this.#takeBest(nowMs);
+    for (let next = this.#takeBest(nowMs); next; next = this.#takeBest(nowMs)) {
       this.#start(next);
       started.push(next);
     }
     return { started, late: late.map(({ ticket }) => ticket) };
   }
 
+  // A few places stay free for the highest priority, so that someone at a counter need not wait for
+  // one of many long answers to end. They are given up once that priority is no longer seen.
+  #places(priority: number): number {
+    if (priority >= this.#topPriority) return this.limit;
+    return Math.max(1, Math.floor(this.limit * (1 - RESERVED_SHARE)));
+  }
+
+  #waitBudgetMs({ priority, startByMs }: QueueTicket, nowMs: number): number {
+    const leftMs = startByMs - nowMs;
+    return priority >= this.#topPriority ? leftMs : leftMs * WAIT_SHARE;
+  }
+
+  #notePriority(priority: number, nowMs: number): void {
+    const isForgotten = nowMs - this.#topSeenMs > TOP_MEMORY_MS;
+    if (priority > this.#topPriority || isForgotten) this.#topPriority = priority;
+    if (priority === this.#topPriority) this.#topSeenMs = nowMs;
+  }
+
   #start(ticket: QueueTicket): void {
+    const isTop = ticket.priority >= this.#topPriority ? 1 : 0;
+    this.#topShare += TOP_SHARE_WEIGHT * (isTop - this.#topShare);
     this.#running.set(ticket.id, ticket);
     this.#countCaller(ticket.caller, 1);
   }
@@ -124,17 +170,18 @@
     else this.#runningByCaller.delete(caller);
   }
 
-  #takeBest(nowMs: number): QueueTicket {
-    let bestIndex = 0;
+  #takeBest(nowMs: number): QueueTicket | undefined {
+    let bestIndex = -1;
     let bestScore = -Infinity;
     this.#waiting.forEach((waiting, index) => {
+      if (this.#running.size >= this.#places(waiting.ticket.priority)) return;
       const score = this.#score(waiting, nowMs);
       if (score > bestScore) {
         bestIndex = index;
         bestScore = score;
       }
     });
-    return this.#waiting.splice(bestIndex, 1)[0].ticket;
+    return bestIndex < 0 ? undefined : this.#waiting.splice(bestIndex, 1)[0].ticket;
   }
 
   #score({ ticket, sinceMs }: WaitingTicket, nowMs: number): number {
--- a/packages/decisions/src/lib/limits/endpoint-speed.ts
+++ b/packages/decisions/src/lib/limits/endpoint-speed.ts
@@ -6,9 +6,12 @@
 const FASTER_WEIGHT = 0.3;
 const SLOWER_WEIGHT = 0.02;
 const RECENT_WEIGHT = 0.5;
-/** A window is judged once it holds this many tokens, or has lasted this many expected intervals. */
-const TOKEN_COUNT_MIN = 4;
-const STALL_INTERVALS = 4;
+/** A window is judged once it should have held this many tokens, by the expected interval. */
+const EXPECTED_COUNT_MIN = 8;
+/** While nothing is expected yet, it is judged once it holds this many. */
+const FIRST_COUNT_MIN = 4;
+/** An endpoint without streams for this long is taken for well again, in milliseconds. */
+const IDLE_MS = 500;
 
 const chart = loadChart('endpoint-health');
 
@@ -24,15 +27,21 @@
   #recentMs = 0;
   #tokenCount = 0;
   #streamMs = 0;
+  #idleMs = 0;
 
   /** Time between tokens of late, in milliseconds; 0 while nothing is known. */
   get tokenMs(): number {
     return this.#recentMs;
   }
 
-  /** Whether the endpoint is slower than it should be, or has only just stopped being so. */
+  /** Whether the endpoint is slower than it should be. */
   get isSlowed(): boolean {
-    return this.#health === 'slowed' || this.#health === 'probed';
+    return this.#health === 'slowed';
+  }
+
+  /** Whether the endpoint was slowed and is being tried again with little work. */
+  get isProbed(): boolean {
+    return this.#health === 'probed';
   }
 
   /**
@@ -59,18 +68,34 @@
    * @param durationMs - length of the window, in milliseconds
    */
   observe(streamCount: number, tokenCount: number, durationMs: number): void {
-    if (streamCount === 0) return;
+    if (streamCount === 0) {
+      this.#idle(durationMs);
+      return;
+    }
+    this.#idleMs = 0;
     this.#tokenCount += tokenCount;
     this.#streamMs += durationMs * streamCount;
     const expectedMs = this.expectedMs(streamCount);
-    const isStalled = expectedMs > 0 && this.#streamMs > STALL_INTERVALS * expectedMs * streamCount;
-    if (this.#tokenCount < TOKEN_COUNT_MIN && !isStalled) return;
+    const isLongEnough =
+      expectedMs > 0
+        ? this.#streamMs >= EXPECTED_COUNT_MIN * expectedMs
+        : this.#tokenCount >= FIRST_COUNT_MIN;
+    if (!isLongEnough) return;
     const intervalMs = this.#streamMs / Math.max(1, this.#tokenCount);
     this.#tokenCount = 0;
     this.#streamMs = 0;
     this.#judge(streamCount, intervalMs, expectedMs);
   }
 
+  // Nothing to judge by: the next requests are the probe.
+  #idle(durationMs: number): void {
+    this.#idleMs += durationMs;
+    if (this.#idleMs < IDLE_MS) return;
+    if (chart.can(this.#health, 'IDLE')) this.#health = chart.next(this.#health, 'IDLE');
+    this.#tokenCount = 0;
+    this.#streamMs = 0;
+  }
+
   #judge(streamCount: number, intervalMs: number, expectedMs: number): void {
     const isSlow = expectedMs > 0 && intervalMs > SLOW_RATIO * expectedMs;
     const event = isSlow ? 'SLOW' : 'FAST';
--- a/packages/decisions/src/lib/routing/route-table.ts
+++ b/packages/decisions/src/lib/routing/route-table.ts
@@ -9,9 +9,12 @@
 const TIE_MS = 5;
 /** How much each running request counts in the choice even while places are free, as a share. */
 const OCCUPANCY_MS = 200;
+/** Word of a slowed endpoint holds this long; then the endpoint is tried again, in milliseconds. */
+const SLOWED_MEMORY_MS = 1_000;
 
 interface RouteEntry {
   load: EndpointLoad;
+  readonly updatedMs: number;
   /** Requests sent from here since the owner's last word. */
   sentSinceCount: number;
 }
@@ -47,19 +50,21 @@
    *
    * @param endpoint - the endpoint
    * @param load - its load
+   * @param nowMs - a clock that only goes forward, in milliseconds
    */
-  update(endpoint: string, load: EndpointLoad): void {
-    this.#entries.set(endpoint, { load, sentSinceCount: 0 });
+  update(endpoint: string, load: EndpointLoad, nowMs: number): void {
+    this.#entries.set(endpoint, { load, updatedMs: nowMs, sentSinceCount: 0 });
   }
 
   /**
    * Chooses an endpoint and counts the request as sent there.
    *
    * @param candidates - endpoints that have what the request needs
+   * @param nowMs - a clock that only goes forward, in milliseconds
    * @returns the chosen one, or `undefined` when there is none
    */
-  choose(candidates: readonly RouteCandidate[]): RouteCandidate | undefined {
-    const costs = candidates.map((candidate) => this.costMs(candidate));
+  choose(candidates: readonly RouteCandidate[], nowMs: number): RouteCandidate | undefined {
+    const costs = candidates.map((candidate) => this.costMs(candidate, nowMs));
     const limitMs = Math.min(...costs) + TIE_MS;
     const best = this.#random.pick(candidates.filter((_, index) => costs[index] <= limitMs));
     if (best) this.#entry(best.endpoint).sentSinceCount += 1;
@@ -68,22 +73,28 @@
 
   /**
    * @param candidate - an endpoint
+   * @param nowMs - a clock that only goes forward, in milliseconds
    * @returns the time that a request is expected to lose there, in milliseconds
    */
-  costMs({ endpoint, isLocal }: RouteCandidate): number {
-    const { load, sentSinceCount } = this.#entry(endpoint);
-    const outstanding = load.runningCount + load.waitingCount + sentSinceCount;
-    const excess = Math.max(0, outstanding + 1 - load.limit);
-    const waitMs = (excess * load.serviceMs) / load.limit;
+  costMs({ endpoint, isLocal }: RouteCandidate, nowMs: number): number {
+    const { load, sentSinceCount, updatedMs } = this.#entry(endpoint);
+    const ageMs = nowMs - updatedMs;
+    const gapMs = load.serviceMs / load.limit;
+    // Old word grows better with time: requests end, and a neighbour's disturbance passes. Without
+    // that an endpoint once avoided would never be heard of again.
+    const endedCount = gapMs > 0 ? ageMs / gapMs : 0;
+    const known = Math.max(0, load.runningCount + load.waitingCount - endedCount);
+    const outstanding = known + sentSinceCount;
+    const waitMs = Math.max(0, outstanding + 1 - load.limit) * gapMs;
     const occupancyMs = (OCCUPANCY_MS * outstanding) / load.limit;
-    const slowedMs = load.isSlowed ? SLOWED_MS : 0;
+    const slowedMs = load.isSlowed && ageMs < SLOWED_MEMORY_MS ? SLOWED_MS : 0;
     return waitMs + load.firstTokenMs + occupancyMs + slowedMs + (isLocal ? 0 : REMOTE_MS);
   }
 
   #entry(endpoint: string): RouteEntry {
     const known = this.#entries.get(endpoint);
     if (known) return known;
-    const entry = { load: unknownLoad, sentSinceCount: 0 };
+    const entry = { load: unknownLoad, updatedMs: 0, sentSinceCount: 0 };
     this.#entries.set(endpoint, entry);
     return entry;
   }
