Plan placement: reach every labelled model, follow swings, move little

Cause: demand swings tenfold within seconds while memory holds few replicas; each move costs a load.

--- a/packages/benchmarks/src/lib/policy/fluid-engine.ts
+++ b/packages/benchmarks/src/lib/policy/fluid-engine.ts
@@ -38,6 +38,8 @@
   totalTokens = 0;
   /** What the engine reports, late: streams that run or wait. */
   readonly history: { readonly atMs: number; readonly count: number }[] = [];
+  /** Requests that run or wait, by model. */
+  readonly activeByModel = new Map<number, number>();
   readonly #clock: VirtualClock;
   #slowFactor = 1;
   #waiting: Stream[] = [];
@@ -120,11 +122,16 @@
     };
     Object.assign(request, { engine: this.shape.index });
     this.#waiting.push(stream);
+    this.#count(request.model, 1);
     this.#note();
     this.#startPrefill();
     return () => this.#cancel(stream);
   }
 
+  #count(model: number, change: number): void {
+    this.activeByModel.set(model, (this.activeByModel.get(model) ?? 0) + change);
+  }
+
   #note(): void {
     this.history.push({ atMs: this.#clock.nowMs, count: this.streamCount });
     if (this.history.length > 4_000) this.history.splice(0, 2_000);
@@ -202,6 +209,7 @@
   }
 
   #leave(stream: Stream): number {
+    if (stream.state !== 'over') this.#count(stream.request.model, -1);
     if (!this.#decoding.delete(stream)) return 0;
     Object.assign(stream, { state: 'over' });
     const { request } = stream;
--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from 'node:util';
 import type { BenchRow } from './lib/bench-row.js';
+import { placementRows } from './lib/placement/placement-rows.js';
 import { policyRows } from './lib/policy/policy-rows.js';
 import { printRows } from './lib/print-rows.js';
 
@@ -11,6 +12,7 @@
   overload: (seeds) => policyRows('overload', seeds),
   headofline: (seeds) => policyRows('headofline', seeds),
   slowed: (seeds) => policyRows('slowed', seeds),
+  placement: (seeds) => placementRows(seeds),
 };
 
 const { values, positionals } = parseArgs({
--- /dev/null
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -0,0 +1,32 @@
+/** A model as placement sees it. */
+interface PlacementModel {
+  readonly name: string;
+  /** Weights and KV reserve, in bytes. */
+  readonly bytes: number;
+  /** Whether it must stay reachable. */
+  readonly isLabelled: boolean;
+  /** Wanted tokens a second. */
+  readonly demand: number;
+}
+
+/** An engine as placement sees it. */
+interface PlacementEngine {
+  readonly name: string;
+  readonly capacityBytes: number;
+  /** Tokens a second that it makes at the target's pace. */
+  readonly tokensPerSecond: number;
+  /** Models that are resident or being loaded. */
+  readonly models: readonly string[];
+  /** Those of them that can serve now. */
+  readonly ready: readonly string[];
+  /** Bytes that the ledger counts besides those models. */
+  readonly otherBytes: number;
+}
+
+/** What a round of placement starts from. */
+export interface PlacementInput {
+  readonly models: readonly PlacementModel[];
+  readonly engines: readonly PlacementEngine[];
+  /** Moves that may be begun in this round; a count. */
+  readonly moveBudget: number;
+}
--- /dev/null
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -0,0 +1,207 @@
+import { PlacementFlow } from './placement-flow.js';
+import type { PlacementInput } from './placement-input.js';
+import type { PlacementMove } from './placement-move.js';
+import type { PlacementPlan } from './placement-plan.js';
+
+/** Engines are filled up to this share, so that a swing finds some room while loads are under way. */
+const TARGET_SHARE = 0.9;
+/** A move must win this share of the engine's tokens a second to be worth its load time. */
+const GAIN_SHARE_MIN = 0.01;
+const ALTERNATIVE_COUNT = 4;
+
+type Engine = PlacementInput['engines'][number];
+type Model = PlacementInput['models'][number];
+
+interface Option {
+  readonly engine: Engine;
+  readonly unload: readonly string[];
+  readonly gain: number;
+}
+
+/** One round of placement: the state that its moves change step by step. */
+class PlacementRound {
+  readonly #models: ReadonlyMap<string, Model>;
+  readonly #engines: ReadonlyMap<string, Engine>;
+  readonly #replicas = new Map<string, Set<string>>();
+  readonly #held = new Map<string, Set<string>>();
+  /** Engines where each model can serve now: a replica that is still loading saves nobody. */
+  readonly #ready = new Map<string, Set<string>>();
+  #flow: PlacementFlow;
+
+  constructor({ models, engines }: PlacementInput) {
+    this.#models = new Map(models.map((model) => [model.name, model]));
+    this.#engines = new Map(
+      engines.map((engine) => [
+        engine.name,
+        { ...engine, tokensPerSecond: engine.tokensPerSecond * TARGET_SHARE },
+      ]),
+    );
+    models.forEach(({ name }) => {
+      this.#replicas.set(name, new Set());
+      this.#ready.set(name, new Set());
+    });
+    engines.forEach((engine) => {
+      this.#held.set(engine.name, new Set(engine.models));
+      engine.models.forEach((model) => this.#replicas.get(model)?.add(engine.name));
+      engine.ready.forEach((model) => this.#ready.get(model)?.add(engine.name));
+    });
+    this.#flow = this.#measure();
+  }
+
+  get unserved(): number {
+    return this.#flow.unserved;
+  }
+
+  /** Labelled models without any replica, most wanted first. */
+  unreachable(): Model[] {
+    return [...this.#models.values()]
+      .filter(({ name, isLabelled }) => isLabelled && this.#replicas.get(name)?.size === 0)
+      .sort((left, right) => right.demand - left.demand);
+  }
+
+  /** Models that want more than their engines make, the largest rest first. */
+  hungry(): Model[] {
+    const rest = ({ name }: Model): number => this.#flow.unservedByModel.get(name) ?? 0;
+    return [...this.#models.values()]
+      .filter((model) => rest(model) > 0)
+      .sort((left, right) => rest(right) - rest(left));
+  }
+
+  /** Weighs all engines for a further replica of a model, the best first. */
+  options(model: Model, mustServe: boolean): Option[] {
+    return [...this.#engines.values()]
+      .flatMap((engine) => this.#option(model, engine, mustServe) ?? [])
+      .sort((left, right) => right.gain - left.gain);
+  }
+
+  /** Carries a move out. */
+  apply(model: string, { engine, unload }: Option): void {
+    unload.forEach((other) => {
+      this.#held.get(engine.name)?.delete(other);
+      this.#replicas.get(other)?.delete(engine.name);
+      this.#ready.get(other)?.delete(engine.name);
+    });
+    this.#held.get(engine.name)?.add(model);
+    this.#replicas.get(model)?.add(engine.name);
+    this.#flow = this.#measure();
+  }
+
+  /** Bytes that are short on the engine that comes nearest to holding a model. */
+  shortfall({ bytes }: Model): number {
+    const frees = [...this.#engines.values()].map((engine) => {
+      const evictable = this.#evictable(engine).reduce((sum, other) => sum + other.bytes, 0);
+      return this.#freeBytes(engine) + evictable;
+    });
+    return Math.max(0, bytes - Math.max(0, ...frees));
+  }
+
+  #measure(): PlacementFlow {
+    return new PlacementFlow([...this.#models.values()], this.#engines, this.#replicas);
+  }
+
+  #option(model: Model, engine: Engine, mustServe: boolean): Option | undefined {
+    if (this.#held.get(engine.name)?.has(model.name)) return undefined;
+    const victims = this.#victims(model, engine);
+    if (!victims) return undefined;
+    const rest = this.#flow.unservedByModel.get(model.name) ?? 0;
+    const lost = victims.reduce((sum, victim) => sum + this.#worth(victim, engine), 0);
+    const room = this.#flow.room(engine);
+    const gain = Math.min(rest, room) - lost;
+    const isWorth = gain >= GAIN_SHARE_MIN * engine.tokensPerSecond;
+    if (!mustServe && !isWorth) return undefined;
+    return { engine, unload: victims.map(({ name }) => name), gain };
+  }
+
+  // What a replica is worth to its model: what the model's other engines have no room for.
+  #worth({ name, demand }: Model, engine: Engine): number {
+    const others = [...(this.#replicas.get(name) ?? [])].filter((other) => other !== engine.name);
+    const room = others.reduce((sum, other) => {
+      const found = this.#engines.get(other);
+      return sum + (found ? this.#flow.room(found) : 0);
+    }, 0);
+    const share = demand / (others.length + 1);
+    return Math.max(0, share - room);
+  }
+
+  #victims({ bytes }: Model, engine: Engine): Model[] | undefined {
+    let missing = bytes - this.#freeBytes(engine);
+    if (missing <= 0) return [];
+    const candidates = this.#evictable(engine).sort(
+      (left, right) => this.#worth(left, engine) - this.#worth(right, engine),
+    );
+    const victims: Model[] = [];
+    candidates.forEach((candidate) => {
+      if (missing <= 0) return;
+      victims.push(candidate);
+      missing -= candidate.bytes;
+    });
+    return missing <= 0 ? victims : undefined;
+  }
+
+  // A labelled model's last ready replica stays, whatever else would like its place; and what is
+  // only being loaded is not taken away again before it has served.
+  #evictable(engine: Engine): Model[] {
+    return [...(this.#held.get(engine.name) ?? [])]
+      .flatMap((name) => this.#models.get(name) ?? [])
+      .filter(({ name, isLabelled }) => {
+        const ready = this.#ready.get(name);
+        return ready?.has(engine.name) && (!isLabelled || ready.size > 1);
+      });
+  }
+
+  #freeBytes(engine: Engine): number {
+    const held = [...(this.#held.get(engine.name) ?? [])];
+    const bytes = held.reduce((sum, name) => sum + (this.#models.get(name)?.bytes ?? 0), 0);
+    return engine.capacityBytes - engine.otherBytes - bytes;
+  }
+}
+
+const toMove = (model: string, reason: string, options: readonly Option[]): PlacementMove => ({
+  engine: options[0].engine.name,
+  load: model,
+  unload: options[0].unload,
+  gain: options[0].gain,
+  reason,
+  alternatives: options
+    .slice(1, 1 + ALTERNATIVE_COUNT)
+    .map(({ engine, gain }) => ({ engine: engine.name, gain })),
+});
+
+/**
+ * Plans one round of placement from what is there: models that cannot be reached first, then those
+ * that want more than their engines make. Nothing is moved for a small gain, nothing is unloaded but
+ * to make room, and the same input gives the same plan everywhere.
+ *
+ * @param input - models, engines and the budget of moves
+ * @returns the moves, in the order to make them
+ */
+export function planPlacement(input: PlacementInput): PlacementPlan {
+  const round = new PlacementRound(input);
+  const moves: PlacementMove[] = [];
+  const shortfalls: { model: string; bytes: number }[] = [];
+  round.unreachable().forEach((model) => {
+    const options = round.options(model, true);
+    if (options.length === 0) {
+      shortfalls.push({ model: model.name, bytes: round.shortfall(model) });
+      return;
+    }
+    if (moves.length >= input.moveBudget) return;
+    moves.push(toMove(model.name, 'no replica can be reached', options));
+    round.apply(model.name, options[0]);
+  });
+  const skipped = new Set<string>();
+  while (moves.length < input.moveBudget) {
+    const model = round.hungry().find(({ name }) => !skipped.has(name));
+    if (!model) break;
+    const options = round.options(model, false);
+    if (options.length === 0) {
+      skipped.add(model.name);
+    } else {
+      moves.push(toMove(model.name, 'more is wanted than its engines make', options));
+      round.apply(model.name, options[0]);
+    }
+  }
+  const wanted = input.models.reduce((sum, { demand }) => sum + demand, 0);
+  const servedShare = wanted === 0 ? 1 : 1 - round.unserved / wanted;
+  return { moves, shortfalls, servedShare };
+}
--- a/packages/decisions/src/test/memory/domain-world.ts
+++ b/packages/decisions/src/test/memory/domain-world.ts
@@ -75,9 +75,9 @@
   /** Sends an order whose reservation this instance has read back, however long ago. */
   send(index: number): void {
     const instance = this.#instances[index];
-    const ready = instance.unsent.find((key) => this.#order(instance, key));
+    const ready = instance.unsent.find((key) => DomainWorld.#order(instance, key));
     if (!ready) return;
-    const order = this.#order(instance, ready);
+    const order = DomainWorld.#order(instance, ready);
     instance.unsent = instance.unsent.filter((key) => key !== ready);
     if (order) this.engines.get(ready.split(' ')[0])?.send(order);
   }
@@ -143,7 +143,7 @@
     return `${name}.${incarnation}`;
   }
 
-  #order({ ledger }: Instance, key: string) {
+  static #order({ ledger }: Instance, key: string) {
     const [endpoint, id] = key.split(' ');
     return ledger.engine(endpoint).state.orders.find((order) => order.id === id);
   }
--- /dev/null
+++ b/packages/decisions/src/test/placement/plan-placement_test.ts
@@ -0,0 +1,99 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { planPlacement } from '../../lib/placement/plan-placement.js';
+import type { PlacementInput } from '../../lib/placement/placement-input.js';
+import { fuzzRuns } from '../fuzz-runs.js';
+
+type Model = PlacementInput['models'][number];
+type Engine = PlacementInput['engines'][number];
+
+const model = (name: string, rest: Partial<Model> = {}): Model => ({
+  name,
+  bytes: 40,
+  isLabelled: true,
+  demand: 0,
+  ...rest,
+});
+
+const engine = (name: string, models: readonly string[], rest: Partial<Engine> = {}): Engine => ({
+  name,
+  capacityBytes: 100,
+  tokensPerSecond: 1_000,
+  models,
+  ready: models,
+  otherBytes: 0,
+  ...rest,
+});
+
+const arbitraryInput: fc.Arbitrary<PlacementInput> = fc
+  .record({
+    demands: fc.array(fc.nat({ max: 3_000 }), { minLength: 1, maxLength: 6, size: 'max' }),
+    held: fc.array(fc.uniqueArray(fc.nat({ max: 5 }), { maxLength: 2 }), {
+      minLength: 1,
+      maxLength: 5,
+      size: 'max',
+    }),
+    loading: fc.boolean(),
+    moveBudget: fc.nat({ max: 4 }),
+  })
+  .map(({ demands, held, loading, moveBudget }) => ({
+    models: demands.map((demand, index) => model(`m${index}`, { demand })),
+    engines: held.map((numbers, index) => {
+      const models = numbers.filter((n) => n < demands.length).map((n) => `m${n}`);
+      return engine(`e${index}`, models, { ready: loading ? models.slice(1) : models });
+    }),
+    moveBudget,
+  }));
+
+describe('planPlacement', () => {
+  it('loads what cannot be reached first', () => {
+    const input = {
+      models: [model('a', { demand: 5_000 }), model('b')],
+      engines: [engine('e1', ['a']), engine('e2', ['a'])],
+      moveBudget: 1,
+    };
+    expect(planPlacement(input).moves.map(({ load }) => load)).to.deep.equal(['b']);
+  });
+
+  it('names the bytes that are short for a labelled model', () => {
+    const input = {
+      models: [model('a'), model('big', { bytes: 150 })],
+      engines: [engine('e1', ['a'])],
+      moveBudget: 3,
+    };
+    expect(planPlacement(input).shortfalls).to.deep.equal([{ model: 'big', bytes: 90 }]);
+  });
+
+  it('moves nothing when all that is wanted is made', () => {
+    const input = {
+      models: [model('a', { demand: 300 }), model('b', { demand: 300 })],
+      engines: [engine('e1', ['a']), engine('e2', ['b'])],
+      moveBudget: 3,
+    };
+    expect(planPlacement(input)).to.deep.equal({ moves: [], shortfalls: [], servedShare: 1 });
+  });
+
+  it('never takes the last ready replica, never goes past a capacity or the budget', () => {
+    fc.assert(
+      fc.property(arbitraryInput, (input) => {
+        const { moves } = planPlacement(input);
+        expect(moves.length).to.be.at.most(input.moveBudget);
+        const ready = new Map(input.engines.map((e) => [e.name, new Set(e.ready)]));
+        const held = new Map(input.engines.map((e) => [e.name, new Set(e.models)]));
+        const readyCount = (name: string): number =>
+          [...ready.values()].filter((names) => names.has(name)).length;
+        moves.forEach(({ engine: at, load, unload }) => {
+          unload.forEach((name) => {
+            ready.get(at)?.delete(name);
+            held.get(at)?.delete(name);
+            expect(readyCount(name), `${name} stays ready`).to.be.greaterThan(0);
+          });
+          held.get(at)?.add(load);
+          expect((held.get(at)?.size ?? 0) * 40).to.be.at.most(100);
+        });
+        expect(planPlacement(input).moves).to.deep.equal(moves);
+      }),
+      { numRuns: fuzzRuns, seed: 21 },
+    );
+  });
+});
