Own engines and place models through the log, on real daemons

Cause: placement and its ledger were decided but nothing acted on them. Change: DomainService: claims the engines that fall to the instance, puts reports and demand on the domain's stream, plans every second, reserves before it orders, looks once more before it sends, withdraws what it may no longer send; adapters beside their base, versions rolled beside the old one; moves and plans with their reasons under debug/placement and debug/moves.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -26,12 +26,14 @@
 import { Owner } from './owner/owner.js';
 import { ReportLoop } from './owner/report-loop.js';
 import type { DispatchParams } from './peer/dispatch-params.js';
+import { DomainService } from './place/domain-service.js';
 import { PeerNode } from './peer/peer-node.js';
 import { ConfigSync } from './platform/config-sync.js';
 import type { Settings } from './settings/settings.js';
 
 const TICK_MS = 50;
 const OWNER_TICK_MS = 50;
+const DOMAIN_TICK_MS = 100;
 const REPORT_POLL_MS = 1_000;
 const SYNC_MS = 10_000;
 const PEER_CALL_TIMEOUT_MS = 2_000;
@@ -70,6 +72,7 @@
   readonly #owner: Owner;
   readonly #entry: Entry;
   readonly #keys: KeyService;
+  readonly #domain: DomainService;
   readonly #reports: ReportLoop;
   readonly #callerFront: CallerFront;
   readonly #operatorFront: OperatorFront;
@@ -100,6 +103,7 @@
     this.#keys = this.#createKeys();
     this.#owner = this.#createOwner();
     this.#entry = this.#createEntry();
+    this.#domain = this.#createDomain();
     this.#reports = this.#createReports();
     this.#callerFront = this.#createCallerFront();
     this.#operatorFront = this.#createOperatorFront();
@@ -243,6 +247,7 @@
       failureDomain: instance.failureDomain,
       region: instance.region,
       size: instance.size,
+      life: this.#incarnation,
       incarnation: Date.now(),
       state: MemberState.alive,
     };
@@ -293,6 +298,7 @@
       decisions: this.#decisions,
       nowMs: Daemon.#nowMs,
       randomUnit: () => this.#random.unit(),
+      onModelWanted: (model) => this.#domain.demand.count(model),
       answerTimeoutMs: this.#settings.limits.answerTimeoutMs,
       isLocal: (endpoint) =>
         this.config.view.endpoints.get(endpoint)?.failureDomain === failureDomain,
@@ -303,6 +309,29 @@
     });
   }
 
+  #createDomain(): DomainService {
+    const { instance, placement } = this.#settings;
+    return new DomainService({
+      log: this.#log,
+      driver: this.#drivers.engine,
+      logger: this.#logger('place'),
+      metrics: this.metrics,
+      self: instance.name,
+      life: this.#incarnation,
+      failureDomain: instance.failureDomain,
+      view: () => this.config.view,
+      wantedOwner: (endpoint) => this.#ownerOf(endpoint),
+      members: () => this.#membership?.members ?? new Map(),
+      isLeaving: (endpoint) => this.#directory.isLeaving(endpoint),
+      tokensPerSecond: (endpoint) => this.#owner.tokensPerSecond(endpoint),
+      nowMs: Daemon.#nowMs,
+      longestDelayMs: placement.longestOrderDelayMs,
+      loadsPerSecond: placement.loadsPerSecond,
+      adapterLoadsMax: placement.adapterLoadsMax,
+      movesAtOnceMax: placement.movesAtOnceMax,
+    });
+  }
+
   #createReports(): ReportLoop {
     const { name } = this.#settings.instance;
     return new ReportLoop({
@@ -312,7 +341,7 @@
       isOwned: (endpoint) => this.#ownerOf(endpoint)?.name === name,
       factOf: (key) => this.#rumor(key),
       publish: (rumor) => this.#membership?.takeRumor(rumor, Daemon.#nowMs()),
-      onReport: () => {},
+      onReport: (endpoint, report) => this.#domain.onReport(endpoint, report),
     });
   }
 
@@ -339,6 +368,8 @@
       pages: {
         status: () => this.#status(),
         'debug/decisions': ({ trace }) => this.#decisions.latest(trace),
+        'debug/placement': ({ model }) => this.#explainPlacement(model ?? ''),
+        'debug/moves': ({ id, item }) => this.#domain.moves.latest(id, item),
         'debug/spans': ({ trace }) => this.tracer.latest(trace),
       },
       actions: { drain: ({ endpoint }) => this.#drain(String(endpoint)) },
@@ -363,6 +394,25 @@
     };
   }
 
+  #explainPlacement(model: string): unknown {
+    const { engines, demand } = this.#domain.ledger;
+    const isAsked = (item: string): boolean => item.startsWith(`model/${model}`);
+    return {
+      model,
+      demandTokensPerSecond: demand.get(model) ?? 0,
+      engines: [...engines.values()].map(({ state, worstBytes, liveOrders }) => ({
+        endpoint: state.endpoint,
+        owner: state.owner,
+        fence: state.fence,
+        worstBytes,
+        residents: Object.keys(state.residents).filter(isAsked),
+        orders: liveOrders.filter(({ item }) => isAsked(item)),
+      })),
+      plan: this.#domain.plan,
+      moves: this.#domain.moves.latest('', model),
+    };
+  }
+
   #drain(endpoint: string): unknown {
     if (!this.config.view.endpoints.has(endpoint)) throw new Error(`no endpoint "${endpoint}"`);
     const key = Directory.leavingKey(endpoint);
@@ -377,6 +427,7 @@
     };
     every(TICK_MS, () => this.#tick());
     every(OWNER_TICK_MS, () => this.#owner.tick());
+    every(DOMAIN_TICK_MS, () => this.#domain.tick());
     every(configPollMs, () => this.config.poll());
     every(listPollMs, () => this.#pollList());
     every(REPORT_POLL_MS, () => this.#reports.poll());
--- a/packages/daemon/src/lib/entry/entry.ts
+++ b/packages/daemon/src/lib/entry/entry.ts
@@ -15,6 +15,8 @@
 interface EntryContext extends RunContext {
   readonly view: () => ConfigView;
   readonly keys: KeyService;
+  /** Told of each request for a model, whether it can be served or not. */
+  readonly onModelWanted: (model: string) => void;
   /** Unique name of this life of the instance. */
   readonly incarnation: string;
 }
@@ -94,6 +96,7 @@
       reply,
     );
     this.#runs.add(run);
+    if (target.kind === 'model') this.#context.onModelWanted(target.model);
     this.#retries.earn();
     reply.setHeader('traceparent', run.traceparent);
     const waitMs = this.#takeToken(caller);
--- a/packages/daemon/src/lib/owner/owner.ts
+++ b/packages/daemon/src/lib/owner/owner.ts
@@ -20,6 +20,8 @@
   readonly fallbackConcurrency: number;
 }
 
+const MS_PER_SECOND = 1_000;
+
 type EndpointConfig = ConfigBody<'endpoint'>;
 
 const verdictCodes = {
@@ -51,6 +53,16 @@
     return this.#endpoints.get(endpoint)?.control.load;
   }
 
+  /**
+   * @param endpoint - name of an engine
+   * @returns tokens a second that it makes at the target's pace, if it has been seen at work
+   */
+  tokensPerSecond(endpoint: string): number | undefined {
+    const load = this.loadOf(endpoint);
+    if (!load || load.tokenMs === 0) return undefined;
+    return Math.round((load.limit * MS_PER_SECOND) / Math.max(load.tokenMs, 1));
+  }
+
   /**
    * Takes a request from an entry.
    *
--- a/packages/daemon/src/lib/settings/settings-schema.ts
+++ b/packages/daemon/src/lib/settings/settings-schema.ts
@@ -57,6 +57,18 @@
       suspicionMs: ms(4_000, 'Least time from suspicion to death, in milliseconds.'),
     })
     .prefault({}),
+  placement: z
+    .strictObject({
+      longestOrderDelayMs: ms(60_000, 'Longest time that an order may be under way.'),
+      loadsPerSecond: z
+        .number()
+        .positive()
+        .default(1)
+        .describe('Model loads a second, the share of this failure domain.'),
+      adapterLoadsMax: count(8, 'Adapter loads under way at once, the share of this domain.'),
+      movesAtOnceMax: count(3, 'Model loads under way at once, the share of this domain.'),
+    })
+    .prefault({}),
   shutdown: z
     .strictObject({
       noticeMs: z
--- a/packages/decisions/src/lib/membership/member.ts
+++ b/packages/decisions/src/lib/membership/member.ts
@@ -11,6 +11,8 @@
   readonly region: string;
   /** Relative size of the machine. */
   readonly size: number;
+  /** Unique name of this life of the instance. */
+  readonly life: string;
   /** Number of this life of the instance; raised also to refute a suspicion. */
   readonly incarnation: number;
   readonly state: MemberState;
--- a/packages/decisions/src/lib/membership/membership.ts
+++ b/packages/decisions/src/lib/membership/membership.ts
@@ -101,10 +101,10 @@
    *
    * @param listed - members of the list
    */
-  seed(listed: readonly Omit<Member, 'incarnation' | 'state'>[]): void {
+  seed(listed: readonly Omit<Member, 'incarnation' | 'life' | 'state'>[]): void {
     listed.forEach((entry) => {
       const known = this.#members.get(entry.name);
-      if (!known) this.#record({ ...entry, incarnation: 0, state: MemberState.alive });
+      if (!known) this.#record({ ...entry, life: '', incarnation: 0, state: MemberState.alive });
     });
   }
 
--- a/packages/decisions/src/lib/memory/domain-entry.ts
+++ b/packages/decisions/src/lib/memory/domain-entry.ts
@@ -56,6 +56,8 @@
       readonly bootId: string;
       readonly residents: Readonly<Record<string, number>>;
       readonly settledOrders: readonly string[];
+      /** Tokens a second that the engine makes at the target's pace, as its owner measured. */
+      readonly tokensPerSecond?: number;
       /** Whether the engine refuses orders with an old number. */
       readonly checksFencing: boolean;
     }
--- a/packages/decisions/src/lib/memory/domain-ledger.ts
+++ b/packages/decisions/src/lib/memory/domain-ledger.ts
@@ -12,8 +12,10 @@
 
 /** Limits that the whole domain keeps, because the fold itself refuses what goes past them. */
 interface DomainLimits {
-  /** Loads that may be reserved in a second: the domain's share of the weight store's rate. */
+  /** Loads of models that may be reserved in a second: the domain's share of the store's rate. */
   readonly loadsPerSecond: number;
+  /** Loads of adapters that may be under way at once: the domain's share; a count. */
+  readonly adapterLoadsMax: number;
 }
 
 /** `model/NAME` of `model/NAME@VERSION`; other items are what they are. */
@@ -127,7 +129,8 @@
     if (rejection !== undefined) return rejection;
     const { incarnation: issuer } = ledger.state;
     ledger.reserve({ id, number: offset, action, item, bytes, issuer, timeMs, reason });
-    if (action === 'load') this.#loadTimesMs = [...this.#recentLoads(), this.timeMs];
+    const isModelLoad = action === 'load' && item.startsWith('model/');
+    if (isModelLoad) this.#loadTimesMs = [...this.#recentLoads(), this.timeMs];
     return undefined;
   }
 
@@ -143,12 +146,23 @@
     return [...this.#engines.values()].some(isReplica) ? undefined : 'it is the last replica';
   }
 
-  #rejectRate({ action }: Entry<'reserve'>): string | undefined {
+  #rejectRate({ action, item }: Entry<'reserve'>): string | undefined {
     if (action !== 'load') return undefined;
+    if (!item.startsWith('model/')) return this.#rejectAdapter();
     const isFull = this.#recentLoads().length >= this.#limits.loadsPerSecond;
     return isFull ? 'the weight store has its share of loads for this second' : undefined;
   }
 
+  #rejectAdapter(): string | undefined {
+    const isOpen = ({ state, item }: EngineLedger['liveOrders'][number]): boolean =>
+      state === 'open' && !item.startsWith('model/');
+    const count = [...this.#engines.values()].reduce(
+      (sum, ledger) => sum + ledger.liveOrders.filter(isOpen).length,
+      0,
+    );
+    return count >= this.#limits.adapterLoadsMax ? 'too many adapters are loading' : undefined;
+  }
+
   #recentLoads(): readonly number[] {
     return this.#loadTimesMs.filter((loadMs) => this.timeMs - loadMs < MS_PER_SECOND);
   }
--- a/packages/decisions/src/lib/memory/engine-ledger.ts
+++ b/packages/decisions/src/lib/memory/engine-ledger.ts
@@ -10,6 +10,7 @@
   readonly bootId: string;
   readonly residents: Readonly<Record<string, number>>;
   readonly settledOrders: readonly string[];
+  readonly tokensPerSecond?: number;
 }
 
 const isQuiet = ({ state }: OrderRecord): boolean => chart.isFinal(state);
@@ -44,6 +45,7 @@
       bootId: '',
       pastBootIds: [],
       residents: {},
+      tokensPerSecond: 0,
       orders: [],
     };
   }
@@ -176,7 +178,8 @@
     );
     if (!isNewBoot && isOlder) return false;
     if (isNewBoot) this.#startBoot(bootId);
-    this.#state = { ...this.#state, residents };
+    const { tokensPerSecond = this.#state.tokensPerSecond } = report;
+    this.#state = { ...this.#state, residents, tokensPerSecond };
     if (checksFencing) this.#quietByFence(settledOrders);
     this.#show(settledOrders);
     return true;
--- a/packages/decisions/src/lib/memory/engine-state.ts
+++ b/packages/decisions/src/lib/memory/engine-state.ts
@@ -13,5 +13,7 @@
   readonly pastBootIds: readonly string[];
   /** What the engine said that it holds, with bytes. */
   readonly residents: Readonly<Record<string, number>>;
+  /** Tokens a second that it makes at the target's pace; 0 while unknown. */
+  readonly tokensPerSecond: number;
   readonly orders: readonly OrderRecord[];
 }
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -71,7 +71,9 @@
   options(model: Model, mustServe: boolean): Option[] {
     return [...this.#engines.values()]
       .flatMap((engine) => this.#option(model, engine, mustServe) ?? [])
-      .sort((left, right) => right.gain - left.gain);
+      .sort(
+        (left, right) => right.gain - left.gain || this.#freeAfter(right) - this.#freeAfter(left),
+      );
   }
 
   /** Carries a move out. */
@@ -149,6 +151,12 @@
       });
   }
 
+  // Among equals the emptiest: it leaves room for a new version beside an old one.
+  #freeAfter({ engine, unload }: Option): number {
+    const freed = unload.reduce((sum, name) => sum + (this.#models.get(name)?.bytes ?? 0), 0);
+    return this.#freeBytes(engine) + freed;
+  }
+
   #freeBytes(engine: Engine): number {
     const held = [...(this.#held.get(engine.name) ?? [])];
     const bytes = held.reduce((sum, name) => sum + (this.#models.get(name)?.bytes ?? 0), 0);
--- a/packages/decisions/src/test/memory/domain-world.ts
+++ b/packages/decisions/src/test/memory/domain-world.ts
@@ -3,7 +3,7 @@
 import { WorstEngine } from './worst-engine.js';
 
 const CAPACITY_BYTES = 100;
-const LIMITS = { loadsPerSecond: 1_000 };
+const LIMITS = { loadsPerSecond: 1_000, adapterLoadsMax: 1_000 };
 
 interface Instance {
   readonly name: string;
--- a/packages/embedded/src/lib/deployment.ts
+++ b/packages/embedded/src/lib/deployment.ts
@@ -276,6 +276,7 @@
       secrets: {},
       membership: { periodMs: 100, pingTimeoutMs: 50, suspicionMs: 1_500 },
       shutdown: { noticeMs: 100 },
+      placement: { loadsPerSecond: 20, longestOrderDelayMs: 2_000 },
       ...this.#options.settings,
     };
     const lines = Object.entries(sections).flatMap(([section, values]) => [
