--- a/packages/benchmarks/src/lib/placement/placement-rows.ts
+++ b/packages/benchmarks/src/lib/placement/placement-rows.ts
@@ -186,7 +186,7 @@
     baselines: Object.fromEntries(others.map(([name, figures]) => [name, figures[metric]])),
     seeds,
   }));
-  const {clairvoyant} = Object.fromEntries(results);
+  const { clairvoyant } = Object.fromEntries(results);
   const ratio = (metric: string, value: number, bound: string): BenchRow => ({
     scenario,
     metric,
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -135,6 +135,15 @@
     return this.#directory.isLeaving(endpoint);
   }
 
+  /**
+   * Cuts this instance off from the log, or joins it again; for tests of cuts.
+   *
+   * @param isBlocked - whether calls to the log fail
+   */
+  blockLog(isBlocked: boolean): void {
+    this.#log.isBlocked = isBlocked;
+  }
+
   /** Takes the ports, learns the configuration and starts to serve. */
   async start(): Promise<void> {
     await this.peers.listen();
@@ -207,6 +216,9 @@
       log: this.#log,
       logger: this.#logger('config'),
       metrics: this.metrics,
+      logRetentionMs: this.#settings.platform.logRetentionMs,
+      nowMs: Daemon.#nowMs,
+      randomUnit: () => this.#random.unit(),
       askPeer: (fromOffset) => this.#askConfig(fromOffset),
     });
   }
@@ -325,6 +337,8 @@
       isLeaving: (endpoint) => this.#directory.isLeaving(endpoint),
       tokensPerSecond: (endpoint) => this.#owner.tokensPerSecond(endpoint),
       nowMs: Daemon.#nowMs,
+      logRetentionMs: this.#settings.platform.logRetentionMs,
+      randomUnit: () => this.#random.unit(),
       longestDelayMs: placement.longestOrderDelayMs,
       loadsPerSecond: placement.loadsPerSecond,
       adapterLoadsMax: placement.adapterLoadsMax,
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -1,4 +1,10 @@
-import { DomainLedger, Journal, loadChart, planPlacement } from '@chervilseam/decisions';
+import {
+  DomainLedger,
+  Journal,
+  loadChart,
+  planPlacement,
+  SnapshotTimer,
+} from '@chervilseam/decisions';
 import type { ConfigView, DomainEntry, Member, PlacementPlan } from '@chervilseam/decisions';
 import type { EndpointDriver, EngineReport } from '@chervilseam/endpoints';
 import type { LogPort } from '@chervilseam/platform';
@@ -13,7 +19,6 @@
 const LINGER_MS = 250;
 const TAIL_MS = 500;
 const BATCH_COUNT_MAX = 200;
-const SNAPSHOT_EVERY = 2_000;
 const ROUND_MS = 1_000;
 const LOAD_BYTES_RETRY_MS = 2_000;
 
@@ -34,6 +39,9 @@
   readonly tokensPerSecond: (endpoint: string) => number | undefined;
   readonly nowMs: () => number;
   readonly longestDelayMs: number;
+  readonly logRetentionMs: number;
+  /** @returns a random number from 0 up to 1 */
+  readonly randomUnit: () => number;
   readonly loadsPerSecond: number;
   readonly adapterLoadsMax: number;
   readonly movesAtOnceMax: number;
@@ -65,6 +73,7 @@
   #count = 0;
   #nextRoundMs = 0;
   #lastSnapshotOffset = 0;
+  readonly #snapshots: SnapshotTimer;
   #plan: PlacementPlan | undefined;
 
   /** @param context - log, engines, configuration and clock */
@@ -73,6 +82,7 @@
     const { loadsPerSecond, adapterLoadsMax, log, nowMs, metrics, failureDomain } = context;
     this.ledger = new DomainLedger({ loadsPerSecond, adapterLoadsMax });
     this.demand = new DemandMeter(nowMs());
+    this.#snapshots = new SnapshotTimer(context.logRetentionMs, context.randomUnit, nowMs());
     const options = { lingerMs: LINGER_MS, tailMs: TAIL_MS, batchCountMax: BATCH_COUNT_MAX };
     this.#journal = new Journal(this.ledger, options);
     this.#runner = new JournalRunner({
@@ -349,9 +359,12 @@
   }
 
   #snapshotIfDue(): void {
-    const behind = this.ledger.offset - this.#lastSnapshotOffset;
-    if (behind < SNAPSHOT_EVERY) return;
-    this.#lastSnapshotOffset = this.ledger.offset;
+    const nowMs = this.#context.nowMs();
+    if (this.ledger.snapshotOffset > this.#lastSnapshotOffset) {
+      this.#lastSnapshotOffset = this.ledger.snapshotOffset;
+      this.#snapshots.seen(nowMs);
+    }
+    if (this.ledger.offset === 0 || !this.#snapshots.isDue(nowMs)) return;
     this.#submit({ type: 'snapshot', snapshot: this.ledger.snapshot() });
   }
 }
--- a/packages/daemon/src/lib/platform/config-sync.ts
+++ b/packages/daemon/src/lib/platform/config-sync.ts
@@ -1,4 +1,4 @@
-import { ConfigFold, ConfigView } from '@chervilseam/decisions';
+import { ConfigFold, ConfigView, SnapshotTimer } from '@chervilseam/decisions';
 import type { ConfigDecision, ConfigSnapshot } from '@chervilseam/decisions';
 import type { LogPort } from '@chervilseam/platform';
 import type { Metrics } from '../observe/metrics.js';
@@ -12,6 +12,11 @@
   readonly log: LogPort;
   readonly logger: PartLogger;
   readonly metrics: Metrics;
+  /** How long the log keeps records, in milliseconds. */
+  readonly logRetentionMs: number;
+  readonly nowMs: () => number;
+  /** @returns a random number from 0 up to 1 */
+  readonly randomUnit: () => number;
   /** @returns the state of some other instance, if one can be asked */
   readonly askPeer: (fromOffset: number) => Promise<ConfigSnapshot | undefined>;
 }
@@ -21,6 +26,7 @@
   readonly #context: ConfigSyncContext;
   #fold = new ConfigFold();
   #view = new ConfigView(0, new Map());
+  readonly #snapshots: SnapshotTimer;
   #isLogDown = false;
   #isPolling = false;
   #logFirstOffset = 1;
@@ -28,6 +34,8 @@
   /** @param context - log, peers and metrics */
   constructor(context: ConfigSyncContext) {
     this.#context = context;
+    const { logRetentionMs, randomUnit, nowMs } = context;
+    this.#snapshots = new SnapshotTimer(logRetentionMs, randomUnit, nowMs());
   }
 
   /** The configuration in force. */
@@ -61,6 +69,7 @@
     this.#isPolling = true;
     try {
       await this.#readLog();
+      await this.#republishIfDue();
       this.#noteLog(false);
     } catch {
       this.#noteLog(true);
@@ -104,14 +113,35 @@
         return;
       }
       if (page.records.length === 0) return;
+      const before = this.#fold.offset;
       this.#foldPage(page);
+      if (this.#fold.offset === before) {
+        this.#alarm('config_gap', 'records are gone from the log and no snapshot covers them');
+        // eslint-disable-next-line no-await-in-loop -- the last thing that is tried
+        await this.#readPeer();
+        return;
+      }
       if (page.records.length < PAGE_COUNT) return;
     }
   }
 
+  // Records expire; the state must stand on the log again before they do.
+  async #republishIfDue(): Promise<void> {
+    const { log, nowMs, metrics, logger } = this.#context;
+    if (!this.isReady || !this.#snapshots.isDue(nowMs())) return;
+    const snapshot = this.#fold.snapshot();
+    metrics.logAppends.inc({ stream: STREAM });
+    await log.append(STREAM, [{ type: 'snapshot', snapshot }]);
+    logger.info('config_snapshot', 'The state was put on the log again.', {
+      offset: snapshot.offset,
+    });
+  }
+
   #foldPage({ records }: Awaited<ReturnType<LogPort['read']>>): void {
     const decisions: ConfigDecision[] = [];
     records.forEach(({ offset, value }) => {
+      const { type } = (value ?? {}) as { type?: string };
+      if (type === 'snapshot') this.#snapshots.seen(this.#context.nowMs());
       this.#skipGap(offset, value);
       if (offset !== this.#fold.offset + 1) return;
       const decision = this.#fold.apply(offset, value);
--- a/packages/daemon/src/lib/settings/settings-schema.ts
+++ b/packages/daemon/src/lib/settings/settings-schema.ts
@@ -28,6 +28,7 @@
     logUrl: z.url().describe('Where the log service listens.'),
     instanceListUrl: z.url().describe('Where the list of instances is served.'),
     callTimeoutMs: ms(2_000, 'Limit of one call to the platform, in milliseconds.'),
+    logRetentionMs: ms(3_600_000, 'How long the log keeps records, in milliseconds.'),
     configPollMs: ms(500, 'Time between two reads of the configuration stream, in milliseconds.'),
     listPollMs: ms(2_000, 'Time between two reads of the list of instances, in milliseconds.'),
   }),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -39,6 +39,7 @@
 export { DomainLedger } from './lib/memory/domain-ledger.js';
 export type { EngineLedger } from './lib/memory/engine-ledger.js';
 export { Journal } from './lib/journal/journal.js';
+export { SnapshotTimer } from './lib/journal/snapshot-timer.js';
 export { DemandEstimate } from './lib/placement/demand-estimate.js';
 export type { PlacementInput } from './lib/placement/placement-input.js';
 export type { PlacementMove } from './lib/placement/placement-move.js';
--- a/packages/decisions/src/lib/journal/recovering-fold.ts
+++ b/packages/decisions/src/lib/journal/recovering-fold.ts
@@ -22,6 +22,7 @@
 export abstract class RecoveringFold<S> {
   #offset = 0;
   #timeMs = 0;
+  #snapshotOffset = 0;
   /** Time of the oldest record after a gap; undefined while there is none. */
   #wholeSinceMs: number | undefined;
   /** Records taken while older ones are missing. */
@@ -37,6 +38,11 @@
     return this.#timeMs;
   }
 
+  /** Offset of the latest snapshot on the stream; 0 while none was seen. */
+  get snapshotOffset(): number {
+    return this.#snapshotOffset;
+  }
+
   /** Whether nothing that matters is missing. */
   get isWhole(): boolean {
     const sinceMs = this.#wholeSinceMs;
@@ -60,8 +66,10 @@
     this.#offset = record.offset;
     this.#timeMs = Math.max(this.#timeMs, record.timeMs);
     const entry = record.value as SnapshotEntry<S> | null;
-    if (entry?.type === 'snapshot') this.#adopt(entry.snapshot);
-    else this.take(record);
+    if (entry?.type === 'snapshot') {
+      this.#snapshotOffset = record.offset;
+      this.#adopt(entry.snapshot);
+    } else this.take(record);
     if (this.isWhole) this.#unproven = [];
     else this.#unproven.push(record);
   }
--- a/packages/decisions/src/lib/membership/membership.ts
+++ b/packages/decisions/src/lib/membership/membership.ts
@@ -103,8 +103,11 @@
    */
   seed(listed: readonly Omit<Member, 'incarnation' | 'life' | 'state'>[]): void {
     listed.forEach((entry) => {
-      const known = this.#members.get(entry.name);
-      if (!known) this.#record({ ...entry, life: '', incarnation: 0, state: MemberState.alive });
+      if (this.#members.has(entry.name)) return;
+      // What the list says is no news to spread: everyone reads the list.
+      const member = { ...entry, life: '', incarnation: 0, state: MemberState.alive };
+      this.#members.set(entry.name, member);
+      this.#version += 1;
     });
   }
 
@@ -169,7 +172,10 @@
     if (!rumor.key.startsWith(MEMBER_PREFIX)) return this.rumors.take(rumor);
     const member = rumor.value as Member;
     if (member.name === this.#self.name) return this.#refute(member);
-    if (!this.rumors.take(rumor)) return false;
+    if (!this.rumors.take(rumor)) {
+      this.#tellOfFormerLife(member);
+      return false;
+    }
     this.#members.set(member.name, member);
     this.#version += 1;
     if (member.state === MemberState.suspect) this.#suspectedMs.set(member.name, nowMs);
@@ -187,9 +193,18 @@
     });
   }
 
+  // An instance that was restarted while its clock was set back comes with an incarnation that is no
+  // news. Hearing of its former life makes it raise its own.
+  #tellOfFormerLife({ name, life }: Member): void {
+    const known = this.#members.get(name);
+    if (known && known.life !== life) this.rumors.reheat(MEMBER_PREFIX + name);
+  }
+
   #refute(report: Member): boolean {
     const isOld = report.incarnation < this.#self.incarnation;
+    const isOwnLife = report.life === this.#self.life || report.life === '';
     const isSame =
+      isOwnLife &&
       report.incarnation === this.#self.incarnation &&
       stateRank[report.state] <= stateRank[this.#self.state];
     if (isOld || isSame) return false;
--- a/packages/embedded/src/lib/deployment.ts
+++ b/packages/embedded/src/lib/deployment.ts
@@ -279,6 +279,7 @@
       placement: { loadsPerSecond: 20, longestOrderDelayMs: 2_000 },
       ...this.#options.settings,
     };
+    Object.assign(sections.platform, { logUrl: this.log.url, instanceListUrl: this.list.url });
     const lines = Object.entries(sections).flatMap(([section, values]) => [
       `[${section}]`,
       ...Object.entries(values).map(([key, value]) => `${key} = ${JSON.stringify(value)}`),
--- a/packages/platform/src/lib/http-log.ts
+++ b/packages/platform/src/lib/http-log.ts
@@ -1,9 +1,12 @@
+import verror from 'verror';
 import { HttpJson } from './http-json.js';
 import type { LogPage } from './log-page.js';
 import type { LogPort } from './log-port.js';
 
 /** The platform's log over HTTP. */
 export class HttpLog implements LogPort {
+  /** Makes every call fail at once; for tests of cuts. */
+  isBlocked = false;
   readonly #http: HttpJson;
 
   /**
@@ -15,6 +18,7 @@
   }
 
   async append(stream: string, values: readonly unknown[]): Promise<number> {
+    this.#guard();
     const path = `/log/${encodeURIComponent(stream)}`;
     const answer = await this.#http.call<{ firstOffset: number }>('POST', path, {
       records: values,
@@ -22,11 +26,16 @@
     return answer.firstOffset;
   }
 
-  read(stream: string, fromOffset: number, limit: number): Promise<LogPage> {
+  async read(stream: string, fromOffset: number, limit: number): Promise<LogPage> {
+    this.#guard();
     const path = `/log/${encodeURIComponent(stream)}?from=${fromOffset}&limit=${limit}`;
     return this.#http.call<LogPage>('GET', path);
   }
 
+  #guard(): void {
+    if (this.isBlocked) throw new verror.VError({ name: 'PlatformError' }, 'cut off from the log');
+  }
+
   /** Closes the connections. */
   close(): Promise<void> {
     return this.#http.close();
--- a/packages/stand-ins/src/lib/log-stand-in.ts
+++ b/packages/stand-ins/src/lib/log-stand-in.ts
@@ -89,6 +89,18 @@
     stream.firstOffset = Math.max(stream.firstOffset, beforeOffset);
   }
 
+  /**
+   * Loses the newest records, as a log does that was restored from an old copy.
+   *
+   * @param name - the stream
+   * @param lastOffset - last offset that stays
+   */
+  rewind(name: string, lastOffset: number): void {
+    const stream = this.#stream(name);
+    stream.records = stream.records.filter(({ offset }) => offset <= lastOffset);
+    stream.nextOffset = lastOffset + 1;
+  }
+
   async #guard(
     response: Parameters<typeof HttpStandIn.reply>[0],
     action: () => void,
