--- /dev/null
+++ b/packages/benchmarks/src/lib/state/measure-idle.ts
@@ -0,0 +1,104 @@
+import { Deployment } from '@chervilseam/embedded';
+
+/** What one instance costs while nobody asks for anything. */
+interface IdleMeasure {
+  readonly instances: number;
+  /** Heartbeats and streams sent by an instance, in bytes a second. */
+  readonly sentBytesPerSecond: number;
+  /** Processor time of an instance, as a share of a core; stand-ins are counted in. */
+  readonly coreShare: number;
+  /** Memory of an instance, in bytes, from the growth of the heap. */
+  readonly heapBytes: number;
+  /** Time until a leave is known to all, in milliseconds. */
+  readonly leaveMs: number;
+  /** Time until a death is known to all, in milliseconds. */
+  readonly deathMs: number;
+  /** Time until a change of configuration is in force at all, in milliseconds. */
+  readonly changeMs: number;
+  readonly falseDeaths: number;
+}
+
+const WINDOW_MS = 4_000;
+const SETTLE_MS = 1_500;
+const MEMBERSHIP = { periodMs: 500, pingTimeoutMs: 200, suspicionMs: 4_000 };
+
+async function sentBytes(deployment: Deployment): Promise<number> {
+  const texts = await Promise.all(
+    [...deployment.daemons.values()].map(({ metrics }) => metrics.text()),
+  );
+  return texts.reduce((sum, text) => {
+    const matches = [...text.matchAll(/(?:member|peer)_bytes_total\{direction="sent"\} (\S+)/g)];
+    return sum + matches.reduce((part, match) => part + Number(match[1]), 0);
+  }, 0);
+}
+
+const heapBytes = (): number => {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+};
+
+async function timeUntil(deployment: Deployment, condition: () => boolean): Promise<number> {
+  const startMs = performance.now();
+  await deployment.waitFor('all know', condition);
+  return performance.now() - startMs;
+}
+
+const allThink = (deployment: Deployment, name: string, state: string): boolean =>
+  [...deployment.daemons]
+    .filter(([other]) => other !== name)
+    .every(([, { members }]) => members.some((m) => m.name === name && m.state === state));
+
+/**
+ * Starts real daemons in this process, over loopback, and measures what one of them costs.
+ *
+ * @param instances - how many
+ * @returns the figures
+ */
+export async function measureIdle(instances: number): Promise<IdleMeasure> {
+  const heapBefore = heapBytes();
+  const deployment = await Deployment.start({
+    instanceCount: instances,
+    domainCount: 4,
+    configToml: '[[model]]\nname = "m"\nweightsBytes = 1\n',
+    settings: { membership: MEMBERSHIP, shutdown: { noticeMs: 0 } },
+  });
+  await Deployment.sleep(SETTLE_MS);
+  const heap = (heapBytes() - heapBefore) / instances;
+  const bytesBefore = await sentBytes(deployment);
+  const cpuBefore = process.cpuUsage();
+  await Deployment.sleep(WINDOW_MS);
+  const cpu = process.cpuUsage(cpuBefore);
+  const bytes = (await sentBytes(deployment)) - bytesBefore;
+  const falseDeaths = [...deployment.daemons.values()].reduce(
+    (sum, { members }) => sum + members.filter(({ state }) => state === 'dead').length,
+    0,
+  );
+  const changed = deployment.apply('[[model]]\nname = "n"\nweightsBytes = 1\n');
+  const changeMs = await timeUntil(deployment, () =>
+    [...deployment.daemons.values()].every(({ config }) => config.view.models.has('n')),
+  );
+  await changed;
+  const leaver = [...deployment.daemons.values()][1];
+  const leaving = leaver.stop();
+  const leaveMs = await timeUntil(
+    deployment,
+    () =>
+      allThink(deployment, 'instance-2', 'leaving') || allThink(deployment, 'instance-2', 'left'),
+  );
+  await leaving;
+  deployment.daemons.delete('instance-2');
+  deployment.killDaemon('instance-3');
+  const deathMs = await timeUntil(deployment, () => allThink(deployment, 'instance-3', 'dead'));
+  deployment.stop();
+  const seconds = WINDOW_MS / 1_000;
+  return {
+    instances,
+    sentBytesPerSecond: bytes / seconds / instances,
+    coreShare: (cpu.user + cpu.system) / 1e6 / seconds / instances,
+    heapBytes: heap,
+    leaveMs,
+    deathMs,
+    changeMs,
+    falseDeaths,
+  };
+}
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -35,7 +35,7 @@
 const OWNER_TICK_MS = 50;
 const DOMAIN_TICK_MS = 100;
 const REPORT_POLL_MS = 1_000;
-const SYNC_MS = 10_000;
+const SYNC_MS = 15_000;
 const PEER_CALL_TIMEOUT_MS = 2_000;
 const LINGER_MS = 50;
 
@@ -239,6 +239,10 @@
         dispatch: (params, stream) => this.#owner.dispatch(params as DispatchParams, stream),
         config: (params, stream) => this.#answerConfig(params, stream),
         facts: (params, stream) => this.#answerFacts(params, stream),
+        factsDigest: (params, stream) => {
+          const { digest } = params as { digest: string };
+          stream.end(digest === this.#membership?.rumors.digest());
+        },
         keyClaim: (params, stream) => this.#keys.handlers.keyClaim(params, stream),
         keySettle: (params, stream) => this.#keys.handlers.keySettle(params, stream),
         keyAttempt: (params, stream) => this.#keys.handlers.keyAttempt(params, stream),
@@ -510,12 +514,15 @@
     stream.end(fold.offset > fromOffset ? fold.snapshot() : null);
   }
 
-  // Heartbeats spread news; now and then two instances compare everything, which mends what a lost
+  // Heartbeats spread news; now and then two instances compare digests, and everything if they differ, which mends what a lost
   // datagram left behind and fills an instance that has just started.
   async #syncFacts(): Promise<void> {
     const peer = this.#anyPeer();
     if (!peer) return;
     try {
+      const digest = this.#membership?.rumors.digest();
+      const known = await this.peers.call(peer, 'factsDigest', { digest }, PEER_CALL_TIMEOUT_MS);
+      if (known === true) return;
       const mine = this.#membership?.rumors.all() ?? [];
       const theirs = await this.peers.call(peer, 'facts', mine, PEER_CALL_TIMEOUT_MS);
       this.#takeFacts(theirs as Rumor[]);
--- a/packages/daemon/src/lib/entry/request-run.ts
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -16,6 +16,8 @@
 import type { OwnerClient } from './owner-client.js';
 
 const FAILURE_COUNT_MAX = 3;
+/** An owner that has not taken a request by then is paused or cut off, in milliseconds. */
+const ACCEPT_TIMEOUT_MS = 1_000;
 /** Piped answers up to this length are kept until their end, for the key ledger, in bytes. */
 const CAPTURE_BYTES_MAX = 2_048;
 const WHOLE_ANSWER_BYTES_MAX = 16 * 1024 * 1024;
@@ -62,6 +64,7 @@
   #failureCount = 0;
   #endpoint = '';
   #stream: PeerStream | undefined;
+  #acceptTimer: NodeJS.Timeout | undefined;
   #whole: Uint8Array[] = [];
   #wholeBytes = 0;
   #head: DispatchHead | undefined;
@@ -271,6 +274,19 @@
       onDrain: () => this.onBodyDrain(),
     };
     this.#sendBody(stream);
+    this.#awaitAcceptance(stream, number);
+  }
+
+  // An owner that says nothing is paused or cut off, whatever its connection looks like. A request that
+  // may be repeated does not wait for it to wake.
+  #awaitAcceptance(stream: PeerStream, number: number): void {
+    if (this.#class.isNonIdempotent || this.#request.body === undefined) return;
+    this.#acceptTimer = setTimeout(() => {
+      if (this.isDone || number !== this.#attemptCount) return;
+      stream.fail({ code: 'cancelled', message: 'the owner did not answer' });
+      const message = 'the owner did not answer';
+      this.#failed({ code: 'peer_lost', outcome: Outcome.unknown, message });
+    }, ACCEPT_TIMEOUT_MS);
   }
 
   #sendBody(stream: PeerStream): void {
@@ -282,6 +298,7 @@
   }
 
   #onHead(head: DispatchHead): void {
+    clearTimeout(this.#acceptTimer);
     this.#follow('HEAD');
     this.#head = head;
     this.#context.routes.update(this.#endpoint, head.load, this.#context.nowMs());
@@ -291,9 +308,11 @@
 
   // A move breaks before it makes: what the old engine says after the new one was asked to go on
   // would not fit the new one's words.
-  #onAdvice({ load }: DispatchAdvice): void {
+  #onAdvice({ advice, load }: DispatchAdvice): void {
     const { routes, directory, nowMs } = this.#context;
     routes.update(this.#endpoint, load, nowMs());
+    clearTimeout(this.#acceptTimer);
+    if (advice === 'accepted') return;
     const isMovable = this.#mayRetry({ code: 'overloaded', outcome: Outcome.unknown, message: '' });
     const others = directory.candidates(this.#target).filter((name) => name !== this.#endpoint);
     const hereMs = this.#costMs(this.#endpoint);
@@ -317,6 +336,7 @@
   }
 
   #forgetAttempt(): void {
+    clearTimeout(this.#acceptTimer);
     this.#follow('RETRY');
     this.#stream = undefined;
     this.#whole = [];
@@ -450,6 +470,7 @@
   }
 
   #finish(event: string, error: RefusalError | undefined): void {
+    clearTimeout(this.#acceptTimer);
     // A refusal after bytes were handed on never happens: the chart has no such transition.
     this.#follow(event);
     const outcome = error?.outcome ?? Outcome.ran;
--- a/packages/daemon/src/lib/http/caller-front.ts
+++ b/packages/daemon/src/lib/http/caller-front.ts
@@ -18,6 +18,8 @@
 
 const DEADLINE_HEADER = 'chervilseam-deadline-ms';
 const KEY_LENGTH_MAX = 200;
+/** Connections that may wait to be taken; bursts come from the balancer all at once. */
+const BACKLOG_COUNT = 4_096;
 /** Bodies up to this length are kept so that they can be sent again, in bytes. */
 const REPEATABLE_BYTES_MAX = 64 * 1024;
 
@@ -84,7 +86,7 @@
     const { host, callerPort } = this.#context.settings.listen;
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen(callerPort, host, resolve);
+      this.#server.listen(callerPort, host, BACKLOG_COUNT, resolve);
     });
     return (this.#server.address() as AddressInfo).port;
   }
--- a/packages/daemon/src/lib/owner/owned-request.ts
+++ b/packages/daemon/src/lib/owner/owned-request.ts
@@ -37,6 +37,7 @@
   #isDone = false;
   #isStreaming = false;
   #isAdvised = false;
+  #isHeld = false;
 
   /**
    * @param params - what the entry asks for
@@ -81,6 +82,12 @@
     return this.endpoint === endpoint && this.#exchange !== undefined && !this.#isAdvised;
   }
 
+  /** Tells the entry that the owner is there and has the request. */
+  accept(): void {
+    const advice: DispatchAdvice = { advice: 'accepted', load: this.endpoint.control.load };
+    this.#stream.head(advice);
+  }
+
   /** Tells the entry that the request would be better off elsewhere. */
   adviseMove(): void {
     this.#isAdvised = true;
@@ -118,7 +125,9 @@
   onData(data: Buffer): boolean {
     if (this.#isDone) return true;
     if (this.#isStreaming) this.endpoint.countTokens(data);
-    return this.#stream.write(data);
+    const isWelcome = this.#stream.write(data);
+    if (!isWelcome) this.#hold(true);
+    return isWelcome;
   }
 
   onEnd(): void {
@@ -142,11 +151,21 @@
         if (this.#exchange?.write(data) === false) this.#stream.pause();
       },
       onEnd: () => this.#exchange?.endBody(),
-      onDrain: () => this.#exchange?.resume(),
+      onDrain: () => {
+        this.#hold(false);
+        this.#exchange?.resume();
+      },
       onFail: () => this.#cancel(),
     };
   }
 
+  // A caller that reads slowly holds its stream back; that says nothing of the engine's speed.
+  #hold(isHeld: boolean): void {
+    if (!this.#isStreaming || this.#isHeld === isHeld) return;
+    this.#isHeld = isHeld;
+    this.endpoint.streamCount += isHeld ? -1 : 1;
+  }
+
   // The entry gave up or is gone: the endpoint must not go on for nobody.
   #cancel(): void {
     if (this.#isDone) return;
@@ -157,6 +176,7 @@
 
   #finish(durationMs: number | undefined): void {
     this.#isDone = true;
+    this.#hold(false);
     if (this.#isStreaming) this.endpoint.streamCount -= 1;
     this.#endpointSpan?.end();
     this.#span.end();
--- a/packages/daemon/src/lib/owner/owner.ts
+++ b/packages/daemon/src/lib/owner/owner.ts
@@ -119,6 +119,7 @@
     const nowMs = this.#context.nowMs();
     const ticket = { id: attempt, caller, share, priority, startByMs: nowMs + startInMs };
     const verdict = request.endpoint.control.offer(ticket, nowMs);
+    if (verdict === 'start' || verdict === 'wait') request.accept();
     if (verdict === 'start') request.start();
     if (verdict === 'full' || verdict === 'late') Owner.#refuse(request, verdict);
     this.#gauge(request.endpoint);
--- a/packages/daemon/src/lib/peer/dispatch-advice.ts
+++ b/packages/daemon/src/lib/peer/dispatch-advice.ts
@@ -1,8 +1,11 @@
 import type { EndpointLoad } from '@chervilseam/decisions';
 
-/** An owner's advice about a running request, sent like a head. */
+/** An owner's word about a request, sent like a head but before it or beside it. */
 export interface DispatchAdvice {
-  /** `move`: the endpoint is slowed, the request would be better off elsewhere. */
-  readonly advice: 'move';
+  /**
+   * `accepted`: the owner has the request. `move`: its endpoint is slowed, the request would be better
+   * off elsewhere.
+   */
+  readonly advice: 'accepted' | 'move';
   readonly load: EndpointLoad;
 }
--- a/packages/decisions/src/lib/config/config-fold.ts
+++ b/packages/decisions/src/lib/config/config-fold.ts
@@ -162,7 +162,9 @@
     const changed = new Map(changes.map((change) => [keyOf(change), change.body]));
     const bodyOf = (key: string): ConfigChange['body'] =>
       changed.has(key) ? (changed.get(key) ?? null) : (this.#objects.get(key)?.body ?? null);
-    const keys = new Set([...this.#objects.keys(), ...changed.keys()]);
+    // Only a deletion can break the references of objects that the record does not change.
+    const hasDeletion = changes.some(({ body }) => body === null);
+    const keys = new Set([...(hasDeletion ? this.#objects.keys() : []), ...changed.keys()]);
     const broken = [...keys].flatMap((key) => {
       const body = bodyOf(key);
       const references = body === null ? [] : configReferences(key.split('/')[0], body);
--- a/packages/decisions/src/lib/membership/default-membership-settings.ts
+++ b/packages/decisions/src/lib/membership/default-membership-settings.ts
@@ -8,5 +8,6 @@
   suspicionMs: 4_000,
   rumorBytes: 1_000,
   remoteEvery: 4,
+  newsMs: 100,
   reviveMs: 3_000,
 };
--- a/packages/decisions/src/lib/membership/membership-settings.ts
+++ b/packages/decisions/src/lib/membership/membership-settings.ts
@@ -12,6 +12,8 @@
   readonly rumorBytes: number;
   /** One ping out of this many goes to another failure domain. */
   readonly remoteEvery: number;
+  /** While there is news, another member is told this often, in milliseconds. */
+  readonly newsMs: number;
   /** A dead member is tried again this often, in milliseconds. */
   readonly reviveMs: number;
 }
--- a/packages/decisions/src/lib/membership/membership.ts
+++ b/packages/decisions/src/lib/membership/membership.ts
@@ -9,6 +9,7 @@
 
 const MEMBER_PREFIX = 'member/';
 const RELAY_COUNT_MAX = 256;
+const SUSPECT_ASK_COUNT_MAX = 4;
 /** Of two reports on one incarnation the one with the higher rank wins. */
 const stateRank: Readonly<Record<MemberState, number>> = {
   alive: 0,
@@ -59,6 +60,7 @@
   #lastTickMs: number | undefined;
   #nextRoundMs = 0;
   #nextReviveMs = 0;
+  #nextNewsMs = 0;
   #version = 0;
 
   /**
@@ -137,7 +139,11 @@
     if (nowMs >= this.#nextRoundMs) {
       this.#nextRoundMs = nowMs + this.#settings.periodMs;
       this.#suspectSilent(nowMs);
-      out.push(...this.#startRound(nowMs));
+      out.push(...this.#startRound(nowMs), ...this.#askSuspects());
+    }
+    if (this.rumors.hotCount > 0 && nowMs >= this.#nextNewsMs) {
+      this.#nextNewsMs = nowMs + this.#settings.newsMs;
+      out.push(...this.#spreadNews());
     }
     if (nowMs >= this.#nextReviveMs) {
       this.#nextReviveMs = nowMs + this.#settings.reviveMs;
@@ -284,6 +290,9 @@
       ) &&
       (failureDomain !== this.#self.failureDomain) === isRemoteRound;
     if (isRemoteRound) return this.#random.pick([...this.#members.values()].filter(isCandidate));
+    const isAlone = ![...this.#members.values()].some(isCandidate);
+    if (isAlone)
+      return this.#random.pick(this.present().filter(({ name }) => name !== this.#self.name));
     for (let lap = 0; lap < 2; lap += 1) {
       while (this.#order.length > 0) {
         const member = this.#members.get(this.#order.pop() as string);
@@ -295,6 +304,28 @@
     return undefined;
   }
 
+  // News does not wait for the next heartbeat: an endpoint that leaves must be known within seconds.
+  // There is news only for moments, so the cost of this is small over a day.
+  #spreadNews(): OutgoingMessage[] {
+    const others = this.present().filter(({ name }) => name !== this.#self.name);
+    const to = this.#random.pick(others);
+    if (!to) return [];
+    this.#sequence += 1;
+    return [{ to, message: this.#ping(this.#sequence, to) }];
+  }
+
+  // A suspected member is asked again in each round until its time is up: it may have refuted, and the
+  // news of that may have been lost on its way here.
+  #askSuspects(): OutgoingMessage[] {
+    const suspects = [...this.#suspectedMs.keys()].slice(0, SUSPECT_ASK_COUNT_MAX);
+    return suspects.flatMap((name) => {
+      const to = this.#members.get(name);
+      if (!to) return [];
+      this.#sequence += 1;
+      return [{ to, message: this.#ping(this.#sequence, to) }];
+    });
+  }
+
   #tryDead(): OutgoingMessage[] {
     const gone = [...this.#members.values()].filter(
       ({ state }) => state === MemberState.dead || state === MemberState.left,
@@ -324,7 +355,9 @@
   ): OutgoingMessage[] {
     const to = this.#members.get(message.from);
     if (!to) return [];
-    const rumors = this.#pickRumors();
+    // An answer names its sender's life: who asked may have missed that a suspicion was refuted.
+    const own = this.rumors.get(MEMBER_PREFIX + this.#self.name);
+    const rumors = [...(own ? [own] : []), ...this.#pickRumors()];
     const { sequence } = message;
     const answer = { type: 'ack' as const, from: this.#self.name, sequence, rumors, known };
     return [{ to, message: answer }];
--- a/packages/decisions/src/lib/membership/rumor-table.ts
+++ b/packages/decisions/src/lib/membership/rumor-table.ts
@@ -1,3 +1,4 @@
+import { canonicalDigest } from '@chervilseam/model';
 import type { Rumor } from './rumor.js';
 
 const KNOWN_ANSWER_COUNT_MAX = 4;
@@ -34,6 +35,12 @@
     return [...this.#held.values()].map(({ rumor }) => rumor);
   }
 
+  /** @returns a digest of all keys and versions, equal where the same facts are held */
+  digest(): string {
+    const versions = [...this.#held.values()].map(({ rumor }) => `${rumor.key}@${rumor.version}`);
+    return canonicalDigest(versions.sort());
+  }
+
   /**
    * @param key - key of a fact
    * @returns the fact, if it is known
--- a/packages/stand-ins/src/lib/engine-stand-in.ts
+++ b/packages/stand-ins/src/lib/engine-stand-in.ts
@@ -202,7 +202,8 @@
     response.on('close', () => {
       isClosed = true;
     });
-    await sleep(this.#prefillMs(prompt));
+    const prefillMs = this.#prefillMs(prompt);
+    if (prefillMs > 0) await sleep(prefillMs);
     const head = { 'x-chervilseam-attempt': attempt };
     if (body.stream) {
       response.writeHead(200, { 'content-type': 'text/event-stream', ...head });
