Explain and plan from the command line; prove small histories and the binaries

Cause: the ledger of a domain took its limits from settings, so two instances with other settings would have folded one stream differently; operators could not see what a change would move.

--- a/packages/cli/src/lib/commands/explain-command.ts
+++ b/packages/cli/src/lib/commands/explain-command.ts
@@ -2,20 +2,43 @@
 import { ExitCode } from '../exit-code.js';
 import { InstanceCommand } from './instance-command.js';
 
-/** `chervilseam explain TRACE` */
+type Row = Readonly<Record<string, unknown>>;
+
+/** Pages of an instance by what is to be explained. */
+const pages: Readonly<Record<string, (name: string) => string>> = {
+  request: (trace) => `debug/decisions?trace=${encodeURIComponent(trace)}`,
+  placement: (model) => `debug/placement?model=${encodeURIComponent(model)}`,
+  move: (id) => `debug/moves?id=${encodeURIComponent(id)}`,
+};
+
+/** `chervilseam explain request|placement|move NAME` */
 export class ExplainCommand extends InstanceCommand {
   static override paths = [['explain']];
 
   static override usage = Command.Usage({
-    description: 'Shows the decisions that an instance made for a trace, and why.',
+    description: 'Shows the decisions about a trace, a placement or a move, and why.',
+    examples: [
+      ['A request, by its trace id', '$0 explain request 0123456789abcdef0123456789abcdef'],
+      ['Where a model stands, and why', '$0 explain placement die-assistant'],
+      ['A move, by its id', '$0 explain move instance-1-0a1b2c.d7'],
+    ],
   });
 
-  trace = Option.String({ required: false });
+  what = Option.String();
+  name = Option.String({ required: false });
 
   protected override async run(): Promise<number> {
-    const path = `debug/decisions?trace=${this.trace ?? ''}`;
-    const decisions = await this.ask<Readonly<Record<string, unknown>>[]>('GET', path);
-    this.print(decisions);
-    return decisions.length > 0 ? ExitCode.ok : ExitCode.notFound;
+    if (!Object.hasOwn(pages, this.what)) {
+      const known = Object.keys(pages).join(', ');
+      this.context.stderr.write(`chervilseam: explain one of ${known}\n`);
+      return ExitCode.badInput;
+    }
+    const answer = await this.ask<Row | Row[]>('GET', pages[this.what](this.name ?? ''));
+    if (!Array.isArray(answer)) {
+      this.context.stdout.write(`${JSON.stringify(answer, null, 2)}\n`);
+      return ExitCode.ok;
+    }
+    this.print(answer);
+    return answer.length > 0 ? ExitCode.ok : ExitCode.notFound;
   }
 }
--- a/packages/cli/src/lib/create-cli.ts
+++ b/packages/cli/src/lib/create-cli.ts
@@ -7,6 +7,7 @@
 import { ExplainCommand } from './commands/explain-command.js';
 import { GetCommand } from './commands/get-command.js';
 import { HistoryCommand } from './commands/history-command.js';
+import { PlanCommand } from './commands/plan-command.js';
 import { SnapshotCommand } from './commands/snapshot-command.js';
 import { StatusCommand } from './commands/status-command.js';
 
@@ -19,6 +20,7 @@
   ExplainCommand,
   GetCommand,
   HistoryCommand,
+  PlanCommand,
   SnapshotCommand,
   StatusCommand,
   Builtins.HelpCommand,
--- a/packages/daemon/src/lib/entry/entry.ts
+++ b/packages/daemon/src/lib/entry/entry.ts
@@ -45,6 +45,8 @@
 /** Takes callers' requests: limits them, guards keys, and runs them. */
 export class Entry {
   readonly #context: EntryContext;
+  /** One for all runs: copying it for each request showed in the profile. */
+  readonly #runContext: ConstructorParameters<typeof RequestRun>[0];
   readonly #runs = new Set<RequestRun>();
   readonly #retries = new RetryBudget();
   readonly #buckets = new Map<string, TokenBucket>();
@@ -53,6 +55,12 @@
   /** @param context - routes, owners, configuration and clock */
   constructor(context: EntryContext) {
     this.#context = context;
+    this.#runContext = {
+      ...context,
+      retries: this.#retries,
+      nextAttempt: () => this.#nextAttempt(),
+      onDone: (done) => this.#runs.delete(done),
+    };
   }
 
   /** Requests in progress; a count. */
@@ -82,19 +90,7 @@
     request: CallerRequest,
     reply: HttpReply,
   ): RequestRun {
-    const run = new RequestRun(
-      {
-        ...this.#context,
-        retries: this.#retries,
-        nextAttempt: () => this.#nextAttempt(),
-        onDone: (done) => this.#runs.delete(done),
-      },
-      caller,
-      target,
-      requestClass,
-      request,
-      reply,
-    );
+    const run = new RequestRun(this.#runContext, caller, target, requestClass, request, reply);
     this.#runs.add(run);
     if (target.kind === 'model') this.#context.onModelWanted(target.model);
     this.#retries.earn();
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -2,6 +2,7 @@
   DomainLedger,
   Journal,
   loadChart,
+  PlacementView,
   planPlacement,
   SnapshotTimer,
 } from '@chervilseam/decisions';
@@ -14,7 +15,6 @@
 import { DemandMeter } from './demand-meter.js';
 import { MoveLog } from './move-log.js';
 import { OrderRunner } from './order-runner.js';
-import { PlacementView } from './placement-view.js';
 
 const LINGER_MS = 250;
 const TAIL_MS = 500;
@@ -79,8 +79,8 @@
   /** @param context - log, engines, configuration and clock */
   constructor(context: DomainServiceContext) {
     this.#context = context;
-    const { loadsPerSecond, adapterLoadsMax, log, nowMs, metrics, failureDomain } = context;
-    this.ledger = new DomainLedger({ loadsPerSecond, adapterLoadsMax });
+    const { log, nowMs, metrics, failureDomain } = context;
+    this.ledger = new DomainLedger();
     this.demand = new DemandMeter(nowMs());
     this.#snapshots = new SnapshotTimer(context.logRetentionMs, context.randomUnit, nowMs());
     const options = { lingerMs: LINGER_MS, tailMs: TAIL_MS, batchCountMax: BATCH_COUNT_MAX };
@@ -350,6 +350,8 @@
       bytes,
       capacityBytes: config?.memoryBytes ?? 0,
       checksFencing: config?.checksFencing ?? false,
+      loadsPerSecond: this.#context.loadsPerSecond,
+      adapterLoadsMax: this.#context.adapterLoadsMax,
       mayVanish: model !== '' && !this.#viewOf().isLabelled(model),
       reason,
     });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -43,5 +43,6 @@
 export { DemandEstimate } from './lib/placement/demand-estimate.js';
 export type { PlacementInput } from './lib/placement/placement-input.js';
 export type { PlacementMove } from './lib/placement/placement-move.js';
+export { PlacementView } from './lib/placement/placement-view.js';
 export type { PlacementPlan } from './lib/placement/placement-plan.js';
 export { planPlacement } from './lib/placement/plan-placement.js';
--- a/packages/decisions/src/lib/membership/membership.ts
+++ b/packages/decisions/src/lib/membership/membership.ts
@@ -291,8 +291,9 @@
       (failureDomain !== this.#self.failureDomain) === isRemoteRound;
     if (isRemoteRound) return this.#random.pick([...this.#members.values()].filter(isCandidate));
     const isAlone = ![...this.#members.values()].some(isCandidate);
-    if (isAlone)
+    if (isAlone) {
       return this.#random.pick(this.present().filter(({ name }) => name !== this.#self.name));
+    }
     for (let lap = 0; lap < 2; lap += 1) {
       while (this.#order.length > 0) {
         const member = this.#members.get(this.#order.pop() as string);
--- a/packages/decisions/src/lib/memory/domain-entry.ts
+++ b/packages/decisions/src/lib/memory/domain-entry.ts
@@ -27,6 +27,10 @@
       readonly checksFencing: boolean;
       /** Whether no replica need be left elsewhere. */
       readonly mayVanish: boolean;
+      /** Model loads that may be reserved in a second, in the whole domain. */
+      readonly loadsPerSecond: number;
+      /** Adapter loads that may be under way at once, in the whole domain; a count. */
+      readonly adapterLoadsMax: number;
       /** Why, for operators. */
       readonly reason: string;
     }
--- a/packages/decisions/src/lib/memory/domain-ledger.ts
+++ b/packages/decisions/src/lib/memory/domain-ledger.ts
@@ -10,36 +10,22 @@
 
 type Entry<T extends DomainEntry['type']> = DomainEntry & { readonly type: T };
 
-/** Limits that the whole domain keeps, because the fold itself refuses what goes past them. */
-interface DomainLimits {
-  /** Loads of models that may be reserved in a second: the domain's share of the store's rate. */
-  readonly loadsPerSecond: number;
-  /** Loads of adapters that may be under way at once: the domain's share; a count. */
-  readonly adapterLoadsMax: number;
-}
-
 /** `model/NAME` of `model/NAME@VERSION`; other items are what they are. */
 const baseOf = (item: string): string => item.split('@')[0];
 
 /**
  * Owners, orders and memory of one failure domain's engines: a pure function of its stream. Whatever
  * two owners decide at once, the first record in log order counts, and what would overcommit memory,
- * take the last replica, or overrun the weight store is refused here.
+ * take the last replica, or overrun the weight store is refused here. Limits come with the records, so
+ * that instances with other settings fold alike.
  */
 export class DomainLedger extends RecoveringFold<DomainState> {
   protected readonly memoryMs = Infinity;
-  readonly #limits: DomainLimits;
   readonly #engines = new Map<string, EngineLedger>();
   readonly #rejections = new Map<string, string>();
   #demand: DomainState['demand'] = {};
   #loadTimesMs: readonly number[] = [];
 
-  /** @param limits - limits of the domain */
-  constructor(limits: DomainLimits) {
-    super();
-    this.#limits = limits;
-  }
-
   /** Ledgers by engine. */
   get engines(): ReadonlyMap<string, EngineLedger> {
     return this.#engines;
@@ -146,21 +132,22 @@
     return [...this.#engines.values()].some(isReplica) ? undefined : 'it is the last replica';
   }
 
-  #rejectRate({ action, item }: Entry<'reserve'>): string | undefined {
+  #rejectRate(entry: Entry<'reserve'>): string | undefined {
+    const { action, item, loadsPerSecond, adapterLoadsMax } = entry;
     if (action !== 'load') return undefined;
-    if (!item.startsWith('model/')) return this.#rejectAdapter();
-    const isFull = this.#recentLoads().length >= this.#limits.loadsPerSecond;
+    if (!item.startsWith('model/')) return this.#rejectAdapter(adapterLoadsMax);
+    const isFull = this.#recentLoads().length >= loadsPerSecond;
     return isFull ? 'the weight store has its share of loads for this second' : undefined;
   }
 
-  #rejectAdapter(): string | undefined {
+  #rejectAdapter(adapterLoadsMax: number): string | undefined {
     const isOpen = ({ state, item }: EngineLedger['liveOrders'][number]): boolean =>
       state === 'open' && !item.startsWith('model/');
     const count = [...this.#engines.values()].reduce(
       (sum, ledger) => sum + ledger.liveOrders.filter(isOpen).length,
       0,
     );
-    return count >= this.#limits.adapterLoadsMax ? 'too many adapters are loading' : undefined;
+    return count >= adapterLoadsMax ? 'too many adapters are loading' : undefined;
   }
 
   #recentLoads(): readonly number[] {
--- a/packages/daemon/src/lib/place/placement-view.ts
+++ b/packages/decisions/src/lib/placement/placement-view.ts
@@ -1,5 +1,7 @@
 import { matchesSelector } from '@chervilseam/model';
-import type { ConfigView, DomainLedger, PlacementInput } from '@chervilseam/decisions';
+import type { ConfigView } from '../config/config-view.js';
+import type { DomainLedger } from '../memory/domain-ledger.js';
+import type { PlacementInput } from './placement-input.js';
 
 const DEFAULT_TOKENS_PER_SECOND = 500;
 
--- a/packages/decisions/src/test/memory/domain-world.ts
+++ b/packages/decisions/src/test/memory/domain-world.ts
@@ -20,7 +20,7 @@
   readonly violations: string[] = [];
   readonly #checksFencing: boolean;
   readonly #instances: Instance[];
-  readonly #truth = new DomainLedger(LIMITS);
+  readonly #truth = new DomainLedger();
   #count = 0;
 
   constructor(instanceCount: number, checksFencing: boolean) {
@@ -31,7 +31,7 @@
     this.#instances = Array.from({ length: instanceCount }, (_, index) => ({
       name: `i${index}`,
       incarnation: 1,
-      ledger: new DomainLedger(LIMITS),
+      ledger: new DomainLedger(),
       unsent: [],
     }));
   }
@@ -67,6 +67,7 @@
       capacityBytes: CAPACITY_BYTES,
       checksFencing: this.#checksFencing,
       mayVanish: false,
+      ...LIMITS,
       reason: '',
     });
     instance.unsent.push(`${endpoint} ${id}`);
@@ -123,7 +124,7 @@
   kill(index: number): void {
     const instance = this.#instances[index];
     instance.incarnation += 1;
-    instance.ledger = new DomainLedger(LIMITS);
+    instance.ledger = new DomainLedger();
     instance.unsent = [];
   }
 
--- /dev/null
+++ b/packages/embedded/src/test/process_test.ts
@@ -0,0 +1,181 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createRequire } from 'node:module';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
+import { expect } from 'chai';
+import { Deployment } from '../index.js';
+
+const require = createRequire(import.meta.url);
+const binary = join(dirname(require.resolve('@chervilseam/daemon')), '../bin/chervilseamd.js');
+const cliBinary = join(dirname(require.resolve('@chervilseam/cli')), '../bin/chervilseam.js');
+
+const env = {
+  ...process.env,
+  PEER_KEY: 'embedded-peer-key-for-loopback',
+  OPERATOR_KEY: 'embedded-operator-key',
+};
+
+interface Finished {
+  readonly code: number | null;
+  readonly output: string;
+}
+
+const run = (file: string, args: readonly string[]): Promise<Finished> =>
+  new Promise((resolve) => {
+    const child = spawn(process.execPath, [file, ...args], { env });
+    const parts: string[] = [];
+    child.stdout.on('data', (part) => parts.push(String(part)));
+    child.stderr.on('data', (part) => parts.push(String(part)));
+    child.on('close', (code) => resolve({ code, output: parts.join('') }));
+  });
+
+async function ownersAt(deployment: Deployment): Promise<readonly string[]> {
+  const response = await fetch(`${deployment.operatorUrl()}/status`, {
+    headers: { authorization: `Bearer ${deployment.operatorKey}` },
+  });
+  const { endpoints } = (await response.json()) as { endpoints: { owner: string }[] };
+  return endpoints.map(({ owner }) => owner);
+}
+
+describe('the binaries as processes', () => {
+  let folder: string;
+  let deployment: Deployment;
+  const children: ChildProcess[] = [];
+
+  before(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'chervilseam-'));
+    deployment = await Deployment.start({
+      instanceCount: 1,
+      configToml: '[[model]]\nname = "m"\nweightsBytes = 1\n',
+      // Enough engines that each of two instances owns some.
+      engines: ['a', 'b', 'c', 'd', 'e', 'f'].map((name) => ({
+        name: `engine-${name}`,
+        domain: 0,
+        engine: { residents: { 'model/m@1': 1 } },
+      })),
+    });
+  });
+
+  after(async () => {
+    children.forEach((child) => child.kill('SIGKILL'));
+    deployment.stop();
+    await rm(folder, { recursive: true });
+  });
+
+  const write = async (name: string, lines: readonly string[]): Promise<string> => {
+    const file = join(folder, name);
+    await writeFile(file, lines.join('\n'));
+    return file;
+  };
+
+  const settings = (name: string): string[] => [
+    '[instance]',
+    `name = "${name}"`,
+    'failureDomain = "domain-1"',
+    '[listen]',
+    'host = "127.0.0.1"',
+    'callerPort = 0',
+    'operatorPort = 0',
+    'peerPort = 0',
+    '[platform]',
+    `logUrl = "${deployment.log.url}"`,
+    `instanceListUrl = "${deployment.list.url}"`,
+    '[secrets]',
+    'peerKeyEnv = "PEER_KEY"',
+    'operatorKeyEnv = "OPERATOR_KEY"',
+    '[shutdown]',
+    'noticeMs = 10',
+  ];
+
+  const startProcess = async (name: string): Promise<{ child: ChildProcess; port: number }> => {
+    const file = await write(`${name}.toml`, settings(name));
+    const child = spawn(process.execPath, [binary, '--settings', file], { env });
+    children.push(child);
+    const port = await new Promise<number>((resolve) => {
+      let text = '';
+      child.stdout.on('data', (part) => {
+        text += String(part);
+        const match = /"callerPort":(\d+)/.exec(text);
+        if (match) resolve(Number(match[1]));
+      });
+    });
+    return { child, port };
+  };
+
+  it('checks settings and reports every finding with its place', async () => {
+    const lines = settings('x').map((line) => line.replace('callerPort', 'calerPort'));
+    const file = await write('bad.toml', [...lines, 'drainTimeoutMs = -1']);
+    const { code, output } = await run(binary, ['--check', '--settings', file]);
+    expect(code).to.equal(2);
+    expect(output).to.include(`${file}:6:1: listen.calerPort: unknown key "calerPort"`);
+    expect(output).to.include('did you mean "callerPort"?');
+    expect(output).to.include(`${file}:17:1`);
+  });
+
+  it('publishes, shows and refuses configuration from the command line', async () => {
+    const good = await write('good.toml', ['[[model]]', 'name = "n"', 'weightsBytes = 2']);
+    const log = ['--log', deployment.log.url];
+    const applied = await run(cliBinary, ['apply', '--output', 'json', ...log, good]);
+    expect(applied.code, applied.output).to.equal(0);
+    expect(JSON.parse(applied.output)[0].isAccepted).to.equal(true);
+    const shown = await run(cliBinary, ['get', 'model/n', '--output', 'json', ...log]);
+    expect(JSON.parse(shown.output)[0].body.weightsBytes).to.equal(2);
+    const history = await run(cliBinary, ['history', 'model/n', ...log]);
+    expect(history.output).to.include('model/n');
+    const bad = await write('bad-config.toml', ['[[model]]', 'name = "n"', 'weightBytes = 2']);
+    const before = deployment.log.peek('config').length;
+    const refused = await run(cliBinary, ['apply', ...log, bad]);
+    expect(refused.code).to.equal(2);
+    expect(refused.output).to.include('did you mean "weightsBytes"?');
+    expect(deployment.log.peek('config').length).to.equal(before);
+    const plan = await run(cliBinary, ['plan', '--dry-run', '--output', 'json', ...log, good]);
+    expect(plan.code, plan.output).to.equal(0);
+    const missing = await run(cliBinary, ['get', 'model/none', ...log]);
+    expect(missing.code).to.equal(4);
+  });
+
+  it('stops with exit code 0 on SIGTERM, also when it comes twice', async () => {
+    const { child } = await startProcess('instance-8');
+    const closed = new Promise<number | null>((resolve) => {
+      child.on('close', resolve);
+    });
+    child.kill('SIGTERM');
+    child.kill('SIGTERM');
+    expect(await closed).to.equal(0);
+  });
+
+  it('answers idempotent requests while the owner is stopped, and after it wakes', async () => {
+    const { child, port } = await startProcess('instance-7');
+    await deployment.waitFor('it joined', () =>
+      [...deployment.daemons.values()].every((daemon) =>
+        daemon.members.some(({ name, state }) => name === 'instance-7' && state === 'alive'),
+      ),
+    );
+    const ask = async (url: string): Promise<number> => {
+      const response = await fetch(`${url}/v1/chat/completions`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${deployment.callerKey}` },
+        body: JSON.stringify({ model: 'm', messages: [{ role: 'user', content: 'x' }] }),
+      });
+      await response.text();
+      return response.status;
+    };
+    await deployment.waitFor(
+      'it serves',
+      async () => (await ask(`http://127.0.0.1:${port}`)) === 200,
+    );
+    const owners = await ownersAt(deployment);
+    expect(owners).to.include('instance-7');
+    child.kill('SIGSTOP');
+    const count = 12;
+    const asked = Array.from({ length: count }, () => ask(deployment.callerUrl()));
+    expect(await Promise.all(asked)).to.deep.equal(Array(count).fill(200));
+    child.kill('SIGCONT');
+    await deployment.waitFor(
+      'it serves again',
+      async () => (await ask(`http://127.0.0.1:${port}`)) === 200,
+    );
+  });
+});
