Hear of every endpoint again: ends carry loads, old speeds fade

Cause: with requests one after another, 55 of 60 went to one of six engines. An engine whose first request had not ended when its owner last spoke looked occupied for good, and a slow first answer was held against it for ever; ends carried the load but entries did not take it. Ruled out: a wider tie alone (still 55 of 60). Change: entries take the load at the end of an answer; a time to first token counts less with age; an endpoint of unknown service time is taken to finish a request a second. Benchmarks ownership (the victim is an instance that owns an engine) and duplicates.

--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -1,9 +1,11 @@
 import { parseArgs } from 'node:util';
 import type { BenchRow } from './lib/bench-row.js';
+import { duplicatesRows } from './lib/duplicates-rows.js';
 import { pathRows } from './lib/path/path-rows.js';
 import { placementRows } from './lib/placement/placement-rows.js';
 import { policyRows } from './lib/policy/policy-rows.js';
 import { printRows } from './lib/print-rows.js';
+import { ownershipRows } from './lib/state/ownership-rows.js';
 import { configurationRows, membershipRows } from './lib/state/state-rows.js';
 
 const DEFAULT_SEEDS = '10';
@@ -15,7 +17,9 @@
   headofline: (seeds) => policyRows('headofline', seeds),
   slowed: (seeds) => policyRows('slowed', seeds),
   placement: (seeds) => placementRows(seeds),
+  duplicates: () => duplicatesRows(),
   path: () => pathRows(),
+  ownership: () => ownershipRows(),
   configuration: () => configurationRows(),
   membership: () => membershipRows(Number(process.env.CHERVILSEAM_BENCH_INSTANCES ?? '96')),
 };
--- a/packages/daemon/src/lib/entry/request-run.ts
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../observe/metrics.js';
 import { HopTracer } from '../observe/tracer.js';
 import type { DispatchAdvice } from '../peer/dispatch-advice.js';
+import type { DispatchEnd } from '../peer/dispatch-end.js';
 import type { DispatchFailure } from '../peer/dispatch-failure.js';
 import type { DispatchHead } from '../peer/dispatch-head.js';
 import type { CallerReply } from './caller-reply.js';
@@ -267,7 +268,7 @@
         else this.#onHead(head as DispatchHead);
       }),
       onData: guard((data: Uint8Array) => this.#onData(data)),
-      onEnd: guard(() => this.#onEnd()),
+      onEnd: guard((end: unknown) => this.#onEnd(end as Partial<DispatchEnd> | null)),
       onFail: (reason) => {
         if (isCurrent()) this.#onFail(reason);
       },
@@ -402,7 +403,8 @@
     if (!this.#reply.write(data)) this.#stream?.pause();
   }
 
-  #onEnd(): void {
+  #onEnd(end: Partial<DispatchEnd> | null): void {
+    if (end?.load) this.#context.routes.update(this.#endpoint, end.load, this.#context.nowMs());
     if (this.#request.carriage === 'events' && !this.#isEndSeen && this.#isGood()) {
       this.#onFail({ code: 'answer_cut', outcome: Outcome.unknown, message: 'no end marker' });
       return;
--- a/packages/daemon/src/lib/owner/owned-request.ts
+++ b/packages/daemon/src/lib/owner/owned-request.ts
@@ -4,6 +4,7 @@
 import type { Span } from '@opentelemetry/api';
 import { HopTracer } from '../observe/tracer.js';
 import type { DispatchAdvice } from '../peer/dispatch-advice.js';
+import type { DispatchEnd } from '../peer/dispatch-end.js';
 import type { DispatchFailure } from '../peer/dispatch-failure.js';
 import type { DispatchHead } from '../peer/dispatch-head.js';
 import type { DispatchParams } from '../peer/dispatch-params.js';
@@ -133,7 +134,8 @@
   onEnd(): void {
     if (this.#isDone) return;
     this.#finish(this.#context.nowMs() - this.#sentMs);
-    this.#stream.end({ load: this.endpoint.control.load });
+    const end: DispatchEnd = { load: this.endpoint.control.load };
+    this.#stream.end(end);
   }
 
   onFail({ outcome, message, isTimeout }: Parameters<EndpointListener['onFail']>[0]): void {
--- a/packages/decisions/src/lib/routing/route-table.ts
+++ b/packages/decisions/src/lib/routing/route-table.ts
@@ -6,11 +6,15 @@
 /** Time that a slowed endpoint costs in the choice, in milliseconds. */
 const SLOWED_MS = 1_000;
 /** Costs this near to the best are equal: the choice among them is random, to avoid herds. */
-const TIE_MS = 5;
+const TIE_MS = 10;
+/** Time that a request is taken to run while no owner has said, in milliseconds. */
+const UNKNOWN_SERVICE_MS = 1_000;
 /** How much each running request counts in the choice even while places are free, as a share. */
 const OCCUPANCY_MS = 200;
 /** Word of a slowed endpoint holds this long; then the endpoint is tried again, in milliseconds. */
 const SLOWED_MEMORY_MS = 1_000;
+/** Word of the time to the first token counts less with age and for nothing after this, in milliseconds. */
+const SPEED_MEMORY_MS = 5_000;
 
 interface RouteEntry {
   load: EndpointLoad;
@@ -82,13 +86,15 @@
     const gapMs = load.serviceMs / load.limit;
     // Old word grows better with time: requests end, and a neighbour's disturbance passes. Without
     // that an endpoint once avoided would never be heard of again.
-    const endedCount = gapMs > 0 ? ageMs / gapMs : 0;
+    const endedCount = ageMs / (gapMs > 0 ? gapMs : UNKNOWN_SERVICE_MS);
     const known = Math.max(0, load.runningCount + load.waitingCount - endedCount);
     const outstanding = known + sentSinceCount;
     const waitMs = Math.max(0, outstanding + 1 - load.limit) * gapMs;
     const occupancyMs = (OCCUPANCY_MS * outstanding) / load.limit;
+    const freshness = Math.max(0, 1 - ageMs / SPEED_MEMORY_MS);
+    const firstTokenMs = load.firstTokenMs * freshness;
     const slowedMs = load.isSlowed && ageMs < SLOWED_MEMORY_MS ? SLOWED_MS : 0;
-    return waitMs + load.firstTokenMs + occupancyMs + slowedMs + (isLocal ? 0 : REMOTE_MS);
+    return waitMs + firstTokenMs + occupancyMs + slowedMs + (isLocal ? 0 : REMOTE_MS);
   }
 
   #entry(endpoint: string): RouteEntry {
