Split the daemon and the answers; bound the bytes of news; tell demand by what changed

Change: Group (who is there, what they tell) out of Daemon; AnswerWriter out of RequestRun; an error of an engine comes as it is where events were asked for, and an event that is too long ends its request and not the peer connection; demand told whole once a minute and by what changed in between; news every 250 ms in datagrams of 800 bytes; benchmarks capacity and a page of plots (--report); READMEs.

--- a/packages/benchmarks/src/lib/placement/placement-world.ts
+++ b/packages/benchmarks/src/lib/placement/placement-world.ts
@@ -12,6 +12,13 @@
   readonly world: SimWorld;
   /** Models that each engine holds or loads. */
   readonly held: Set<number>[];
+  /** What each engine's memory held, from each change on. */
+  readonly memoryHistory: {
+    readonly atMs: number;
+    readonly engine: number;
+    readonly bytes: number;
+  }[] = [];
+
   moves = 0;
   /** Most bytes past the capacity that any engine held. */
   overcommittedBytes = 0;
@@ -35,6 +42,7 @@
         this.#inMemory[engine].add(model);
       }),
     );
+    world.engines.forEach((_, engine) => this.#note(engine));
     const check = (): void => {
       this.unreachableSeconds += world.replicas.filter((engines) => engines.length === 0).length;
       world.clock.after(1_000, check);
@@ -81,6 +89,7 @@
     [...this.held[engine]].forEach((model) => this.#remove(engine, model));
     this.held[engine].clear();
     this.#inMemory[engine].clear();
+    this.#note(engine);
   }
 
   /** The engine is back, empty. */
@@ -107,6 +116,7 @@
 
   #note(engine: number): void {
     const bytes = this.#inMemory[engine].size * MODEL_BYTES;
+    this.memoryHistory.push({ atMs: this.world.clock.nowMs, engine, bytes });
     this.overcommittedBytes = Math.max(this.overcommittedBytes, bytes - CAPACITY_BYTES);
   }
 }
--- /dev/null
+++ b/packages/benchmarks/src/lib/state/capacity-rows.ts
@@ -0,0 +1,151 @@
+import { ConfigFold, ConfigView, DomainLedger, KeyHome } from '@chervilseam/decisions';
+import type { BenchRow } from '../bench-row.js';
+import { linearFit } from './linear-fit.js';
+
+const MICROSECONDS_PER_MS = 1_000;
+
+/** State and time of one part at one size. */
+interface SizeMeasure {
+  readonly size: number;
+  readonly heapBytes: number;
+  /** Processor time of one event, in microseconds. */
+  readonly eventUs: number;
+}
+
+const heap = (): number => {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+};
+
+/** One state is too small to be seen beside the heap's own noise. */
+const COPY_COUNT = 20;
+
+function measure(size: number, eventCount: number, build: () => unknown): SizeMeasure {
+  const before = heap();
+  const startMs = performance.now();
+  const kept = Array.from({ length: COPY_COUNT }, build);
+  const tookMs = performance.now() - startMs;
+  const heapBytes = (heap() - before) / COPY_COUNT;
+  // The states must live until their memory has been read.
+  if (kept.includes(undefined)) throw new Error('nothing was built');
+  return { size, heapBytes, eventUs: (tookMs * MICROSECONDS_PER_MS) / eventCount / COPY_COUNT };
+}
+
+function measureKeys(count: number): SizeMeasure {
+  return measure(count, count, () => {
+    const home = new KeyHome('bench', { memoryMs: 1e9, lingerMs: 0, snapshotEvery: 1e9 });
+    let offset = 0;
+    const records: { offset: number; timeMs: number; value: unknown }[] = [];
+    const pump = (): void => {
+      for (let action = home.next(offset); action; action = home.next(offset)) {
+        if (action.type === 'append') {
+          const first = offset + 1;
+          action.values.forEach((value) => {
+            offset += 1;
+            records.push({ offset, timeMs: offset, value });
+          });
+          home.onAppended(first);
+        } else {
+          const { fromOffset } = action;
+          const page = records.filter((record) => record.offset >= fromOffset);
+          records.length = 0;
+          home.onRead({ firstOffset: 1, nextOffset: offset + 1, records: page });
+          home.takeAnswers();
+          return;
+        }
+      }
+    };
+    for (let index = 0; index < count; index += 1) {
+      const key = `${index}`.padStart(32, '0');
+      const attempt = `instance-1-0123456789ab.k${index}`;
+      home.claim({ key, digest: key + key, attempt, dispatcher: 'instance-1-0123456789ab' });
+      if (index % 50 === 49) pump();
+      home.settle({ key, attempt, type: 'outcome', outcome: 'ran', status: 200, body: undefined });
+    }
+    pump();
+    return home;
+  });
+}
+
+function measureDomain(engines: number): SizeMeasure {
+  const perEngine = 30;
+  return measure(engines, engines * perEngine, () => {
+    const ledger = new DomainLedger();
+    let offset = 0;
+    const apply = (value: unknown): void => {
+      offset += 1;
+      ledger.apply({ offset, timeMs: offset * 1_000, value });
+    };
+    for (let index = 0; index < engines; index += 1) {
+      const endpoint = `engine-${index}`;
+      const incarnation = `instance-${index % 105}-0123456789ab`;
+      const owner = `instance-${index % 105}`;
+      apply({ id: `c${index}`, type: 'claim', endpoint, owner, incarnation, baseFence: 0 });
+      const fence = offset;
+      const residents = Object.fromEntries(
+        [0, 1, 2, 3].map((slot) => [`model/model-${(index * 4 + slot) % 110}@1`, 16e9]),
+      );
+      const checksFencing = true;
+      const observed = { bootId: 'b', residents, settledOrders: [], checksFencing };
+      for (let count = 0; count < perEngine - 2; count += 1) {
+        apply({ id: `o${index}.${count}`, type: 'observe', endpoint, fence, ...observed });
+      }
+      const tokensPerSecond = { 'model-1': 100 };
+      apply({ id: `d${index}`, type: 'demand', instance: owner, isWhole: true, tokensPerSecond });
+    }
+    return ledger;
+  });
+}
+
+function measureConfig(objects: number): SizeMeasure {
+  return measure(objects, objects, () => {
+    const fold = new ConfigFold();
+    for (let index = 0; index < objects; index += 1) {
+      const name = `m${index}`;
+      const body = { name, weightsBytes: index, labels: { tier: 'resident', desk: 'counter' } };
+      const changes = [{ kind: 'model', name, baseRevision: 0, body }];
+      fold.apply(index + 1, { type: 'config', id: `r${index}`, author: 'bench', changes });
+    }
+    return { fold, view: new ConfigView(fold.offset, fold.objects) };
+  });
+}
+
+const row = (metric: string, value: number, unit: string): BenchRow => ({
+  scenario: 'capacity',
+  metric,
+  value,
+  unit,
+  bound: '',
+  baselines: {},
+  seeds: 1,
+});
+
+function fitRows(name: string, measures: readonly SizeMeasure[]): BenchRow[] {
+  const memory = linearFit(measures.map(({ size, heapBytes }) => [size, heapBytes] as const));
+  const time = linearFit(measures.map(({ size, eventUs }) => [size, eventUs] as const));
+  return [
+    ...measures.flatMap(({ size, heapBytes, eventUs }) => [
+      row(`${name}/heap/${size}`, heapBytes, 'bytes'),
+      row(`${name}/event/${size}`, eventUs, 'us'),
+    ]),
+    row(`${name}/heapSlope`, memory.slope, 'bytes each'),
+    row(`${name}/heapFitError`, memory.errorShare, 'ratio'),
+    row(`${name}/eventSlope`, time.slope, 'us each'),
+  ];
+}
+
+/**
+ * Measures the state and the time of each part that grows with the system, at three sizes or more.
+ *
+ * @returns a row for each figure and slope
+ */
+export function capacityRows(): BenchRow[] {
+  measureKeys(2_000);
+  measureDomain(10);
+  measureConfig(100);
+  return [
+    ...fitRows('keys', [5_000, 10_000, 20_000].map(measureKeys)),
+    ...fitRows('domain', [38, 75, 150].map(measureDomain)),
+    ...fitRows('config', [500, 1_000, 2_000].map(measureConfig)),
+  ];
+}
--- a/packages/benchmarks/src/lib/state/measure-idle.ts
+++ b/packages/benchmarks/src/lib/state/measure-idle.ts
@@ -3,8 +3,10 @@
 /** What one instance costs while nobody asks for anything. */
 interface IdleMeasure {
   readonly instances: number;
-  /** Heartbeats and streams sent by an instance, in bytes a second. */
+  /** Heartbeats and streams sent by an instance once the start is over, in bytes a second. */
   readonly sentBytesPerSecond: number;
+  /** The same while all start at once, in bytes a second. */
+  readonly startBytesPerSecond: number;
   /** Processor time of an instance, as a share of a core; stand-ins are counted in. */
   readonly coreShare: number;
   /** Memory of an instance, in bytes, from the growth of the heap. */
@@ -19,7 +21,8 @@
 }
 
 const WINDOW_MS = 4_000;
-const SETTLE_MS = 1_500;
+/** By then the news of the start has been told. */
+const SETTLE_MS = 8_000;
 const MEMBERSHIP = { periodMs: 500, pingTimeoutMs: 200, suspicionMs: 4_000 };
 
 async function sentBytes(deployment: Deployment): Promise<number> {
@@ -43,10 +46,10 @@
   return performance.now() - startMs;
 }
 
-const allThink = (deployment: Deployment, name: string, state: string): boolean =>
+const allThink = (deployment: Deployment, name: string, states: readonly string[]): boolean =>
   [...deployment.daemons]
     .filter(([other]) => other !== name)
-    .every(([, { members }]) => members.some((m) => m.name === name && m.state === state));
+    .every(([, { members }]) => members.some((m) => m.name === name && states.includes(m.state)));
 
 /**
  * Starts real daemons in this process, over loopback, and measures what one of them costs.
@@ -62,6 +65,9 @@
     configToml: '[[model]]\nname = "m"\nweightsBytes = 1\n',
     settings: { membership: MEMBERSHIP, shutdown: { noticeMs: 0 } },
   });
+  const startBytes = await sentBytes(deployment);
+  await Deployment.sleep(WINDOW_MS);
+  const startedBytes = (await sentBytes(deployment)) - startBytes;
   await Deployment.sleep(SETTLE_MS);
   const heap = (heapBytes() - heapBefore) / instances;
   const bytesBefore = await sentBytes(deployment);
@@ -80,20 +86,19 @@
   await changed;
   const leaver = [...deployment.daemons.values()][1];
   const leaving = leaver.stop();
-  const leaveMs = await timeUntil(
-    deployment,
-    () =>
-      allThink(deployment, 'instance-2', 'leaving') || allThink(deployment, 'instance-2', 'left'),
+  const leaveMs = await timeUntil(deployment, () =>
+    allThink(deployment, 'instance-2', ['leaving', 'left']),
   );
   await leaving;
   deployment.daemons.delete('instance-2');
   deployment.killDaemon('instance-3');
-  const deathMs = await timeUntil(deployment, () => allThink(deployment, 'instance-3', 'dead'));
+  const deathMs = await timeUntil(deployment, () => allThink(deployment, 'instance-3', ['dead']));
   deployment.stop();
   const seconds = WINDOW_MS / 1_000;
   return {
     instances,
     sentBytesPerSecond: bytes / seconds / instances,
+    startBytesPerSecond: startedBytes / seconds / instances,
     coreShare: (cpu.user + cpu.system) / 1e6 / seconds / instances,
     heapBytes: heap,
     leaveMs,
--- a/packages/benchmarks/src/lib/state/state-rows.ts
+++ b/packages/benchmarks/src/lib/state/state-rows.ts
@@ -17,18 +17,51 @@
   bound = '',
 ): BenchRow => ({ scenario, metric, value, unit, bound, baselines: {}, seeds: 1 });
 
+interface Figures {
+  readonly slope: number;
+  readonly errorShare: number;
+  readonly atTarget: number;
+}
+
 type Measure = Awaited<ReturnType<typeof measureIdle>>;
 
-/** Figures that are fitted by size, with the bound that holds at the target. */
-const fitted: readonly (readonly [keyof Measure, string, string])[] = [
-  ['sentBytesPerSecond', 'bytes/s', '<= 15000'],
-  ['coreShare', 'cores', '<= 0.04'],
-  ['heapBytes', 'bytes', '<= 128000000'],
-  ['leaveMs', 'ms', '<= 3000'],
-  ['deathMs', 'ms', ''],
-  ['changeMs', 'ms', '<= 14000'],
+/** How a figure grows: with the logarithm of the group, or not; or it is one instance's part. */
+interface FittedFigure {
+  readonly metric: keyof Measure;
+  readonly unit: string;
+  /** Bound that holds at each size and at the target. */
+  readonly bound: string;
+  /**
+   * `log`: the figure is fitted by the group's logarithm. `total`: the whole process is fitted by the
+   * number of instances, and the slope is one instance's part, without the stand-ins' fixed cost.
+   */
+  readonly by: 'log' | 'total';
+}
+
+const fitted: readonly FittedFigure[] = [
+  { metric: 'sentBytesPerSecond', unit: 'bytes/s', bound: '<= 15000', by: 'log' },
+  { metric: 'startBytesPerSecond', unit: 'bytes/s', bound: '<= 15000', by: 'log' },
+  { metric: 'coreShare', unit: 'cores', bound: '<= 0.04', by: 'total' },
+  { metric: 'heapBytes', unit: 'bytes', bound: '<= 128000000', by: 'total' },
+  { metric: 'leaveMs', unit: 'ms', bound: '<= 3000', by: 'log' },
+  { metric: 'deathMs', unit: 'ms', bound: '', by: 'log' },
+  { metric: 'changeMs', unit: 'ms', bound: '<= 14000', by: 'log' },
 ];
 
+type Point = readonly [number, number];
+
+const fits: Readonly<Record<FittedFigure['by'], (points: readonly Point[]) => Figures>> = {
+  log: (points) => {
+    const fit = linearFit(points.map(([size, value]) => [Math.log2(size), value] as const));
+    const atTarget = fit.intercept + fit.slope * Math.log2(TARGET_INSTANCES);
+    return { slope: fit.slope, errorShare: fit.errorShare, atTarget };
+  },
+  total: (points) => {
+    const fit = linearFit(points.map(([size, value]) => [size, size * value] as const));
+    return { slope: fit.slope, errorShare: fit.errorShare, atTarget: fit.slope };
+  },
+};
+
 /**
  * Measures what an instance costs while idle, by size of the group, on real daemons; and the state
  * machine of the heartbeats alone at the target's size.
@@ -43,23 +76,21 @@
     // eslint-disable-next-line no-await-in-loop -- one size after another
     measures.push(await measureIdle(size));
   }
-  const daemons = measures.flatMap((measure) =>
-    [...fitted.map(([metric, unit, bound]) => [metric, unit, bound] as const)]
-      .map(([metric, unit, bound]) =>
-        row('membership', `${metric}/${measure.instances}`, measure[metric], unit, bound),
-      )
-      .concat(
-        row('membership', `falseDeaths/${measure.instances}`, measure.falseDeaths, 'count', '<= 0'),
-      ),
-  );
-  const slopes = fitted.flatMap(([metric, unit, bound]) => {
-    const { slope, intercept, errorShare } = linearFit(
-      measures.map((measure) => [measure.instances, measure[metric]] as const),
+  const daemons = measures.flatMap((measure) => {
+    const { instances, falseDeaths } = measure;
+    const rows = fitted.map(({ metric, unit, bound }) =>
+      row('membership', `${metric}/${instances}`, measure[metric], unit, bound),
     );
+    return [...rows, row('membership', `falseDeaths/${instances}`, falseDeaths, 'count', '<= 0')];
+  });
+  const slopes = fitted.flatMap(({ metric, unit, bound, by }) => {
+    const points = measures.map((measure) => [measure.instances, measure[metric]] as const);
+    const { slope, errorShare, atTarget } = fits[by](points);
+    const each = by === 'log' ? 'doubling' : 'instance';
     return [
-      row('membership', `${metric}/slope`, slope, `${unit} per instance`),
+      row('membership', `${metric}/slope`, slope, `${unit} a ${each}`),
       row('membership', `${metric}/fitError`, errorShare, 'ratio'),
-      row('membership', `${metric}/at420`, intercept + slope * TARGET_INSTANCES, unit, bound),
+      row('membership', `${metric}/at420`, atTarget, unit, bound),
     ];
   });
   const machines = MACHINE_SIZES.map(measureMachine).flatMap((measure) => [
--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -5,7 +5,9 @@
 import { placementRows } from './lib/placement/placement-rows.js';
 import { policyRows } from './lib/policy/policy-rows.js';
 import { printRows } from './lib/print-rows.js';
+import { capacityRows } from './lib/state/capacity-rows.js';
 import { ownershipRows } from './lib/state/ownership-rows.js';
+import { writeReport } from './lib/report/write-report.js';
 import { configurationRows, membershipRows } from './lib/state/state-rows.js';
 
 const DEFAULT_SEEDS = '10';
@@ -18,6 +20,7 @@
   slowed: (seeds) => policyRows('slowed', seeds),
   placement: (seeds) => placementRows(seeds),
   duplicates: () => duplicatesRows(),
+  capacity: () => capacityRows(),
   path: () => pathRows(),
   ownership: () => ownershipRows(),
   configuration: () => configurationRows(),
@@ -28,6 +31,7 @@
   allowPositionals: true,
   options: {
     json: { type: 'boolean', default: false },
+    report: { type: 'string' },
     seeds: { type: 'string', default: DEFAULT_SEEDS },
   },
 });
@@ -39,9 +43,15 @@
   process.stderr.write(`no benchmark "${unknown.join(', ')}"; there are ${known}\n`);
   process.exitCode = 2;
 }
+const all: BenchRow[] = [];
 // eslint-disable-next-line no-restricted-syntax -- one benchmark at a time, or they disturb each other
 for (const name of unknown.length > 0 ? [] : chosen) {
   // eslint-disable-next-line no-await-in-loop -- as above
   const rows = await benchmarks[name](Number(values.seeds));
+  all.push(...rows);
   printRows(rows, values.json, (line) => process.stdout.write(`${line}\n`));
 }
+if (values.report !== undefined) {
+  await writeReport(values.report, all);
+  process.stdout.write(`${values.report}/index.html\n`);
+}
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -1,18 +1,9 @@
 import { randomBytes } from 'node:crypto';
-import {
-  defaultMembershipSettings,
-  loadChart,
-  Membership,
-  MemberState,
-  Random,
-  RouteTable,
-  weightedRendezvous,
-} from '@chervilseam/decisions';
-import type { ConfigSnapshot, Member, MembershipMessage, Rumor } from '@chervilseam/decisions';
+import { loadChart, Random, RouteTable } from '@chervilseam/decisions';
+import type { ConfigSnapshot, Member, MembershipMessage } from '@chervilseam/decisions';
 import { createDrivers } from '@chervilseam/endpoints';
 import type { PeerStream } from '@chervilseam/peer';
 import { HttpInstanceList, HttpLog } from '@chervilseam/platform';
-import type { ListedInstance } from '@chervilseam/platform';
 import { Directory } from './entry/directory.js';
 import { Entry } from './entry/entry.js';
 import { OwnerClient } from './entry/owner-client.js';
@@ -26,6 +17,7 @@
 import { Owner } from './owner/owner.js';
 import { ReportLoop } from './owner/report-loop.js';
 import type { DispatchParams } from './peer/dispatch-params.js';
+import { Group } from './peer/group.js';
 import { DomainService } from './place/domain-service.js';
 import { PeerNode } from './peer/peer-node.js';
 import { ConfigSync } from './platform/config-sync.js';
@@ -36,7 +28,6 @@
 const DOMAIN_TICK_MS = 100;
 const REPORT_POLL_MS = 1_000;
 const SYNC_MS = 15_000;
-const PEER_CALL_TIMEOUT_MS = 2_000;
 const LINGER_MS = 50;
 
 /** Secrets of a daemon, apart from its settings so that settings can be printed. */
@@ -67,6 +58,7 @@
   readonly #decisions = new DecisionLog();
   readonly #log: HttpLog;
   readonly #list: HttpInstanceList;
+  readonly #group: Group;
   readonly #incarnation: string;
   readonly #directory: Directory;
   readonly #owner: Owner;
@@ -76,7 +68,6 @@
   readonly #reports: ReportLoop;
   readonly #callerFront: CallerFront;
   readonly #operatorFront: OperatorFront;
-  #membership: Membership | undefined;
   #state = chart.initial;
   #timers: NodeJS.Timeout[] = [];
   #ports: Ports = { callerPort: 0, operatorPort: 0, peerPort: 0 };
@@ -97,9 +88,18 @@
     const { logUrl, instanceListUrl, callTimeoutMs } = settings.platform;
     this.#log = new HttpLog(logUrl, callTimeoutMs);
     this.#list = new HttpInstanceList(instanceListUrl, callTimeoutMs);
+    this.#group = new Group({
+      settings,
+      life: this.#incarnation,
+      list: this.#list,
+      random: this.#random,
+      metrics: this.metrics,
+      view: () => this.config.view,
+      nowMs: Daemon.#nowMs,
+    });
     this.config = this.#createConfig();
     this.peers = this.#createPeers();
-    this.#directory = new Directory({ get: (key) => this.#rumor(key) }, () => this.config.view);
+    this.#directory = new Directory(this.#group, () => this.config.view);
     this.#keys = this.#createKeys();
     this.#owner = this.#createOwner();
     this.#entry = this.#createEntry();
@@ -116,7 +116,7 @@
 
   /** The members that this instance knows. */
   get members(): readonly Member[] {
-    return [...(this.#membership?.members.values() ?? [])];
+    return [...this.#group.members.values()];
   }
 
   /**
@@ -150,9 +150,9 @@
     const callerPort = await this.#callerFront.listen();
     const operatorPort = await this.#operatorFront.listen();
     this.#ports = { callerPort, operatorPort, peerPort: this.peers.port };
-    this.#membership = this.#createMembership();
-    await this.#pollList();
-    await this.#syncFacts();
+    this.#group.join(this.peers);
+    await this.#group.pollList();
+    await this.#group.syncFacts();
     await this.config.poll();
     this.#startTimers();
     this.#state = chart.next(this.#state, 'READY');
@@ -166,12 +166,12 @@
     this.#state = chart.next(this.#state, 'TERMINATE');
     if (!wasServing) return;
     this.#logger('daemon').info('draining', 'Draining: readiness fails, requests go on.');
-    this.#membership?.announce('leaving');
+    this.#group.announce('leaving');
     await Daemon.#sleep(this.#settings.shutdown.noticeMs);
     this.#callerFront.stopListening();
     const isIdle = await this.#waitUntilIdle();
     this.#state = chart.next(this.#state, isIdle ? 'IDLE' : 'TIMEOUT');
-    this.#membership?.announce('left');
+    this.#group.announce('left');
     await Daemon.#sleep(2 * this.#settings.membership.periodMs);
     this.kill();
     this.#state = chart.next(this.#state, 'CLOSED');
@@ -200,17 +200,6 @@
     return performance.now();
   }
 
-  #rumor(key: string): Rumor | undefined {
-    return this.#membership?.rumors.get(key);
-  }
-
-  #ownerOf(endpoint: string): Member | undefined {
-    const domain = this.config.view.endpoints.get(endpoint)?.failureDomain;
-    const present = this.#membership?.present() ?? [];
-    const local = present.filter(({ failureDomain }) => failureDomain === domain);
-    return weightedRendezvous(endpoint, local.length > 0 ? local : present);
-  }
-
   #createConfig(): ConfigSync {
     return new ConfigSync({
       log: this.#log,
@@ -238,46 +227,25 @@
       handlers: {
         dispatch: (params, stream) => this.#owner.dispatch(params as DispatchParams, stream),
         config: (params, stream) => this.#answerConfig(params, stream),
-        facts: (params, stream) => this.#answerFacts(params, stream),
-        factsDigest: (params, stream) => {
-          const { digest } = params as { digest: string };
-          stream.end(digest === this.#membership?.rumors.digest());
-        },
+        ...this.#group.handlers,
         keyClaim: (params, stream) => this.#keys.handlers.keyClaim(params, stream),
         keySettle: (params, stream) => this.#keys.handlers.keySettle(params, stream),
         keyAttempt: (params, stream) => this.#keys.handlers.keyAttempt(params, stream),
       },
-      onDatagram: (message) => this.#takeDatagram(message as MembershipMessage),
+      onDatagram: (message) => this.#group.takeDatagram(message as MembershipMessage),
       onRejected: (reason) => this.#logger('peer').warn('peer_rejected', 'Closed.', { reason }),
       onStreamBytes: countBytes(this.metrics.peerBytes),
       onDatagramBytes: countBytes(this.metrics.memberBytes),
     });
   }
 
-  #createMembership(): Membership {
-    const { instance, listen, membership } = this.#settings;
-    const self: Member = {
-      name: instance.name,
-      host: listen.host,
-      port: this.peers.port,
-      failureDomain: instance.failureDomain,
-      region: instance.region,
-      size: instance.size,
-      life: this.#incarnation,
-      incarnation: Date.now(),
-      state: MemberState.alive,
-    };
-    const settings = { ...defaultMembershipSettings, ...membership };
-    return new Membership(self, settings, this.#random);
-  }
-
   #createKeys(): KeyService {
     return new KeyService({
       log: this.#log,
       peers: this.peers,
       self: this.#settings.instance.name,
       incarnation: this.#incarnation,
-      members: () => this.#membership?.present() ?? [],
+      members: () => this.#group.present,
       metrics: this.metrics,
       logger: this.#logger('keys'),
       nowMs: Daemon.#nowMs,
@@ -302,7 +270,7 @@
     const owners = new OwnerClient({
       self: () => name,
       peers: this.peers,
-      ownerOf: (endpoint) => this.#ownerOf(endpoint),
+      ownerOf: (endpoint) => this.#group.ownerOf(endpoint),
       handleLocally: (params, stream) => this.#owner.dispatch(params, stream),
     });
     return new Entry({
@@ -336,8 +304,8 @@
       life: this.#incarnation,
       failureDomain: instance.failureDomain,
       view: () => this.config.view,
-      wantedOwner: (endpoint) => this.#ownerOf(endpoint),
-      members: () => this.#membership?.members ?? new Map(),
+      wantedOwner: (endpoint) => this.#group.ownerOf(endpoint),
+      members: () => this.#group.members,
       isLeaving: (endpoint) => this.#directory.isLeaving(endpoint),
       tokensPerSecond: (endpoint) => this.#owner.tokensPerSecond(endpoint),
       nowMs: Daemon.#nowMs,
@@ -356,9 +324,9 @@
       drivers: this.#drivers,
       view: () => this.config.view,
       self: name,
-      isOwned: (endpoint) => this.#ownerOf(endpoint)?.name === name,
-      factOf: (key) => this.#rumor(key),
-      publish: (rumor) => this.#membership?.takeRumor(rumor, Daemon.#nowMs()),
+      isOwned: (endpoint) => this.#group.ownerOf(endpoint)?.name === name,
+      factOf: (key) => this.#group.get(key),
+      publish: (rumor) => this.#group.publish(rumor),
       onReport: (endpoint, report) => this.#domain.onReport(endpoint, report),
     });
   }
@@ -390,7 +358,12 @@
         'debug/moves': ({ id, item }) => this.#domain.moves.latest(id, item),
         'debug/spans': ({ trace }) => this.tracer.latest(trace),
       },
-      actions: { drain: ({ endpoint }) => this.#drain(String(endpoint)) },
+      actions: {
+        drain: ({ endpoint }) => {
+          this.#group.drain(String(endpoint));
+          return { endpoint, isLeaving: true };
+        },
+      },
     });
   }
 
@@ -403,7 +376,7 @@
       members: this.members,
       endpoints: [...this.config.view.endpoints.keys()].map((name) => ({
         name,
-        owner: this.#ownerOf(name)?.name,
+        owner: this.#group.ownerOf(name)?.name,
         isLeaving: this.#directory.isLeaving(name),
         residents: this.#directory.factOf(name)?.residents ?? [],
         load: this.#owner.loadOf(name),
@@ -431,13 +404,6 @@
     };
   }
 
-  #drain(endpoint: string): unknown {
-    if (!this.config.view.endpoints.has(endpoint)) throw new Error(`no endpoint "${endpoint}"`);
-    const key = Directory.leavingKey(endpoint);
-    this.#membership?.takeRumor({ key, version: [1, 0], value: true }, Daemon.#nowMs());
-    return { endpoint, isLeaving: true };
-  }
-
   #startTimers(): void {
     const { configPollMs, listPollMs } = this.#settings.platform;
     const every = (periodMs: number, action: () => void): void => {
@@ -447,64 +413,19 @@
     every(OWNER_TICK_MS, () => this.#owner.tick());
     every(DOMAIN_TICK_MS, () => this.#domain.tick());
     every(configPollMs, () => this.config.poll());
-    every(listPollMs, () => this.#pollList());
+    every(listPollMs, () => this.#group.pollList());
     every(REPORT_POLL_MS, () => this.#reports.poll());
-    every(SYNC_MS, () => this.#syncFacts());
+    every(SYNC_MS, () => this.#group.syncFacts());
     this.#reports.poll();
   }
 
   #tick(): void {
     this.#keys.tick();
-    this.#sendAll(this.#membership?.tick(Daemon.#nowMs()) ?? []);
-  }
-
-  #takeDatagram(message: MembershipMessage): void {
-    this.#sendAll(this.#membership?.receive(message, Daemon.#nowMs()) ?? []);
-  }
-
-  #sendAll(messages: ReturnType<Membership['tick']>): void {
-    messages.forEach(({ to, message }) => this.peers.send(to, message));
-  }
-
-  async #pollList(): Promise<void> {
-    try {
-      const listed = await this.#list.list();
-      this.metrics.platformDown.set({ service: 'instances' }, 0);
-      this.#takeList(listed);
-    } catch {
-      this.metrics.platformDown.set({ service: 'instances' }, 1);
-    }
-  }
-
-  #takeList(listed: readonly ListedInstance[]): void {
-    const entries = listed.filter(({ role }) => role === 'entry');
-    this.#membership?.seed(
-      entries.map(({ name, host, peerPort, failureDomain, region, size }) => ({
-        name,
-        host,
-        port: peerPort,
-        failureDomain,
-        region,
-        size,
-      })),
-    );
-    listed
-      .filter(({ role, state }) => role === 'endpoint' && state === 'leaving')
-      .filter(({ name }) => this.config.view.endpoints.has(name))
-      .forEach(({ name }) => this.#drain(name));
-  }
-
-  #anyPeer(): Member | undefined {
-    const { name } = this.#settings.instance;
-    return this.#random.pick(
-      this.#membership?.present().filter((member) => member.name !== name) ?? [],
-    );
+    this.#group.tick();
   }
 
   async #askConfig(fromOffset: number): Promise<ConfigSnapshot | undefined> {
-    const peer = this.#anyPeer();
-    if (!peer) return undefined;
-    const answer = await this.peers.call(peer, 'config', { fromOffset }, PEER_CALL_TIMEOUT_MS);
+    const answer = await this.#group.ask('config', { fromOffset });
     return (answer ?? undefined) as ConfigSnapshot | undefined;
   }
 
@@ -514,32 +435,6 @@
     stream.end(fold.offset > fromOffset ? fold.snapshot() : null);
   }
 
-  // Heartbeats spread news; now and then two instances compare digests, and everything if they differ, which mends what a lost
-  // datagram left behind and fills an instance that has just started.
-  async #syncFacts(): Promise<void> {
-    const peer = this.#anyPeer();
-    if (!peer) return;
-    try {
-      const digest = this.#membership?.rumors.digest();
-      const known = await this.peers.call(peer, 'factsDigest', { digest }, PEER_CALL_TIMEOUT_MS);
-      if (known === true) return;
-      const mine = this.#membership?.rumors.all() ?? [];
-      const theirs = await this.peers.call(peer, 'facts', mine, PEER_CALL_TIMEOUT_MS);
-      this.#takeFacts(theirs as Rumor[]);
-    } catch {
-      // The next round asks another one.
-    }
-  }
-
-  #answerFacts(params: unknown, stream: PeerStream): void {
-    this.#takeFacts(params as Rumor[]);
-    stream.end(this.#membership?.rumors.all() ?? []);
-  }
-
-  #takeFacts(rumors: readonly Rumor[]): void {
-    rumors.forEach((rumor) => this.#membership?.takeRumor(rumor, Daemon.#nowMs()));
-  }
-
   #workCount(): number {
     // Outcomes of keys that only the log can keep are work as well, while the log answers.
     const keys = this.config.isLogDown ? 0 : this.#keys.pendingCount;
--- a/packages/daemon/src/lib/entry/event-stream.ts
+++ b/packages/daemon/src/lib/entry/event-stream.ts
@@ -21,14 +21,13 @@
 
   /**
    * @param data - bytes as they arrived
-   * @returns the events that are whole by now
-   * @throws RangeError when an event is too long
+   * @returns the events that are whole by now, or `undefined` when one is too long
    */
-  push(data: Buffer): EventPart {
+  push(data: Buffer): EventPart | undefined {
     const all = this.#torn.length === 0 ? data : Buffer.concat([this.#torn, data]);
     const last = all.lastIndexOf(EVENT_END);
     if (last < 0) {
-      if (all.length > EVENT_BYTES_MAX) throw new RangeError('an event is too long');
+      if (all.length > EVENT_BYTES_MAX) return undefined;
       this.#torn = all;
       return { events: undefined, tokenCount: 0, isDone: false };
     }
--- a/packages/daemon/src/lib/entry/request-run.ts
+++ b/packages/daemon/src/lib/entry/request-run.ts
@@ -10,20 +10,15 @@
 import type { DispatchEnd } from '../peer/dispatch-end.js';
 import type { DispatchFailure } from '../peer/dispatch-failure.js';
 import type { DispatchHead } from '../peer/dispatch-head.js';
+import { AnswerWriter } from './answer-writer.js';
 import type { CallerReply } from './caller-reply.js';
 import type { CallerRequest } from './caller-request.js';
 import type { Directory } from './directory.js';
-import { EventStream } from './event-stream.js';
 import type { OwnerClient } from './owner-client.js';
 
 const FAILURE_COUNT_MAX = 3;
 /** An owner that has not taken a request by then is paused or cut off, in milliseconds. */
 const ACCEPT_TIMEOUT_MS = 1_000;
-/** Piped answers up to this length are kept until their end, for the key ledger, in bytes. */
-const CAPTURE_BYTES_MAX = 2_048;
-const WHOLE_ANSWER_BYTES_MAX = 16 * 1024 * 1024;
-/** Headers of an endpoint's answer that a caller gets. */
-const FORWARDED_HEADERS = ['content-type', 'content-length', 'content-encoding', 'location'];
 
 /** What a run needs around it. */
 interface RequestRunContext {
@@ -59,19 +54,13 @@
   readonly #startedMs: number;
   readonly #deadlineMs: number;
   readonly #tried = new Set<string>();
-  readonly #events = new EventStream();
+  readonly #answer: AnswerWriter;
   #state = chart.initial;
   #attemptCount = 0;
   #failureCount = 0;
   #endpoint = '';
   #stream: PeerStream | undefined;
   #acceptTimer: NodeJS.Timeout | undefined;
-  #whole: Uint8Array[] = [];
-  #wholeBytes = 0;
-  #head: DispatchHead | undefined;
-  #isHeadSent = false;
-  #isEndSeen = false;
-  #tokenCount = 0;
   #bodyQueue: Buffer[] | undefined;
   #isBodyEnded = false;
   /** Whether any attempt so far may have taken effect. */
@@ -97,6 +86,7 @@
     this.#class = requestClass;
     this.#request = request;
     this.#reply = reply;
+    this.#answer = new AnswerWriter(reply, request.carriage);
     this.#startedMs = context.nowMs();
     const deadlineMs = Math.min(requestClass.deadlineMs, request.deadlineMs ?? Infinity);
     this.#deadlineMs = this.#startedMs + deadlineMs;
@@ -242,9 +232,10 @@
 
   // A stream that broke goes on after the tokens that the caller has.
   #attemptBody(body: Buffer | undefined): Buffer | undefined {
-    if (!body || this.#tokenCount === 0) return body;
+    const { tokenCount } = this.#answer;
+    if (!body || tokenCount === 0) return body;
     const value = JSON.parse(body.toString()) as Record<string, unknown>;
-    return Buffer.from(JSON.stringify({ ...value, resume_after_tokens: this.#tokenCount }));
+    return Buffer.from(JSON.stringify({ ...value, resume_after_tokens: tokenCount }));
   }
 
   #opened(stream: PeerStream, number: number): void {
@@ -301,10 +292,9 @@
   #onHead(head: DispatchHead): void {
     clearTimeout(this.#acceptTimer);
     this.#follow('HEAD');
-    this.#head = head;
     this.#context.routes.update(this.#endpoint, head.load, this.#context.nowMs());
     this.#context.metrics.observe('first_token', this.#context.nowMs() - this.#startedMs);
-    if (this.#request.carriage !== 'whole') this.#sendHead(head);
+    this.#answer.onHead(head);
   }
 
   // A move breaks before it makes: what the old engine says after the new one was asked to go on
@@ -321,7 +311,7 @@
     const from = this.#endpoint;
     this.#stream?.fail({ code: 'cancelled', message: 'moved to another endpoint' });
     this.#context.metrics.attempts.inc({ result: 'moved' });
-    this.#explain('move', 'the endpoint is slowed', { from, tokens: this.#tokenCount });
+    this.#explain('move', 'the endpoint is slowed', { from, tokens: this.#answer.tokenCount });
     this.#mayHaveRun = true;
     this.#again();
   }
@@ -340,9 +330,7 @@
     clearTimeout(this.#acceptTimer);
     this.#follow('RETRY');
     this.#stream = undefined;
-    this.#whole = [];
-    this.#wholeBytes = 0;
-    this.#events.reset();
+    this.#answer.reset();
   }
 
   // Another endpoint is tried at once; one that failed before is given time.
@@ -361,61 +349,24 @@
     }, delayMs);
   }
 
-  #sendHead({ status, headers }: DispatchHead): void {
-    if (this.#isHeadSent) return;
-    this.#isHeadSent = true;
-    const forwarded = FORWARDED_HEADERS.filter((name) => headers[name] !== undefined);
-    const chosen = Object.fromEntries(forwarded.map((name) => [name, headers[name]]));
-    this.#reply.head(status, { ...chosen, 'chervilseam-outcome': Outcome.ran });
-  }
-
   #onData(data: Uint8Array): void {
-    const handlers = {
-      whole: () => this.#collect(data),
-      events: () => this.#forwardEvents(data),
-      pipe: () => this.#forward(data),
-    };
-    handlers[this.#request.carriage]();
-  }
-
-  #collect(data: Uint8Array): void {
-    this.#whole.push(data);
-    this.#wholeBytes += data.length;
-    if (this.#wholeBytes <= WHOLE_ANSWER_BYTES_MAX) return;
+    const result = this.#answer.onData(data);
+    if (result === 'pause') this.#stream?.pause();
+    if (result !== 'unusable') return;
     this.#stream?.fail({ code: 'cancelled' });
     const message = 'the answer is too large';
     this.#giveUp({ code: 'endpoint_failed', outcome: Outcome.unknown, message });
   }
 
-  #forwardEvents(data: Uint8Array): void {
-    const { events, tokenCount, isDone } = this.#events.push(Buffer.from(data));
-    if (!events) return;
-    this.#tokenCount += tokenCount;
-    this.#isEndSeen ||= isDone;
-    this.#forward(events);
-  }
-
-  #forward(data: Uint8Array): void {
-    if (this.#wholeBytes <= CAPTURE_BYTES_MAX) {
-      this.#whole.push(data);
-      this.#wholeBytes += data.length;
-    }
-    if (!this.#reply.write(data)) this.#stream?.pause();
-  }
-
   #onEnd(end: Partial<DispatchEnd> | null): void {
     if (end?.load) this.#context.routes.update(this.#endpoint, end.load, this.#context.nowMs());
-    if (this.#request.carriage === 'events' && !this.#isEndSeen && this.#isGood()) {
+    if (!this.#answer.isWhole) {
       this.#onFail({ code: 'answer_cut', outcome: Outcome.unknown, message: 'no end marker' });
       return;
     }
     this.#finish('END', undefined);
   }
 
-  #isGood(): boolean {
-    return this.#head?.status === 200;
-  }
-
   #onFail(reason: unknown): void {
     const { code, outcome, message, load, retryAfterMs } = (reason ?? {}) as DispatchFailure;
     if (load) this.#context.routes.update(this.#endpoint, load, this.#context.nowMs());
@@ -454,7 +405,7 @@
   #mayRetry({ outcome }: DispatchFailure): boolean {
     if (this.#failureCount >= FAILURE_COUNT_MAX) return false;
     if (this.#request.body === undefined) return false;
-    if (this.#isHeadSent && this.#request.carriage !== 'events') return false;
+    if (!this.#answer.isResumable) return false;
     return outcome === Outcome.notRun || !this.#class.isNonIdempotent;
   }
 
@@ -490,23 +441,13 @@
 
   #answerError(error: RefusalError): void {
     this.onOutcome(error.outcome, error.status, undefined);
-    if (this.#isHeadSent) this.#reply.cut();
+    if (this.#answer.isHeadSent) this.#reply.cut();
     else this.#reply.refuse(error);
   }
 
   #answerWhole(): void {
-    const status = this.#head?.status ?? 200;
-    if (this.#request.carriage !== 'whole') {
-      const isCaptured = this.#wholeBytes <= CAPTURE_BYTES_MAX;
-      this.onOutcome(Outcome.ran, status, isCaptured ? Buffer.concat(this.#whole) : undefined);
-      this.#reply.end(Outcome.ran);
-      return;
-    }
-    const body = Buffer.concat(this.#whole);
-    this.onOutcome(Outcome.ran, status, body);
-    this.#sendHead({ ...(this.#head as DispatchHead), status });
-    this.#reply.write(body);
-    this.#reply.end(Outcome.ran);
+    this.onOutcome(Outcome.ran, this.#answer.status, this.#answer.captured);
+    this.#answer.end();
   }
 
   #explain(decision: string, reason: string, inputs: Readonly<Record<string, unknown>>): void {
--- a/packages/daemon/src/lib/place/demand-meter.ts
+++ b/packages/daemon/src/lib/place/demand-meter.ts
@@ -1,17 +1,24 @@
 import { DemandEstimate } from '@chervilseam/decisions';
 
 const MEAN_TOKENS = 100;
-const TELL_MS = 10_000;
+const TELL_MS = 60_000;
 const TELL_SOON_MS = 2_000;
 const CHANGE_FACTOR = 1.5;
 const MS_PER_SECOND = 1_000;
 
+/** Tokens a second by model, of all models or of those that changed. */
+interface DemandWord {
+  readonly isWhole: boolean;
+  readonly tokensPerSecond: Readonly<Record<string, number>>;
+}
+
 /** What is wanted of each model at this entry, and when to tell the log of it. */
 export class DemandMeter {
   readonly #estimate = new DemandEstimate();
   #counts = new Map<string, number>();
   #windowStartMs: number;
   #toldMs = -Infinity;
+  #toldChangeMs = -Infinity;
   #told: Readonly<Record<string, number>> = {};
 
   /** @param nowMs - a clock that only goes forward, in milliseconds */
@@ -28,9 +35,9 @@
    * Ends a window of time.
    *
    * @param nowMs - a clock that only goes forward, in milliseconds
-   * @returns tokens a second by model if the log should be told now
+   * @returns what the log should be told now, if anything
    */
-  tick(nowMs: number): Readonly<Record<string, number>> | undefined {
+  tick(nowMs: number): DemandWord | undefined {
     const durationMs = nowMs - this.#windowStartMs;
     if (durationMs < MS_PER_SECOND) return undefined;
     const seconds = durationMs / MS_PER_SECOND;
@@ -43,22 +50,32 @@
     return this.#due(nowMs);
   }
 
-  #due(nowMs: number): Readonly<Record<string, number>> | undefined {
+  // All instances of a domain read what each of them tells: in between, only what has changed is told.
+  #due(nowMs: number): DemandWord | undefined {
     const current = Object.fromEntries(
       [...this.#estimate.byModel].map(([model, tokens]) => [model, Math.round(tokens)]),
     );
     const ageMs = nowMs - this.#toldMs;
-    const isOther = Object.entries(current).some(([model, tokens]) => {
-      const known = this.#told[model] ?? 0;
-      return (
-        tokens > known * CHANGE_FACTOR + MEAN_TOKENS || known > tokens * CHANGE_FACTOR + MEAN_TOKENS
-      );
-    });
-    const isDue = (isOther && ageMs >= TELL_SOON_MS) || ageMs >= TELL_MS;
-    const isNothing = Object.values({ ...current, ...this.#told }).every((tokens) => tokens === 0);
-    if (!isDue || isNothing) return undefined;
-    this.#toldMs = nowMs;
-    this.#told = current;
-    return current;
+    const isAnything = Object.values({ ...this.#told, ...current }).some((tokens) => tokens > 0);
+    if (ageMs >= TELL_MS && isAnything) {
+      this.#toldMs = nowMs;
+      this.#told = current;
+      return { isWhole: true, tokensPerSecond: current };
+    }
+    if (nowMs - this.#toldChangeMs < TELL_SOON_MS) return undefined;
+    const changed = Object.entries(current).filter(([model, tokens]) =>
+      this.#isOther(model, tokens),
+    );
+    if (changed.length === 0) return undefined;
+    this.#toldChangeMs = nowMs;
+    const tokensPerSecond = Object.fromEntries(changed);
+    this.#told = { ...this.#told, ...tokensPerSecond };
+    return { isWhole: false, tokensPerSecond };
+  }
+
+  #isOther(model: string, tokens: number): boolean {
+    const known = this.#told[model] ?? 0;
+    const [less, more] = tokens < known ? [tokens, known] : [known, tokens];
+    return more > less * CHANGE_FACTOR + MEAN_TOKENS;
   }
 }
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -131,10 +131,8 @@
     this.#claimAll();
     this.#orders.tick();
     const nowMs = this.#context.nowMs();
-    const tokensPerSecond = this.demand.tick(nowMs);
-    if (tokensPerSecond) {
-      this.#submit({ type: 'demand', instance: this.#context.self, tokensPerSecond });
-    }
+    const wanted = this.demand.tick(nowMs);
+    if (wanted) this.#submit({ type: 'demand', instance: this.#context.self, ...wanted });
     if (nowMs < this.#nextRoundMs) return;
     this.#nextRoundMs = nowMs + ROUND_MS;
     this.#resolveFormer();
--- a/packages/decisions/src/lib/membership/default-membership-settings.ts
+++ b/packages/decisions/src/lib/membership/default-membership-settings.ts
@@ -6,8 +6,8 @@
   pingTimeoutMs: 200,
   indirectCount: 3,
   suspicionMs: 4_000,
-  rumorBytes: 1_000,
+  rumorBytes: 800,
   remoteEvery: 4,
-  newsMs: 100,
+  newsMs: 250,
   reviveMs: 3_000,
 };
--- a/packages/decisions/src/lib/memory/domain-entry.ts
+++ b/packages/decisions/src/lib/memory/domain-entry.ts
@@ -70,6 +70,8 @@
       /** Tokens a second that were wanted of each model, as one owner saw it. */
       readonly type: 'demand';
       readonly instance: string;
+      /** Whether models left out are not wanted; otherwise they are as they were. */
+      readonly isWhole: boolean;
       readonly tokensPerSecond: Readonly<Record<string, number>>;
     }
   | {
--- a/packages/decisions/src/lib/memory/domain-ledger.ts
+++ b/packages/decisions/src/lib/memory/domain-ledger.ts
@@ -6,7 +6,7 @@
 
 const MS_PER_SECOND = 1_000;
 const REJECTION_COUNT_MAX = 500;
-const DEMAND_MEMORY_MS = 60_000;
+const DEMAND_MEMORY_MS = 180_000;
 
 type Entry<T extends DomainEntry['type']> = DomainEntry & { readonly type: T };
 
@@ -179,8 +179,11 @@
     return ledger.observe(entry, entry.checksFencing) ? undefined : 'the report is too old';
   }
 
-  #takeDemand({ instance, tokensPerSecond }: Entry<'demand'>): undefined {
-    this.#demand = { ...this.#demand, [instance]: { timeMs: this.timeMs, tokensPerSecond } };
+  #takeDemand({ instance, isWhole, tokensPerSecond }: Entry<'demand'>): undefined {
+    const known = isWhole ? {} : this.#demand[instance]?.tokensPerSecond;
+    const merged = { ...known, ...tokensPerSecond };
+    const told = { timeMs: this.timeMs, tokensPerSecond: merged };
+    this.#demand = { ...this.#demand, [instance]: told };
     return undefined;
   }
 }
