--- a/packages/benchmarks/src/lib/state/capacity-rows.ts
+++ b/packages/benchmarks/src/lib/state/capacity-rows.ts
@@ -31,38 +31,43 @@
   return { size, heapBytes, eventUs: (tookMs * MICROSECONDS_PER_MS) / eventCount / COPY_COUNT };
 }
 
+/** Makes the calls to the log that a home asks for, against a stream in memory. */
+class KeyLog {
+  #records: { readonly offset: number; readonly timeMs: number; readonly value: unknown }[] = [];
+  #offset = 0;
+
+  pump(home: KeyHome): void {
+    for (let action = home.next(this.#offset); action; action = home.next(this.#offset)) {
+      if (action.type === 'read') {
+        home.onRead({ firstOffset: 1, nextOffset: this.#offset + 1, records: this.#records });
+        this.#records = [];
+        home.takeAnswers();
+        return;
+      }
+      home.onAppended(this.#append(action.values));
+    }
+  }
+
+  #append(values: readonly unknown[]): number {
+    const first = this.#offset + 1;
+    this.#records = values.map((value, index) => ({ offset: first + index, timeMs: first, value }));
+    this.#offset += values.length;
+    return first;
+  }
+}
+
 function measureKeys(count: number): SizeMeasure {
   return measure(count, count, () => {
     const home = new KeyHome('bench', { memoryMs: 1e9, lingerMs: 0, snapshotEvery: 1e9 });
-    let offset = 0;
-    const records: { offset: number; timeMs: number; value: unknown }[] = [];
-    const pump = (): void => {
-      for (let action = home.next(offset); action; action = home.next(offset)) {
-        if (action.type === 'append') {
-          const first = offset + 1;
-          action.values.forEach((value) => {
-            offset += 1;
-            records.push({ offset, timeMs: offset, value });
-          });
-          home.onAppended(first);
-        } else {
-          const { fromOffset } = action;
-          const page = records.filter((record) => record.offset >= fromOffset);
-          records.length = 0;
-          home.onRead({ firstOffset: 1, nextOffset: offset + 1, records: page });
-          home.takeAnswers();
-          return;
-        }
-      }
-    };
+    const log = new KeyLog();
     for (let index = 0; index < count; index += 1) {
       const key = `${index}`.padStart(32, '0');
       const attempt = `instance-1-0123456789ab.k${index}`;
       home.claim({ key, digest: key + key, attempt, dispatcher: 'instance-1-0123456789ab' });
-      if (index % 50 === 49) pump();
+      if (index % 50 === 49) log.pump(home);
       home.settle({ key, attempt, type: 'outcome', outcome: 'ran', status: 200, body: undefined });
     }
-    pump();
+    log.pump(home);
     return home;
   });
 }
--- a/packages/benchmarks/src/lib/state/measure-machine.ts
+++ b/packages/benchmarks/src/lib/state/measure-machine.ts
@@ -50,7 +50,8 @@
   const all = Array.from({ length: instances }, (_, index) => memberOf(index, 1));
   const node = new Membership(all[0], defaultMembershipSettings, new Random(1));
   all.slice(1).forEach((member) => {
-    node.takeRumor({ key: `member/${member.name}`, version: [1, 0], value: member }, 0);
+    const rumor = { key: `member/${member.name}`, version: [1, 0] as const, value: member };
+    node.takeRumor(rumor, 0, false);
   });
   globalThis.gc?.();
   const heapBytes = process.memoryUsage().heapUsed - heapBefore;
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -152,7 +152,7 @@
     this.#ports = { callerPort, operatorPort, peerPort: this.peers.port };
     this.#group.join(this.peers);
     await this.#group.pollList();
-    await this.#group.syncFacts();
+    await this.#group.syncFacts(true);
     await this.config.poll();
     this.#startTimers();
     this.#state = chart.next(this.#state, 'READY');
--- a/packages/daemon/src/lib/keys/key-service.ts
+++ b/packages/daemon/src/lib/keys/key-service.ts
@@ -11,8 +11,8 @@
 import { KeyPartition } from './key-partition.js';
 
 /** All instances must agree on this number for as long as any key is remembered. */
-const PARTITION_COUNT = 16;
-const LINGER_MS = 100;
+const PARTITION_COUNT = 64;
+const LINGER_MS = 400;
 const SNAPSHOT_EVERY = 5_000;
 const CALL_TIMEOUT_MS = 3_000;
 const CLAIM_COUNT_MAX = 4;
--- a/packages/daemon/src/lib/peer/group.ts
+++ b/packages/daemon/src/lib/peer/group.ts
@@ -171,9 +171,13 @@
     }
   }
 
-  // Heartbeats spread news; now and then two instances compare digests, and everything if they differ,
-  // which mends what a lost datagram left behind and fills an instance that has just started.
-  async syncFacts(): Promise<void> {
+  /**
+   * Compares digests with any other instance, and everything if they differ. Heartbeats spread news;
+   * this mends what a lost datagram left behind, and fills an instance that has just started.
+   *
+   * @param isFirst - whether this instance has just started
+   */
+  async syncFacts(isFirst = false): Promise<void> {
     const peer = this.anyPeer();
     if (!peer || !this.#peers || !this.#membership) return;
     const { rumors } = this.#membership;
@@ -182,7 +186,8 @@
       const isKnown = await this.#peers.call(peer, 'factsDigest', digest, PEER_CALL_TIMEOUT_MS);
       if (isKnown === true) return;
       const theirs = await this.#peers.call(peer, 'facts', rumors.all(), PEER_CALL_TIMEOUT_MS);
-      this.#takeFacts(theirs as Rumor[]);
+      // What an instance learns as it starts the others know; telling it on would be for nothing.
+      this.#takeFacts(theirs as Rumor[], !isFirst);
     } catch {
       // The next round asks another one.
     }
@@ -192,8 +197,9 @@
     messages.forEach(({ to, message }) => this.#peers?.send(to, message));
   }
 
-  #takeFacts(rumors: readonly Rumor[]): void {
-    rumors.forEach((rumor) => this.publish(rumor));
+  #takeFacts(rumors: readonly Rumor[], isSpread = true): void {
+    const nowMs = this.#context.nowMs();
+    rumors.forEach((rumor) => this.#membership?.takeRumor(rumor, nowMs, isSpread));
   }
 
   #takeList(listed: readonly ListedInstance[]): void {
--- a/packages/daemon/src/lib/place/demand-meter.ts
+++ b/packages/daemon/src/lib/place/demand-meter.ts
@@ -1,8 +1,10 @@
 import { DemandEstimate } from '@chervilseam/decisions';
 
 const MEAN_TOKENS = 100;
-const TELL_MS = 60_000;
+const TELL_MS = 180_000;
 const TELL_SOON_MS = 2_000;
+/** Each instance that reads adds this to the time between two words, in milliseconds. */
+const TELL_SOON_MS_PER_INSTANCE = 100;
 const CHANGE_FACTOR = 1.5;
 const MS_PER_SECOND = 1_000;
 
@@ -35,9 +37,10 @@
    * Ends a window of time.
    *
    * @param nowMs - a clock that only goes forward, in milliseconds
+   * @param instances - instances that read what is told; a count
    * @returns what the log should be told now, if anything
    */
-  tick(nowMs: number): DemandWord | undefined {
+  tick(nowMs: number, instances: number): DemandWord | undefined {
     const durationMs = nowMs - this.#windowStartMs;
     if (durationMs < MS_PER_SECOND) return undefined;
     const seconds = durationMs / MS_PER_SECOND;
@@ -47,11 +50,12 @@
     this.#estimate.observe(new Map(rates), durationMs);
     this.#counts = new Map();
     this.#windowStartMs = nowMs;
-    return this.#due(nowMs);
+    const soonMs = Math.max(TELL_SOON_MS, instances * TELL_SOON_MS_PER_INSTANCE);
+    return this.#due(nowMs, soonMs);
   }
 
   // All instances of a domain read what each of them tells: in between, only what has changed is told.
-  #due(nowMs: number): DemandWord | undefined {
+  #due(nowMs: number, soonMs: number): DemandWord | undefined {
     const current = Object.fromEntries(
       [...this.#estimate.byModel].map(([model, tokens]) => [model, Math.round(tokens)]),
     );
@@ -62,7 +66,7 @@
       this.#told = current;
       return { isWhole: true, tokensPerSecond: current };
     }
-    if (nowMs - this.#toldChangeMs < TELL_SOON_MS) return undefined;
+    if (nowMs - this.#toldChangeMs < soonMs) return undefined;
     const changed = Object.entries(current).filter(([model, tokens]) =>
       this.#isOther(model, tokens),
     );
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -131,7 +131,7 @@
     this.#claimAll();
     this.#orders.tick();
     const nowMs = this.#context.nowMs();
-    const wanted = this.demand.tick(nowMs);
+    const wanted = this.demand.tick(nowMs, this.#neighbourCount());
     if (wanted) this.#submit({ type: 'demand', instance: this.#context.self, ...wanted });
     if (nowMs < this.#nextRoundMs) return;
     this.#nextRoundMs = nowMs + ROUND_MS;
@@ -193,6 +193,12 @@
     });
   }
 
+  #neighbourCount(): number {
+    const { failureDomain } = this.#context;
+    const members = [...this.#context.members().values()];
+    return members.filter((member) => member.failureDomain === failureDomain).length;
+  }
+
   #viewOf(): PlacementView {
     return new PlacementView(this.#context.view(), this.ledger, this.#context.failureDomain);
   }
--- a/packages/decisions/src/lib/membership/membership.ts
+++ b/packages/decisions/src/lib/membership/membership.ts
@@ -172,13 +172,14 @@
    *
    * @param rumor - the fact
    * @param nowMs - a clock that only goes forward, in milliseconds
+   * @param isSpread - whether others may not know it yet
    * @returns whether it was news
    */
-  takeRumor(rumor: Rumor, nowMs: number): boolean {
-    if (!rumor.key.startsWith(MEMBER_PREFIX)) return this.rumors.take(rumor);
+  takeRumor(rumor: Rumor, nowMs: number, isSpread = true): boolean {
+    if (!rumor.key.startsWith(MEMBER_PREFIX)) return this.rumors.take(rumor, isSpread);
     const member = rumor.value as Member;
     if (member.name === this.#self.name) return this.#refute(member);
-    if (!this.rumors.take(rumor)) {
+    if (!this.rumors.take(rumor, isSpread)) {
       this.#tellOfFormerLife(member);
       return false;
     }
--- a/packages/decisions/src/lib/membership/rumor-table.ts
+++ b/packages/decisions/src/lib/membership/rumor-table.ts
@@ -53,14 +53,15 @@
    * Takes a fact, and starts to spread it when it is news.
    *
    * @param rumor - the fact
+   * @param isSpread - whether others may not know it yet
    * @returns whether it was news
    */
-  take(rumor: Rumor): boolean {
+  take(rumor: Rumor, isSpread = true): boolean {
     const held = this.#held.get(rumor.key);
     if (held && !isNewer(rumor.version, held.rumor.version)) return false;
     const bytes = JSON.stringify(rumor).length;
     this.#held.set(rumor.key, { rumor, bytes, sendCount: 0, knownCount: 0 });
-    this.#hot.add(rumor.key);
+    if (isSpread) this.#hot.add(rumor.key);
     return true;
   }
 
--- a/packages/decisions/src/lib/memory/domain-ledger.ts
+++ b/packages/decisions/src/lib/memory/domain-ledger.ts
@@ -6,7 +6,7 @@
 
 const MS_PER_SECOND = 1_000;
 const REJECTION_COUNT_MAX = 500;
-const DEMAND_MEMORY_MS = 180_000;
+const DEMAND_MEMORY_MS = 600_000;
 
 type Entry<T extends DomainEntry['type']> = DomainEntry & { readonly type: T };
 
