Start an instance only once it has heard of the endpoints

Ruled out: membership (the members were right) and the owners (nothing reached one). Change: a starting instance asks four at once and tries again until one answers; only where nobody does it starts alone, and says so. The report's memory areas no longer stack two changes of one time. Conclusion: readiness means that requests can be served.

--- a/packages/benchmarks/src/lib/placement/placement-trace.ts
+++ b/packages/benchmarks/src/lib/placement/placement-trace.ts
@@ -1,5 +1,7 @@
 import { runPlacement } from './run-placement.js';
 
+const END_S = 300;
+
 /** Memory of an engine from a time on. */
 interface MemoryPoint {
   readonly engine: string;
@@ -24,5 +26,7 @@
     atS: atMs / 1_000,
     gigabytes: bytes / 1e9,
   }));
-  return { points, capacityBytes: placement.capacityBytes };
+  const last = new Map(points.map((point) => [point.engine, point]));
+  const ends = [...last.values()].map((point) => ({ ...point, atS: END_S }));
+  return { points: [...points, ...ends], capacityBytes: placement.capacityBytes };
 }
--- a/packages/benchmarks/src/lib/report/write-report.ts
+++ b/packages/benchmarks/src/lib/report/write-report.ts
@@ -93,7 +93,8 @@
             mark: { type: 'area', interpolate: 'step-after', color: '#7fb89a' },
             encoding: {
               x: { field: 'atS', type: 'quantitative', title: 's' },
-              y: { field: 'gigabytes', type: 'quantitative', title: 'GB' },
+              // Two changes at one time are two heights of one area, not two areas on one another.
+              y: { field: 'gigabytes', type: 'quantitative', title: 'GB', stack: null },
             },
           },
           {
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -29,6 +29,7 @@
 const REPORT_POLL_MS = 1_000;
 const SYNC_MS = 15_000;
 const LINGER_MS = 50;
+const LEARN_COUNT_MAX = 5;
 
 /** Secrets of a daemon, apart from its settings so that settings can be printed. */
 interface Secrets {
@@ -152,13 +153,25 @@
     this.#ports = { callerPort, operatorPort, peerPort: this.peers.port };
     this.#group.join(this.peers);
     await this.#group.pollList();
-    await this.#group.syncFacts(true);
+    await this.#learnFacts();
     await this.config.poll();
     this.#startTimers();
     this.#state = chart.next(this.#state, 'READY');
     this.#logger('daemon').info('started', 'The instance is serving.', { ...this.#ports });
   }
 
+  // An instance that knows no endpoint would refuse what the others can serve, so it is not ready before
+  // it has heard of them; but where nobody answers it is on its own and serves what it finds.
+  async #learnFacts(): Promise<void> {
+    for (let tries = 0; tries < LEARN_COUNT_MAX; tries += 1) {
+      // eslint-disable-next-line no-await-in-loop -- a try follows a failure
+      if (await this.#group.learnFacts()) return;
+      // eslint-disable-next-line no-await-in-loop -- a try follows a failure
+      await Daemon.#sleep(LINGER_MS);
+    }
+    this.#logger('member').warn('alone', 'No other instance answered; starting alone.');
+  }
+
   /** Takes no new work, lets what is in progress end, and closes. */
   async stop(): Promise<void> {
     if (!chart.can(this.#state, 'TERMINATE')) return;
--- a/packages/daemon/src/lib/peer/group.ts
+++ b/packages/daemon/src/lib/peer/group.ts
@@ -13,6 +13,8 @@
 import type { PeerNode } from './peer-node.js';
 
 const PEER_CALL_TIMEOUT_MS = 2_000;
+/** Instances that a starting one asks at once; a count. */
+const START_ASK_COUNT = 4;
 
 /** What belonging to the group of instances needs around it. */
 interface GroupContext {
@@ -172,25 +174,43 @@
   }
 
   /**
-   * Compares digests with any other instance, and everything if they differ. Heartbeats spread news;
-   * this mends what a lost datagram left behind, and fills an instance that has just started.
+   * Learns all facts from others, as an instance does that starts. The platform's list lags, so some of
+   * those that it names are gone: several are asked at once and the first answer will do.
    *
-   * @param isFirst - whether this instance has just started
+   * @returns whether any answered, or nobody else is known
+   */
+  async learnFacts(): Promise<boolean> {
+    const { random, settings } = this.#context;
+    const others = this.present.filter(({ name }) => name !== settings.instance.name);
+    if (others.length === 0) return true;
+    const asked = random.shuffle(others).slice(0, START_ASK_COUNT);
+    // What an instance learns as it starts the others know; telling it on would be for nothing.
+    const learning = asked.map((peer) => this.#exchange(peer, false));
+    return Promise.any(learning).then(
+      () => true,
+      () => false,
+    );
+  }
+
+  /**
+   * Compares digests with any other instance, and everything if they differ. Heartbeats spread news;
+   * this mends what a lost datagram left behind.
    */
-  async syncFacts(isFirst = false): Promise<void> {
+  async syncFacts(): Promise<void> {
     const peer = this.anyPeer();
-    if (!peer || !this.#peers || !this.#membership) return;
-    const { rumors } = this.#membership;
-    try {
-      const digest = { digest: rumors.digest() };
-      const isKnown = await this.#peers.call(peer, 'factsDigest', digest, PEER_CALL_TIMEOUT_MS);
-      if (isKnown === true) return;
-      const theirs = await this.#peers.call(peer, 'facts', rumors.all(), PEER_CALL_TIMEOUT_MS);
-      // What an instance learns as it starts the others know; telling it on would be for nothing.
-      this.#takeFacts(theirs as Rumor[], !isFirst);
-    } catch {
-      // The next round asks another one.
-    }
+    if (!peer) return;
+    // The next round asks another one.
+    await this.#exchange(peer, true).catch(() => {});
+  }
+
+  async #exchange(peer: Member, isSpread: boolean): Promise<void> {
+    const rumors = this.#membership?.rumors;
+    if (!this.#peers || !rumors) return;
+    const digest = { digest: rumors.digest() };
+    const isKnown = await this.#peers.call(peer, 'factsDigest', digest, PEER_CALL_TIMEOUT_MS);
+    if (isKnown === true) return;
+    const theirs = await this.#peers.call(peer, 'facts', rumors.all(), PEER_CALL_TIMEOUT_MS);
+    this.#takeFacts(theirs as Rumor[], isSpread);
   }
 
   #sendAll(messages: ReturnType<Membership['tick']>): void {
--- a/packages/embedded/src/test/faults_test.ts
+++ b/packages/embedded/src/test/faults_test.ts
@@ -153,6 +153,15 @@
     expect(engineNamed('engine-1').attempts.length).to.equal(before);
   });
 
+  it('learns of endpoints as it starts although most of the list is gone', async () => {
+    await deployment.startDaemon('instance-4', 0);
+    await deployment.waitUntilReady();
+    ['instance-1', 'instance-2', 'instance-3'].forEach((name) => deployment.killDaemon(name));
+    const daemon = await deployment.startDaemon('instance-5', 1);
+    expect(daemon.knowsEndpoint('engine-1')).to.equal(true);
+    expect(daemon.knowsEndpoint('engine-2')).to.equal(true);
+  });
+
   it('replaces every instance in turn under load, and loses no idempotent request', async () => {
     let isOver = false;
     let count = 0;
