--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -21,6 +21,7 @@
 import { DomainService } from './place/domain-service.js';
 import { PeerNode } from './peer/peer-node.js';
 import { ConfigSync } from './platform/config-sync.js';
+import { PrioritizedLog } from './platform/prioritized-log.js';
 import type { Settings } from './settings/settings.js';
 
 const TICK_MS = 50;
@@ -57,7 +58,8 @@
   readonly #random: Random;
   readonly #drivers = createDrivers();
   readonly #decisions = new DecisionLog();
-  readonly #log: HttpLog;
+  readonly #httpLog: HttpLog;
+  readonly #log: PrioritizedLog;
   readonly #list: HttpInstanceList;
   readonly #group: Group;
   readonly #incarnation: string;
@@ -87,7 +89,8 @@
     this.#random = new Random(randomBytes(4).readInt32BE());
     this.tracer = new HopTracer(name, settings.observe.traceShare);
     const { logUrl, instanceListUrl, callTimeoutMs } = settings.platform;
-    this.#log = new HttpLog(logUrl, callTimeoutMs);
+    this.#httpLog = new HttpLog(logUrl, callTimeoutMs);
+    this.#log = new PrioritizedLog(this.#httpLog);
     this.#list = new HttpInstanceList(instanceListUrl, callTimeoutMs);
     this.#group = new Group({
       settings,
@@ -142,7 +145,7 @@
    * @param isBlocked - whether calls to the log fail
    */
   blockLog(isBlocked: boolean): void {
-    this.#log.isBlocked = isBlocked;
+    this.#httpLog.isBlocked = isBlocked;
   }
 
   /** Takes the ports, learns the configuration and starts to serve. */
@@ -198,7 +201,7 @@
     this.#callerFront.close();
     this.#operatorFront.close();
     this.peers.close();
-    this.#log.close();
+    this.#httpLog.close();
     this.#list.close();
     Object.values(this.#drivers).forEach((driver) => driver.close());
   }
@@ -260,7 +263,6 @@
       incarnation: this.#incarnation,
       members: () => this.#group.present,
       metrics: this.metrics,
-      logger: this.#logger('keys'),
       nowMs: Daemon.#nowMs,
       memoryMs: this.#settings.limits.keyMemoryMs,
     });
--- a/packages/daemon/src/lib/http/caller-front.ts
+++ b/packages/daemon/src/lib/http/caller-front.ts
@@ -65,7 +65,8 @@
       },
       (request, response) => this.#router.lookup(request, response),
     );
-    this.#server.maxHeadersCount = limits.headerCountMax;
+    // One more than allowed is read, so that too many can be told from just enough.
+    this.#server.maxHeadersCount = limits.headerCountMax + 1;
     this.#server.maxConnections = limits.connectionCountMax;
     this.#route('POST', '/v1/chat/completions', (exchange) => this.#model(exchange, 'messages'));
     this.#route('POST', '/v1/completions', (exchange) => this.#model(exchange, 'prompt'));
@@ -118,6 +119,7 @@
     try {
       const code = this.#context.refusal();
       if (code) throw refusal(code, 'this instance takes no new requests');
+      this.#checkHeaders(exchange.request);
       await handler(exchange);
     } catch (error) {
       const known = error instanceof RefusalError;
@@ -131,6 +133,13 @@
     }
   }
 
+  #checkHeaders({ rawHeaders }: IncomingMessage): void {
+    const { headerCountMax } = this.#context.settings.limits;
+    // Names and values alternate.
+    if (rawHeaders.length / 2 <= headerCountMax) return;
+    throw refusal('bad_request', `the request has more than ${headerCountMax} header lines`);
+  }
+
   async #model(exchange: Exchange, promptField: 'messages' | 'prompt'): Promise<void> {
     const { request, reply } = exchange;
     const caller = this.#caller(request);
--- a/packages/daemon/src/lib/keys/key-service.ts
+++ b/packages/daemon/src/lib/keys/key-service.ts
@@ -4,7 +4,6 @@
 import type { PeerStream } from '@chervilseam/peer';
 import type { LogPort } from '@chervilseam/platform';
 import type { Metrics } from '../observe/metrics.js';
-import type { PartLogger } from '../observe/part-logger.js';
 import type { PeerNode } from '../peer/peer-node.js';
 import { AttemptMemory } from './attempt-memory.js';
 import type { AttemptState } from './attempt-memory.js';
@@ -28,7 +27,6 @@
   readonly incarnation: string;
   readonly members: () => readonly Member[];
   readonly metrics: Metrics;
-  readonly logger: PartLogger;
   readonly nowMs: () => number;
   readonly memoryMs: number;
 }
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -20,7 +20,7 @@
 const TAIL_MS = 500;
 const BATCH_COUNT_MAX = 200;
 const ROUND_MS = 1_000;
-const LOAD_BYTES_RETRY_MS = 2_000;
+const RESERVE_RETRY_MS = 2_000;
 
 /** What owning the engines of a failure domain needs around it. */
 interface DomainServiceContext {
@@ -341,7 +341,7 @@
     );
     const nowMs = this.#context.nowMs();
     const triedMs = this.#triedMs.get(key) ?? -Infinity;
-    if (isUnderWay || nowMs - triedMs < LOAD_BYTES_RETRY_MS) return;
+    if (isUnderWay || nowMs - triedMs < RESERVE_RETRY_MS) return;
     this.#triedMs.set(key, nowMs);
     const config = this.#context.view().endpoints.get(endpoint);
     const model = item.startsWith('model/') ? item.slice('model/'.length).split('@')[0] : '';
--- /dev/null
+++ b/packages/daemon/src/test/prioritized-log_test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import { PrioritizedLog } from '../lib/platform/prioritized-log.js';
+
+/** A log that answers an append when it is told to. */
+class SlowLog {
+  readonly streams: string[] = [];
+  readonly answers: ((offset: number) => void)[] = [];
+
+  append(stream: string): Promise<number> {
+    this.streams.push(stream);
+    return new Promise((resolve) => {
+      this.answers.push(resolve);
+    });
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- asked for by the port
+  read(): Promise<never> {
+    return Promise.reject(new Error('not read here'));
+  }
+}
+
+describe('PrioritizedLog', () => {
+  it('lets ownership go before keys, and keys before snapshots, while the log is slow', async () => {
+    const slow = new SlowLog();
+    const log = new PrioritizedLog(slow);
+    const streams = ['config', 'keys-1', 'keys-2', 'config', 'domain-a', 'keys-3'];
+    const done = streams.map((stream) => log.append(stream, [1]));
+    for (let turn = 0; turn < streams.length; turn += 1) {
+      slow.answers[turn](turn + 1);
+      // eslint-disable-next-line no-await-in-loop -- the next append starts after this answer
+      await new Promise(setImmediate);
+    }
+    await Promise.all(done);
+    expect(slow.streams).to.deep.equal([
+      'config',
+      'keys-1',
+      'domain-a',
+      'keys-2',
+      'keys-3',
+      'config',
+    ]);
+  });
+
+  it('goes on after an append has failed', async () => {
+    const log = new PrioritizedLog({
+      append: (stream) =>
+        stream === 'bad' ? Promise.reject(new Error('lost')) : Promise.resolve(7),
+      read: () => Promise.reject(new Error('not read here')),
+    });
+    const failures = await Promise.all(
+      ['bad', 'bad', 'bad'].map((stream) => log.append(stream, []).catch((error: Error) => error)),
+    );
+    failures.forEach((failure) => expect(failure).to.be.instanceOf(Error));
+    expect(await log.append('good', [])).to.equal(7);
+  });
+});
--- a/packages/embedded/src/test/http_fuzz_test.ts
+++ b/packages/embedded/src/test/http_fuzz_test.ts
@@ -78,4 +78,13 @@
     const { error } = (await response.json()) as { error: { code: string } };
     expect(error.code).to.equal('body_too_large');
   });
+
+  it('refuses too many header lines, and says so', async () => {
+    const headers = Object.fromEntries(
+      Array.from({ length: 120 }, (_, index) => [`x-extra-${index}`, '1']),
+    );
+    const response = await deployment.call('/v1/models', { headers });
+    expect(response.status).to.equal(400);
+    expect(await response.text()).to.include('more than 100 header lines');
+  });
 });
