Let the stand-in engine honour priorities and tell of its cache; fuzz selectors

Cause: the stand-in took every request at once, whatever its priority, and published no cache events; plain completions and selectors were wired but not shown. Change: a gate by priority, cache events with gaps, tests through the openai client, a fuzz test.

--- a/packages/embedded/src/test/path_test.ts
+++ b/packages/embedded/src/test/path_test.ts
@@ -53,6 +53,22 @@
     texts.forEach((text) => expect(text).to.equal(answer('die-assistant:radiatori', 9)));
   });
 
+  it('answers plain completions through the openai client, whole and streamed', async () => {
+    const baseURL = `${deployment.callerUrl()}/v1`;
+    const client = new OpenAI({ baseURL, apiKey: deployment.callerKey });
+    const request = { model: 'die-assistant', prompt: 'A die', max_tokens: 5 };
+    const expected = engineAnswer('die-assistant', JSON.stringify('A die'), 5).join('');
+    const whole = await client.completions.create(request);
+    expect(whole.choices[0].text).to.equal(expected);
+    const stream = await client.completions.create({ ...request, stream: true });
+    const parts: string[] = [];
+    // eslint-disable-next-line no-restricted-syntax -- a stream is read in order
+    for await (const chunk of stream) parts.push(chunk.choices[0]?.text ?? '');
+    expect(parts.join('')).to.equal(expected);
+    const models = await client.models.list();
+    expect(models.data.map(({ id }) => id)).to.include('die-assistant:radiatori');
+  });
+
   it('streams through the openai client', async () => {
     const baseURL = `${deployment.callerUrl('instance-3')}/v1`;
     const client = new OpenAI({ baseURL, apiKey: deployment.callerKey });
--- a/packages/model/src/test/parse-config_test.ts
+++ b/packages/model/src/test/parse-config_test.ts
@@ -62,4 +62,20 @@
     expect(matchesSelector(selector, { a: '2', b: 'x', c: '' })).to.equal(false);
     expect(matchesSelector(selector, { a: '3', c: '' })).to.equal(false);
   });
+
+  it('takes or refuses any selector with a finding, and never throws', () => {
+    fc.assert(
+      fc.property(fc.json(), fc.constantFrom('models', 'callers', 'services'), (json, field) => {
+        const value = JSON.stringify(json);
+        const text = `[[policy]]\nname = "p"\n${field} = { equal = { a = ${value} } }\n`;
+        const { objects, findings } = parseConfig('fuzz.toml', text);
+        expect(objects.length + findings.length).to.be.greaterThan(0);
+        objects.forEach(({ body }) => {
+          const selector = (body as Record<string, typeof empty>)[field];
+          expect(matchesSelector(selector, selector.equal)).to.equal(true);
+        });
+      }),
+      { numRuns: 300, seed: 9 },
+    );
+  });
 });
--- a/packages/stand-ins/src/lib/engine-stand-in.ts
+++ b/packages/stand-ins/src/lib/engine-stand-in.ts
@@ -4,9 +4,12 @@
 import { engineAnswer } from './engine-answer.js';
 import { EngineMemory } from './engine-memory.js';
 import { HttpStandIn } from './http-stand-in.js';
+import { PriorityGate } from './priority-gate.js';
 
 const CACHED_PREFIX_COUNT_MAX = 64;
 const DEFAULT_TOKEN_COUNT = 16;
+const CACHE_EVENT_COUNT_MAX = 1_000;
+const LOST_EVENT_EVERY = 10;
 
 interface EngineOptions {
   readonly memoryBytes?: number;
@@ -19,6 +22,8 @@
   readonly prefillMs?: number;
   /** Streams that run at full speed side by side; more slow all of them. */
   readonly batchSize?: number;
+  /** Streams that fit the memory; more wait by priority. */
+  readonly streamCountMax?: number;
   /** How late a load report is, in milliseconds. */
   readonly reportLagMs?: number;
   /** How long an order to load takes when no weight store is given, in milliseconds. */
@@ -70,6 +75,10 @@
   readonly #options: Required<Omit<EngineOptions, 'weightStoreUrl' | 'residents'>> & EngineOptions;
   readonly #settledOrders: string[] = [];
   readonly #prefixes: string[] = [];
+  readonly #gate: PriorityGate;
+  /** Changes of the prefix cache; every tenth is lost, as real ones are. */
+  readonly #cacheEvents: { readonly sequence: number; readonly prefix: string }[] = [];
+  #cacheSequence = 0;
   #running = 0;
   #reports: EngineReport[] = [];
 
@@ -82,12 +91,14 @@
       tokenMs: 2,
       prefillMs: 5,
       batchSize: 16,
+      streamCountMax: 1e6,
       reportLagMs: 0,
       loadMs: 20,
       ...options,
     };
     bootCount += 1;
     this.bootId = `boot-${process.pid}-${bootCount}`;
+    this.#gate = new PriorityGate(this.#options.streamCountMax);
     this.memory = new EngineMemory(this.#options.memoryBytes, this.#options.checksFencing);
     Object.entries(options.residents ?? {}).forEach(([item, bytes]) => {
       this.memory.apply({ id: 'start', fence: 0, action: 'load', item, bytes });
@@ -109,6 +120,11 @@
       };
     this.route('POST', '/v1/chat/completions', complete(true));
     this.route('POST', '/v1/completions', complete(false));
+    this.route('GET', '/cache-events', ({ response, query }) => {
+      const from = Number(query.from ?? 0);
+      const events = this.#cacheEvents.filter(({ sequence }) => sequence >= from);
+      HttpStandIn.reply(response, 200, { events });
+    });
     this.route('GET', '/report', ({ response }) => {
       HttpStandIn.reply(response, 200, this.#laggedReport());
     });
@@ -197,6 +213,8 @@
     this.attempts.push(attempt);
     const prompt = JSON.stringify(body.messages ?? body.prompt ?? '');
     const tokens = engineAnswer(body.model, prompt, body.max_tokens ?? DEFAULT_TOKEN_COUNT);
+    const priority = Number(request.headers['x-chervilseam-priority'] ?? 0);
+    await this.#gate.enter(priority);
     this.#running += 1;
     let isClosed = false;
     response.on('close', () => {
@@ -212,7 +230,7 @@
     const first = body.resume_after_tokens ?? 0;
     for (let index = first; index < tokens.length && !isClosed; index += 1) {
       if (this.cutAfterTokens !== undefined && index >= this.cutAfterTokens) {
-        this.#running -= 1;
+        this.#leave();
         response.destroy();
         return;
       }
@@ -221,7 +239,7 @@
       if (this.#options.tokenMs > 0) await sleep(this.#tokenMs());
       if (body.stream) response.write(format.chunk(tokens[index]));
     }
-    this.#running -= 1;
+    this.#leave();
     if (isClosed) {
       this.cancelledCount += 1;
       return;
@@ -230,6 +248,18 @@
     else HttpStandIn.reply(response, 200, format.whole(tokens.slice(first).join('')), head);
   }
 
+  #leave(): void {
+    this.#running -= 1;
+    this.#gate.leave();
+  }
+
+  #noteCached(prompt: string): void {
+    this.#cacheSequence += 1;
+    if (this.#cacheSequence % LOST_EVENT_EVERY === 0) return;
+    this.#cacheEvents.push({ sequence: this.#cacheSequence, prefix: prompt.slice(0, 64) });
+    if (this.#cacheEvents.length > CACHE_EVENT_COUNT_MAX) this.#cacheEvents.shift();
+  }
+
   #tokenMs(): number {
     const crowding = Math.max(1, this.#running / this.#options.batchSize);
     return this.#options.tokenMs * crowding * this.slowFactor;
@@ -237,7 +267,10 @@
 
   #prefillMs(prompt: string): number {
     const isCached = this.#prefixes.includes(prompt);
-    if (!isCached) this.#prefixes.push(prompt);
+    if (!isCached) {
+      this.#prefixes.push(prompt);
+      this.#noteCached(prompt);
+    }
     if (this.#prefixes.length > CACHED_PREFIX_COUNT_MAX) this.#prefixes.shift();
     return this.#options.prefillMs * this.slowFactor * (isCached ? 0.1 : 1);
   }
