Measure racing changes and a cut domain on real daemons

Cause: the benchmark of configuration had only the fold. Change: 100 operators race at one object on 12 daemons; a failure domain is cut from log and peers while a change is made, then healed.

--- a/packages/benchmarks/src/main.ts
+++ b/packages/benchmarks/src/main.ts
@@ -8,6 +8,7 @@
 import { capacityRows } from './lib/state/capacity-rows.js';
 import { ownershipRows } from './lib/state/ownership-rows.js';
 import { writeReport } from './lib/report/write-report.js';
+import { racingRows } from './lib/state/racing-rows.js';
 import { configurationRows, membershipRows } from './lib/state/state-rows.js';
 
 const DEFAULT_SEEDS = '10';
@@ -23,7 +24,7 @@
   capacity: () => capacityRows(),
   path: () => pathRows(),
   ownership: () => ownershipRows(),
-  configuration: () => configurationRows(),
+  configuration: async () => [...configurationRows(), ...(await racingRows())],
   membership: () => membershipRows(Number(process.env.CHERVILSEAM_BENCH_INSTANCES ?? '96')),
 };
 
