Stop an owner process in the middle of orders, and wake it

Cause: that a paused owner's late orders overcommit nothing was shown by fuzzing only. Change: a test on processes: SIGSTOP once a load is reserved, the models served by others, SIGCONT. Conclusion: holds on processes as in the fuzzing.

--- a/packages/embedded/src/test/process_test.ts
+++ b/packages/embedded/src/test/process_test.ts
@@ -178,4 +178,49 @@
       async () => (await ask(`http://127.0.0.1:${port}`)) === 200,
     );
   });
+
+  it('overcommits nothing when an owner is stopped in the middle of orders and wakes later', async () => {
+    const { child } = await startProcess('instance-9');
+    const engines = [...deployment.engines.values()];
+    engines.forEach((engine) => Object.assign(engine, { orderDelayMs: 200 }));
+    await deployment.waitFor('it owns an engine', async () =>
+      (await ownersAt(deployment)).includes('instance-9'),
+    );
+    const models = ['big-1', 'big-2', 'big-3'];
+    const toml = models.map(
+      (name) => `[[model]]\nname = "${name}"\nlabels = { keep = "yes" }\nweightsBytes = 45e9`,
+    );
+    const policy = '[[policy]]\nname = "keep"\nresident = true\nmodels = { exists = ["keep"] }';
+    await deployment.apply(
+      [...toml.map((text) => text.replace('45e9', '45_000_000_000')), policy].join('\n'),
+    );
+    const isReserved = (): boolean =>
+      deployment.log.peek('domain-domain-1').some(({ value }) => {
+        const { type, action } = value as { type: string; action?: string };
+        return type === 'reserve' && action === 'load';
+      });
+    await deployment.waitFor('a load is reserved', isReserved);
+    child.kill('SIGSTOP');
+    const isServed = async (model: string): Promise<boolean> => {
+      const body = { model, messages: [{ role: 'user', content: 'x' }], max_tokens: 2 };
+      const response = await deployment.call('/v1/chat/completions', { body });
+      await response.text();
+      return response.status === 200;
+    };
+    await deployment.waitFor('all models are served', async () => {
+      const served = await Promise.all(models.map(isServed));
+      return served.every(Boolean);
+    });
+    child.kill('SIGCONT');
+    await deployment.waitFor('it is a member again', () =>
+      [...deployment.daemons.values()].every((daemon) =>
+        daemon.members.some(({ name, state }) => name === 'instance-9' && state === 'alive'),
+      ),
+    );
+    await Deployment.sleep(1_000);
+    engines.forEach(({ memory }) => {
+      expect(memory.overcommitCount).to.equal(0);
+      expect(memory.peakBytes).to.be.at.most(80e9);
+    });
+  });
 });
