Read an item's model and a life's instance in one place each

Cause: reading the whole change once more: the name of a model was cut out of an engine's item in five places and an instance's name out of its life in two, each in its own words; a record in #place was built for one of its fields. Change: modelOfItem and instanceOfLife in decisions, called by the ledger, the placement view, the domain service, the key service and the directory; the dead record is gone. Behaviour is as it was. Conclusion: one reader for each format.

--- a/packages/daemon/src/lib/entry/directory.ts
+++ b/packages/daemon/src/lib/entry/directory.ts
@@ -1,3 +1,4 @@
+import { modelOfItem } from '@chervilseam/decisions';
 import type { ConfigView, EndpointFact, RequestTarget, Rumor } from '@chervilseam/decisions';
 
 const FACT_PREFIX = 'endpoint/';
@@ -70,8 +71,7 @@
 
   #serves(endpoint: string, target: RequestTarget & { kind: 'model' }): boolean {
     const residents = this.factOf(endpoint)?.residents ?? [];
-    const isBase = (item: string): boolean => item.startsWith(`model/${target.model}@`);
-    if (!residents.some(isBase)) return false;
+    if (!residents.some((item) => modelOfItem(item) === target.model)) return false;
     return target.adapter === undefined || residents.includes(`adapter/${target.adapter}`);
   }
 }
--- a/packages/daemon/src/lib/keys/key-service.ts
+++ b/packages/daemon/src/lib/keys/key-service.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { MintedKeys, weightedRendezvous } from '@chervilseam/decisions';
+import { instanceOfLife, MintedKeys, weightedRendezvous } from '@chervilseam/decisions';
 import type { KeyClaim, KeyVerdict, Member } from '@chervilseam/decisions';
 import type { PeerStream } from '@chervilseam/peer';
 import type { LogPort } from '@chervilseam/platform';
@@ -150,10 +150,6 @@
     return Number.parseInt(scoped.slice(0, 8), 16) % PARTITION_COUNT;
   }
 
-  static #instanceOf(incarnation: string): string {
-    return incarnation.slice(0, incarnation.lastIndexOf('-'));
-  }
-
   // Each claim has an attempt of its own. A home that loses a claim releases its attempt, perhaps
   // much later: if another home could grant that same attempt, the late release would free a key
   // whose request has run.
@@ -244,7 +240,7 @@
 
   async #askDispatcher(incarnation: string, attempt: string): Promise<AttemptState> {
     if (incarnation === this.#context.incarnation) return this.#attempts.get(attempt);
-    const name = KeyService.#instanceOf(incarnation);
+    const name = instanceOfLife(incarnation);
     const member = this.#context.members().find((candidate) => candidate.name === name);
     if (!member) return { type: 'unknown' };
     try {
@@ -259,7 +255,7 @@
   #homeOf(route: Route, key: string): Member | undefined {
     const members = this.#context.members();
     if (route !== 'minted') return weightedRendezvous(`keys/${route}`, members);
-    const name = KeyService.#instanceOf(MintedKeys.minterOf(key) ?? '');
+    const name = instanceOfLife(MintedKeys.minterOf(key) ?? '');
     return members.find((member) => member.name === name);
   }
 
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -1,7 +1,9 @@
 import {
   DomainLedger,
+  instanceOfLife,
   Journal,
   loadChart,
+  modelOfItem,
   PlacementView,
   planPlacement,
   SnapshotTimer,
@@ -261,14 +263,13 @@
   // Only a process that left, or whose instance runs under another life, can be known to be over; a
   // silent one may be paused and wake.
   static #isGone(life: string, members: ReadonlyMap<string, Member>): boolean {
-    const name = life.slice(0, life.lastIndexOf('-'));
-    const member = members.get(name);
+    const member = members.get(instanceOfLife(life));
     if (!member || member.life === '') return false;
     return member.life !== life || member.state === 'left';
   }
 
   #place(): void {
-    const { movesAtOnceMax, isLeaving, self } = this.#context;
+    const { movesAtOnceMax, isLeaving } = this.#context;
     const view = this.#viewOf();
     const loading = [...this.ledger.engines.values()].reduce((sum, engine) => {
       const open = engine.liveOrders.filter(
@@ -281,8 +282,7 @@
     this.#plan.moves
       .filter(({ engine }) => this.isOwner(engine))
       .forEach(({ engine, load, unload, reason, gain, alternatives }) => {
-        const detail = { reason, gain, alternatives, orderedBy: self };
-        unload.forEach((model) => this.#unload(engine, model, detail.reason));
+        unload.forEach((model) => this.#unload(engine, model, reason));
         const item = view.itemOf(load);
         if (!item || unload.length > 0) return;
         this.#reserve(engine, 'load', item.item, item.bytes, reason, { gain, alternatives });
@@ -294,7 +294,7 @@
   #unload(endpoint: string, model: string, reason: string): void {
     const { residents } = this.ledger.engine(endpoint).state;
     Object.keys(residents)
-      .filter((item) => item.startsWith(`model/${model}@`))
+      .filter((item) => modelOfItem(item) === model)
       .forEach((item) => this.#reserve(endpoint, 'unload', item, 0, reason));
   }
 
@@ -305,7 +305,7 @@
       .forEach((endpoint) => {
         const items = Object.keys(this.ledger.engine(endpoint).state.residents);
         adapters.forEach(({ name, model, weightsBytes }) => {
-          const hasBase = items.some((item) => item.startsWith(`model/${model}@`));
+          const hasBase = items.some((item) => modelOfItem(item) === model);
           if (!hasBase || items.includes(`adapter/${name}`)) return;
           this.#reserve(endpoint, 'load', `adapter/${name}`, weightsBytes, 'its base is resident');
         });
@@ -319,14 +319,12 @@
       .filter((endpoint) => this.isOwner(endpoint))
       .forEach((endpoint) => {
         const items = Object.keys(this.ledger.engine(endpoint).state.residents);
-        items
-          .filter((item) => item.startsWith('model/'))
-          .forEach((item) => {
-            const wanted = view.itemOf(item.slice('model/'.length).split('@')[0])?.item;
-            if (wanted === undefined || wanted === item) return;
-            if (!engines.some((engine) => engine.isReady(wanted))) return;
-            this.#reserve(endpoint, 'unload', item, 0, 'a newer version is ready');
-          });
+        items.forEach((item) => {
+          const wanted = view.itemOf(modelOfItem(item) ?? '')?.item;
+          if (wanted === undefined || wanted === item) return;
+          if (!engines.some((engine) => engine.isReady(wanted))) return;
+          this.#reserve(endpoint, 'unload', item, 0, 'a newer version is ready');
+        });
       });
   }
 
@@ -355,7 +353,7 @@
     if (isUnderWay || nowMs - triedMs < RESERVE_RETRY_MS) return;
     this.#triedMs.set(key, nowMs);
     const config = this.#context.view().endpoints.get(endpoint);
-    const model = item.startsWith('model/') ? item.slice('model/'.length).split('@')[0] : '';
+    const model = modelOfItem(item);
     const id = this.#submitOnce(key, {
       type: 'reserve',
       endpoint,
@@ -367,7 +365,7 @@
       checksFencing: config?.checksFencing ?? false,
       loadsPerSecond: this.#context.loadsPerSecond,
       adapterLoadsMax: this.#context.adapterLoadsMax,
-      mayVanish: model !== '' && !this.#viewOf().isLabelled(model),
+      mayVanish: model !== undefined && !this.#viewOf().isLabelled(model),
       reason,
     });
     if (id === undefined) return;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,6 +20,7 @@
 export { MemberState } from './lib/membership/member-state.js';
 export type { Member } from './lib/membership/member.js';
 export type { MembershipMessage } from './lib/membership/membership-message.js';
+export { instanceOfLife } from './lib/membership/instance-of-life.js';
 export { Membership } from './lib/membership/membership.js';
 export type { Rumor } from './lib/membership/rumor.js';
 export { weightedRendezvous } from './lib/ownership/weighted-rendezvous.js';
@@ -38,6 +39,7 @@
 export type { DomainEntry } from './lib/memory/domain-entry.js';
 export { DomainLedger } from './lib/memory/domain-ledger.js';
 export type { EngineLedger } from './lib/memory/engine-ledger.js';
+export { modelOfItem } from './lib/memory/model-of-item.js';
 export { Journal } from './lib/journal/journal.js';
 export { SnapshotTimer } from './lib/journal/snapshot-timer.js';
 export { DemandEstimate } from './lib/placement/demand-estimate.js';
--- a/packages/decisions/src/lib/memory/domain-ledger.ts
+++ b/packages/decisions/src/lib/memory/domain-ledger.ts
@@ -3,6 +3,7 @@
 import type { DomainEntry } from './domain-entry.js';
 import type { DomainState } from './domain-state.js';
 import { EngineLedger } from './engine-ledger.js';
+import { modelOfItem } from './model-of-item.js';
 
 const MS_PER_SECOND = 1_000;
 const REJECTION_COUNT_MAX = 500;
@@ -10,9 +11,6 @@
 
 type Entry<T extends DomainEntry['type']> = DomainEntry & { readonly type: T };
 
-/** `model/NAME` of `model/NAME@VERSION`; other items are what they are. */
-const baseOf = (item: string): string => item.split('@')[0];
-
 /**
  * Owners, orders and memory of one failure domain's engines: a pure function of its stream. Whatever
  * two owners decide at once, the first record in log order counts, and what would overcommit memory,
@@ -115,17 +113,18 @@
     if (rejection !== undefined) return rejection;
     const { incarnation: issuer } = ledger.state;
     ledger.reserve({ id, number: offset, action, item, bytes, issuer, timeMs, reason });
-    const isModelLoad = action === 'load' && item.startsWith('model/');
+    const isModelLoad = action === 'load' && modelOfItem(item) !== undefined;
     if (isModelLoad) this.#loadTimesMs = [...this.#recentLoads(), this.timeMs];
     return undefined;
   }
 
   #rejectLast({ endpoint, action, item, mayVanish }: Entry<'reserve'>): string | undefined {
-    if (action !== 'unload' || mayVanish || !item.startsWith('model/')) return undefined;
+    const model = modelOfItem(item);
+    if (action !== 'unload' || mayVanish || model === undefined) return undefined;
     const isReplica = (ledger: EngineLedger): boolean =>
       Object.keys(ledger.state.residents).some(
         (other) =>
-          baseOf(other) === baseOf(item) &&
+          modelOfItem(other) === model &&
           ledger.isReady(other) &&
           !(ledger.state.endpoint === endpoint && other === item),
       );
@@ -135,14 +134,14 @@
   #rejectRate(entry: Entry<'reserve'>): string | undefined {
     const { action, item, loadsPerSecond, adapterLoadsMax } = entry;
     if (action !== 'load') return undefined;
-    if (!item.startsWith('model/')) return this.#rejectAdapter(adapterLoadsMax);
+    if (modelOfItem(item) === undefined) return this.#rejectAdapter(adapterLoadsMax);
     const isFull = this.#recentLoads().length >= loadsPerSecond;
     return isFull ? 'the weight store has its share of loads for this second' : undefined;
   }
 
   #rejectAdapter(adapterLoadsMax: number): string | undefined {
     const isOpen = ({ state, item }: EngineLedger['liveOrders'][number]): boolean =>
-      state === 'open' && !item.startsWith('model/');
+      state === 'open' && modelOfItem(item) === undefined;
     const count = [...this.#engines.values()].reduce(
       (sum, ledger) => sum + ledger.liveOrders.filter(isOpen).length,
       0,
--- a/packages/decisions/src/lib/placement/placement-view.ts
+++ b/packages/decisions/src/lib/placement/placement-view.ts
@@ -1,6 +1,7 @@
 import { matchesSelector } from '@chervilseam/model';
 import type { ConfigView } from '../config/config-view.js';
 import type { DomainLedger } from '../memory/domain-ledger.js';
+import { modelOfItem } from '../memory/model-of-item.js';
 import type { PlacementInput } from './placement-input.js';
 
 const DEFAULT_TOKENS_PER_SECOND = 500;
@@ -8,8 +9,6 @@
 /** Item of a model's version, as engines name it. */
 const modelItem = (name: string, version: string): string => `model/${name}@${version}`;
 
-const nameOf = (item: string): string => item.slice('model/'.length).split('@')[0];
-
 /** Reads configuration and ledger as placement needs them. */
 export class PlacementView {
   readonly #view: ConfigView;
@@ -109,8 +108,7 @@
   // there, and takes its place once it is ready.
   #wantedModels(items: readonly string[]): string[] {
     return items
-      .filter((item) => item.startsWith('model/'))
-      .map(nameOf)
+      .flatMap((item) => modelOfItem(item) ?? [])
       .filter((model) => items.includes(this.itemOf(model)?.item ?? ''));
   }
 }
