Name the ports package for what it holds; share logs and metrics in a package of their own

The folder platform/ at the root is to hold the adapter to the users' platform, so the package of ports and clients is called ports. Logs and the metrics registry move out of the daemon, since the gateway on that platform needs them too.

--- a/packages/cli/src/lib/commands/base-command.ts
+++ b/packages/cli/src/lib/commands/base-command.ts
@@ -1,4 +1,4 @@
-import { HttpLog } from '@chervilseam/platform';
+import { HttpLog } from '@chervilseam/ports';
 import { Command, Option } from 'clipanion';
 import { ExitCode } from '../exit-code.js';
 import { LogFollower } from '../log-follower.js';
--- a/packages/cli/src/lib/commands/plan-command.ts
+++ b/packages/cli/src/lib/commands/plan-command.ts
@@ -1,5 +1,5 @@
 import { ConfigFold, ConfigView, PlacementView, planPlacement } from '@chervilseam/decisions';
-import { HttpLog } from '@chervilseam/platform';
+import { HttpLog } from '@chervilseam/ports';
 import { Command, Option } from 'clipanion';
 import { ExitCode } from '../exit-code.js';
 import { planChanges } from '../plan-changes.js';
--- a/packages/cli/src/lib/log-follower.ts
+++ b/packages/cli/src/lib/log-follower.ts
@@ -1,6 +1,6 @@
 import { ConfigFold } from '@chervilseam/decisions';
 import type { ConfigDecision, ConfigRecord } from '@chervilseam/decisions';
-import type { LogPort } from '@chervilseam/platform';
+import type { LogPort } from '@chervilseam/ports';
 import verror from 'verror';
 
 const STREAM = 'config';
--- a/packages/cli/src/lib/read-domain.ts
+++ b/packages/cli/src/lib/read-domain.ts
@@ -1,5 +1,5 @@
 import { DomainLedger } from '@chervilseam/decisions';
-import type { LogPort } from '@chervilseam/platform';
+import type { LogPort } from '@chervilseam/ports';
 
 const PAGE_COUNT = 500;
 
--- a/packages/daemon/src/lib/keys/key-partition.ts
+++ b/packages/daemon/src/lib/keys/key-partition.ts
@@ -1,6 +1,6 @@
 import { KeyHome } from '@chervilseam/decisions';
 import type { KeyClaim, KeyVerdict } from '@chervilseam/decisions';
-import type { LogPort } from '@chervilseam/platform';
+import type { LogPort } from '@chervilseam/ports';
 import { JournalRunner } from '../platform/journal-runner.js';
 
 interface KeyPartitionOptions {
--- a/packages/daemon/src/lib/keys/key-service.ts
+++ b/packages/daemon/src/lib/keys/key-service.ts
@@ -2,7 +2,7 @@
 import { instanceOfLife, MintedKeys, weightedRendezvous } from '@chervilseam/decisions';
 import type { KeyClaim, KeyVerdict, Member } from '@chervilseam/decisions';
 import type { PeerStream } from '@chervilseam/peer';
-import type { LogPort } from '@chervilseam/platform';
+import type { LogPort } from '@chervilseam/ports';
 import type { Metrics } from '../observe/metrics.js';
 import type { PeerNode } from '../peer/peer-node.js';
 import { AttemptMemory } from './attempt-memory.js';
--- a/packages/daemon/src/lib/peer/group.ts
+++ b/packages/daemon/src/lib/peer/group.ts
@@ -6,7 +6,7 @@
 } from '@chervilseam/decisions';
 import type { ConfigView, Member, MembershipMessage, Random, Rumor } from '@chervilseam/decisions';
 import type { PeerStream } from '@chervilseam/peer';
-import type { InstanceListPort, ListedInstance } from '@chervilseam/platform';
+import type { InstanceListPort, ListedInstance } from '@chervilseam/ports';
 import { Directory } from '../entry/directory.js';
 import type { Metrics } from '../observe/metrics.js';
 import type { Settings } from '../settings/settings.js';
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -10,9 +10,9 @@
 } from '@chervilseam/decisions';
 import type { ConfigView, DomainEntry, Member, PlacementPlan } from '@chervilseam/decisions';
 import type { EndpointDriver, EngineReport } from '@chervilseam/endpoints';
-import type { LogPort } from '@chervilseam/platform';
+import type { LogPort } from '@chervilseam/ports';
 import type { Metrics } from '../observe/metrics.js';
-import type { PartLogger } from '../observe/part-logger.js';
+import type { PartLogger } from '@chervilseam/observe';
 import { JournalRunner } from '../platform/journal-runner.js';
 import { DemandMeter } from './demand-meter.js';
 import { MoveLog } from './move-log.js';
--- a/packages/daemon/src/lib/platform/journal-runner.ts
+++ b/packages/daemon/src/lib/platform/journal-runner.ts
@@ -1,4 +1,4 @@
-import type { LogPort } from '@chervilseam/platform';
+import type { LogPort } from '@chervilseam/ports';
 
 const READ_COUNT = 500;
 
--- a/packages/daemon/src/lib/platform/prioritized-log.ts
+++ b/packages/daemon/src/lib/platform/prioritized-log.ts
@@ -1,4 +1,4 @@
-import type { LogPage, LogPort } from '@chervilseam/platform';
+import type { LogPage, LogPort } from '@chervilseam/ports';
 
 /** Appends that may be under way at once; a count. */
 const CONCURRENCY = 2;
--- /dev/null
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -0,0 +1,85 @@
+/** Times of an ownership lease, in milliseconds. */
+interface LeaseTimes {
+  /** Time after which the store gives a silent member's shares away. */
+  readonly ttlMs: number;
+  /** Time that must pass between the acts of two owners. */
+  readonly handoverMs: number;
+}
+
+/** Part of the time to live that an owner does not use: clocks and answers are late. */
+const MARGIN_SHARE = 0.2;
+
+interface Share {
+  /** Generation at which the share was won: the fencing token. */
+  readonly token: number;
+  readonly usableFromMs: number;
+}
+
+/**
+ * Which shares of the endpoints this instance may give orders to. An owner stops before the store
+ * can give its share away, and a new one waits until the old one must have stopped.
+ */
+export class OwnershipLease {
+  readonly #times: LeaseTimes;
+  #shares = new Map<number, Share>();
+  #generation = 0;
+  #heldUntilMs = -Infinity;
+
+  /** @param times - times of the lease */
+  constructor(times: LeaseTimes) {
+    this.#times = times;
+  }
+
+  /** Generation of the group that was last heard of. */
+  get generation(): number {
+    return this.#generation;
+  }
+
+  /** Shares that the store has given to this instance, usable or not. */
+  get shares(): readonly number[] {
+    return [...this.#shares.keys()];
+  }
+
+  /**
+   * Takes the store's answer to a renewal.
+   *
+   * @param answer - generation and shares as the store sees them
+   * @param sentMs - when the renewal was sent, in milliseconds: the time to live counts from then
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  renewed(
+    answer: { readonly generation: number; readonly shares: readonly number[] },
+    sentMs: number,
+    nowMs: number,
+  ): void {
+    const { generation, shares } = answer;
+    const { ttlMs, handoverMs } = this.#times;
+    // While the lease had lapsed another instance may have won a share and lost it again.
+    const isContinuous = generation === this.#generation || nowMs < this.#heldUntilMs;
+    const next = new Map<number, Share>();
+    shares.forEach((share) => {
+      const known = isContinuous ? this.#shares.get(share) : undefined;
+      const fresh = { token: generation, usableFromMs: nowMs + ttlMs + handoverMs };
+      next.set(share, known ?? fresh);
+    });
+    this.#shares = next;
+    this.#generation = generation;
+    this.#heldUntilMs = sentMs + ttlMs * (1 - MARGIN_SHARE);
+  }
+
+  /** Gives all shares up until the next renewal: this instance stood still, or is stopping. */
+  suspend(): void {
+    this.#heldUntilMs = -Infinity;
+  }
+
+  /**
+   * @param share - a share of the endpoints
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns the fencing token to act with, or `undefined` when this instance must not act
+   */
+  tokenOf(share: number, nowMs: number): number | undefined {
+    const known = this.#shares.get(share);
+    if (!known || nowMs >= this.#heldUntilMs || nowMs < known.usableFromMs) return undefined;
+    return known.token;
+  }
+}
--- a/packages/embedded/src/lib/deployment.ts
+++ b/packages/embedded/src/lib/deployment.ts
@@ -3,7 +3,7 @@
 import { LogFollower, planChanges } from '@chervilseam/cli';
 import { Daemon, parseSettings } from '@chervilseam/daemon';
 import { formatFinding, parseConfig } from '@chervilseam/model';
-import { HttpLog } from '@chervilseam/platform';
+import { HttpLog } from '@chervilseam/ports';
 import {
   EngineStandIn,
   InstanceListStandIn,
--- /dev/null
+++ b/packages/observe/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Structured logs and metrics.
+ *
+ * @packageDocumentation
+ */
+export { BoundedLogStream } from './lib/bounded-log-stream.js';
+export { MetricsRegistry } from './lib/metrics-registry.js';
+export { PartLogger } from './lib/part-logger.js';
--- a/packages/daemon/src/lib/observe/part-logger.ts
+++ b/packages/observe/src/lib/part-logger.ts
@@ -1,8 +1,5 @@
 import bunyan from 'bunyan';
 
-/** Parts of a daemon, each with the prefix of its log records. */
-type Part = 'daemon' | 'http' | 'entry' | 'owner' | 'config' | 'member' | 'peer' | 'keys' | 'place';
-
 type Fields = Readonly<Record<string, unknown>>;
 
 /** Log records of one part: a fixed prefix, a stable event code, one short sentence. */
@@ -10,7 +7,7 @@
   readonly #logger: bunyan;
   readonly #prefix: string;
 
-  private constructor(logger: bunyan, part: Part) {
+  private constructor(logger: bunyan, part: string) {
     this.#logger = logger;
     this.#prefix = `[${part}]`;
   }
@@ -24,9 +21,14 @@
   static forInstance(
     instance: string,
     level: bunyan.LogLevelString,
-    stream: NodeJS.WritableStream = process.stdout,
-  ): (part: Part) => PartLogger {
-    const root = bunyan.createLogger({ name: 'chervilseamd', instance, level, stream });
+    stream: Pick<NodeJS.WritableStream, 'write'> = process.stdout,
+  ): (part: string) => PartLogger {
+    const root = bunyan.createLogger({
+      name: 'chervilseamd',
+      instance,
+      level,
+      stream: stream as NodeJS.WritableStream,
+    });
     return (part) => new PartLogger(root.child({ part }), part);
   }
 
