--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -5,6 +5,8 @@
 
 /** Memory that is kept free on an engine, in megabytes: sizes are rounded on the way here. */
 const MEMORY_MARGIN_MB = 1;
+/** An order without an answer is carried out this late at most, in milliseconds. */
+const DOUBT_MS = 15_000;
 /** Adapters that may be on their way to one engine at a time; a count. */
 const ADAPTERS_IN_FLIGHT_MAX = 4;
 
@@ -33,6 +35,7 @@
   readonly #models = new Map<string, HeldModel>();
   #orderCount: number | undefined;
   #doubt: EngineOrder | undefined;
+  #doubtMs = 0;
 
   /** @param spec - what the engine can do */
   constructor(spec: EngineSpec) {
@@ -44,9 +47,9 @@
     return this.#orderCount;
   }
 
-  /** Whether an order is without an answer and may still be carried out. */
-  get isInDoubt(): boolean {
-    return this.#doubt !== undefined;
+  /** The order without an answer that may still be carried out. */
+  get doubt(): EngineOrder | undefined {
+    return this.#doubt;
   }
 
   /** Models that the engine holds or is getting. */
@@ -94,8 +97,12 @@
    * @param nowMs - a clock that only goes forward, in milliseconds
    */
   adopt(report: EngineStateReport, nowMs: number): void {
+    // An order without an answer that the engine has not counted may still be carried out.
+    const mayStillArrive =
+      report.orderCount === this.#orderCount && nowMs < this.#doubtMs + DOUBT_MS;
+    const doubt = mayStillArrive ? this.#doubt : undefined;
     this.#orderCount = report.orderCount;
-    this.#doubt = undefined;
+    this.#doubt = doubt;
     const known = new Map(this.#models);
     this.#models.clear();
     report.models.forEach(({ name, adapters }) => {
@@ -109,6 +116,7 @@
       const held = this.#models.get(model);
       held?.adapters.set(adapter, { usedMs: nowMs, orderedMs: nowMs, isInFlight: true });
     });
+    if (doubt?.action === 'load') this.sent(doubt, nowMs);
     // A busy engine is loading or unloading something that its report does not name.
     if (!report.isBusy) return;
     known.forEach((held, name) => {
@@ -141,6 +149,8 @@
   objection(order: EngineOrder): string | undefined {
     const held = this.#models.get(order.model);
     if (this.#orderCount === undefined) return 'no report yet';
+    // Sent once more it does nothing that is not counted already.
+    if (order === this.#doubt) return undefined;
     if (order.adapter !== undefined) return this.#adapterObjection(order, held);
     if (this.isBusy) return 'another model is being loaded or unloaded';
     if (order.action === 'unload') return held ? undefined : 'not resident';
@@ -158,6 +168,8 @@
    */
   sent(order: EngineOrder, nowMs: number): void {
     const { action, model, adapter } = order;
+    this.#doubtMs = nowMs;
+    if (order === this.#doubt) return;
     if (action === 'unload') {
       if (adapter === undefined) this.#models.get(model)!.state = 'leaving';
       return;
@@ -255,11 +267,13 @@
     );
   }
 
-  #adapterObjection({ action, adapter }: EngineOrder, held: HeldModel | undefined) {
+  #adapterObjection({ action, model, adapter }: EngineOrder, held: HeldModel | undefined) {
     if (held?.state !== 'ready') return 'its model is not ready';
     const isHeld = held.adapters.has(adapter as string);
     if (action === 'unload') return isHeld ? undefined : 'not resident';
     if (isHeld) return 'resident already';
+    const adapterMb = this.#spec.models.get(model)?.adapterMb ?? Infinity;
+    if (this.memoryMb + adapterMb + MEMORY_MARGIN_MB > this.#spec.memoryMb) return 'no room';
     if (this.adapterCount >= this.#spec.adapterSlotCount) return 'no place for an adapter';
     const inFlight = this.#heldAdapters.filter((one) => one.held.isInFlight).length;
     if (inFlight >= ADAPTERS_IN_FLIGHT_MAX) return 'too many adapters on their way';
--- /dev/null
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -0,0 +1,160 @@
+import { chooseEndpoint } from '@chervilseam/decisions';
+import type { EngineSpec, ServiceSpec } from '@chervilseam/model';
+import type { Endpoint } from '../feed/endpoint.js';
+import type { OwnedEngineState } from '../peer/instance-state.js';
+
+/** Requests that a plain service may queue beyond its places; a count. */
+const PLAIN_QUEUE_COUNT = 2;
+/** Part of an endpoint's connections that instances divide among themselves. */
+const CONNECTION_SHARE = 0.9;
+/** Time that a busy engine needs before it begins another load, in milliseconds. */
+const LOAD_NOTICE_MS = 900;
+
+/** What a request needs of an endpoint. */
+export interface PickNeed {
+  readonly service: ServiceSpec;
+  readonly model?: string;
+  readonly adapter?: string;
+  /** Endpoints that the request has been sent to. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/** What is to be done with a request. */
+export type Pick =
+  | { readonly kind: 'send'; readonly endpoint: Endpoint; readonly candidateCount: number }
+  /** The adapter has to be loaded first, on one of these engines, the best first. */
+  | { readonly kind: 'prepare'; readonly endpoints: readonly Endpoint[] }
+  /** Places or the model will be there in a while, in milliseconds. */
+  | { readonly kind: 'wait'; readonly reason: string; readonly etaMs: number }
+  | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
+
+/** What the choice rests on. */
+interface PickerContext {
+  readonly failureDomain: string;
+  readonly nowMs: () => number;
+  /** @returns a random number from 0 up to 1 */
+  readonly randomUnit: () => number;
+  readonly endpointsOf: (service: string) => readonly Endpoint[];
+  /** Requests of other instances under way at an endpoint; a count. */
+  readonly othersCount: (endpoint: string) => number;
+  readonly engineState: (endpoint: string) => OwnedEngineState | undefined;
+  /** Instances that share the endpoints' connections; a count. */
+  readonly instanceCount: () => number;
+  /** Order of preference for an adapter, the same at every instance: the lower the better. */
+  readonly adapterRank: (endpoint: string, adapter: string) => number;
+}
+
+/** Time after which a caller without any endpoint is to come back, in milliseconds. */
+const NO_ENDPOINT_RETRY_MS = 1_000;
+
+/** Chooses where a request goes. */
+export class EndpointPicker {
+  readonly #context: PickerContext;
+
+  /** @param context - what the choice rests on */
+  constructor(context: PickerContext) {
+    this.#context = context;
+  }
+
+  /**
+   * @param need - what the request needs
+   * @returns what is to be done
+   */
+  pick(need: PickNeed): Pick {
+    const { endpointsOf } = this.#context;
+    const live = endpointsOf(need.service.name).filter(({ isLeaving }) => !isLeaving);
+    if (live.length === 0) {
+      return { kind: 'refuse', reason: 'no endpoint', retryAfterMs: NO_ENDPOINT_RETRY_MS };
+    }
+    const { engine } = need.service;
+    if (!engine || need.model === undefined) return this.#choose(live, need);
+    return this.#pickEngine(live, need, engine, need.model);
+  }
+
+  #pickEngine(live: readonly Endpoint[], need: PickNeed, engine: EngineSpec, model: string): Pick {
+    const { nowMs, engineState } = this.#context;
+    if (!engine.models.has(model)) {
+      return { kind: 'refuse', reason: 'unknown model', retryAfterMs: NO_ENDPOINT_RETRY_MS };
+    }
+    const holders = live.filter((endpoint) => {
+      const isLeaving = engineState(endpoint.id)?.leaving.includes(model) ?? false;
+      return endpoint.holds(model, nowMs()) && !isLeaving;
+    });
+    if (holders.length === 0) {
+      return { kind: 'wait', reason: 'model absent', etaMs: this.#loadEtaMs(live, model, engine) };
+    }
+    if (need.adapter === undefined) return this.#choose(holders, need);
+    return this.#pickAdapter(holders, need, `${model}/${need.adapter}`);
+  }
+
+  #pickAdapter(holders: readonly Endpoint[], need: PickNeed, item: string): Pick {
+    const { nowMs, adapterRank } = this.#context;
+    const ready = holders.filter(
+      (endpoint) => this.#hasAdapter(endpoint, item) && !endpoint.lacks(item, nowMs()),
+    );
+    const choice = this.#choose(ready, need);
+    if (choice.kind === 'send' && !choice.endpoint.health.isPaused(nowMs())) return choice;
+    const others = holders
+      .filter((endpoint) => !ready.includes(endpoint) && !need.tried.has(endpoint.id))
+      .filter((endpoint) => !endpoint.health.isPaused(nowMs()) && this.#hasPlace(endpoint, need))
+      .sort((left, right) => adapterRank(left.id, item) - adapterRank(right.id, item));
+    if (others.length > 0) return { kind: 'prepare', endpoints: others };
+    return choice;
+  }
+
+  #choose(candidates: readonly Endpoint[], need: PickNeed): Pick {
+    const { nowMs, randomUnit, failureDomain } = this.#context;
+    const fresh = candidates.filter(({ id }) => !need.tried.has(id));
+    const open = fresh.filter((endpoint) => this.#hasPlace(endpoint, need));
+    const choice = chooseEndpoint(
+      open.map((endpoint) => ({
+        id: endpoint.id,
+        outstandingCount: this.#outstanding(endpoint),
+        slotCount: endpoint.record.slotCount,
+        isPaused: endpoint.health.isPaused(nowMs()),
+        failureCount: endpoint.health.failureCount(nowMs()),
+        latencyMs: endpoint.health.latencyMs(nowMs()),
+        isLocal: endpoint.record.failureDomain === failureDomain,
+        cachedTokenCount: 0,
+      })),
+      randomUnit(),
+    );
+    const endpoint = choice && open.find(({ id }) => id === choice.id);
+    if (endpoint) return { kind: 'send', endpoint, candidateCount: open.length };
+    const reason = fresh.length === 0 ? 'every endpoint tried' : 'all places taken';
+    return { kind: 'wait', reason, etaMs: 0 };
+  }
+
+  #outstanding(endpoint: Endpoint): number {
+    return endpoint.ownCount + this.#context.othersCount(endpoint.id);
+  }
+
+  #hasPlace(endpoint: Endpoint, { service }: PickNeed): boolean {
+    const queueCount = service.engine ? 0 : PLAIN_QUEUE_COUNT;
+    const connections = CONNECTION_SHARE * service.connectionCountMax;
+    const ownMax = Math.max(1, Math.floor(connections / this.#context.instanceCount()));
+    const isRoom = this.#outstanding(endpoint) < endpoint.record.slotCount + queueCount;
+    return isRoom && endpoint.ownCount < ownMax;
+  }
+
+  #hasAdapter(endpoint: Endpoint, item: string): boolean {
+    const state = this.#context.engineState(endpoint.id);
+    if (state) return state.adapters.includes(item);
+    const [model, adapter] = item.split('/');
+    const held = endpoint.record.models.find(({ name }) => name === model);
+    return held?.adapters.includes(adapter) ?? false;
+  }
+
+  // The soonest that any engine could serve the model: one that loads it already, or the nearest copy.
+  #loadEtaMs(live: readonly Endpoint[], model: string, engine: EngineSpec): number {
+    const spec = engine.models.get(model);
+    const etas = live.map(({ id, record }) => {
+      const loading = this.#context.engineState(id)?.loading.find((one) => one.model === model);
+      if (loading) return loading.remainingMs;
+      if (record.hostModels.includes(model)) return LOAD_NOTICE_MS + (spec?.hostLoadMs ?? 0);
+      if (record.diskModels.includes(model)) return LOAD_NOTICE_MS + (spec?.diskLoadMs ?? 0);
+      return LOAD_NOTICE_MS + (spec?.storeLoadMs ?? 0);
+    });
+    return Math.min(...etas);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -0,0 +1,98 @@
+import { EndpointHealth } from '@chervilseam/decisions';
+import type { EndpointRecord } from '@chervilseam/model';
+import { Pool } from 'undici';
+
+/** A new connection takes a round trip; one that takes this long is to a dead instance, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle time of a kept connection when the endpoint does not name one, in milliseconds. */
+const KEEP_ALIVE_TIMEOUT_MS = 3_000;
+/** A kept connection is left this long before the endpoint closes it, in milliseconds. */
+const KEEP_ALIVE_MARGIN_MS = 600;
+/** Answers for tokens that an endpoint said it lacks are believed this long, in milliseconds. */
+const LACK_MEMORY_MS = 700;
+
+/** One incarnation of an endpoint, as this instance knows it. */
+export class Endpoint {
+  readonly health = new EndpointHealth();
+  readonly pool: Pool;
+  /** Requests of this instance that are under way there; a count. */
+  ownCount = 0;
+  #record: EndpointRecord;
+  #leftMs: number | undefined;
+  readonly #lacks = new Map<string, number>();
+
+  /** @param record - what the endpoint says of itself */
+  constructor(record: EndpointRecord) {
+    this.#record = record;
+    this.pool = new Pool(`http://${record.host}:${record.port}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      pipelining: 1,
+    });
+  }
+
+  /** What the endpoint says of itself. */
+  get record(): EndpointRecord {
+    return this.#record;
+  }
+
+  /** Identity of the endpoint. */
+  get id(): string {
+    return this.#record.id;
+  }
+
+  /** Whether the endpoint is leaving: it gets no new work. */
+  get isLeaving(): boolean {
+    return this.#record.isDraining || this.#leftMs !== undefined;
+  }
+
+  /** When the endpoint was found to have left, in milliseconds. */
+  get leftMs(): number | undefined {
+    return this.#leftMs;
+  }
+
+  /** @param record - a newer word of the same incarnation */
+  update(record: EndpointRecord): void {
+    // Leaving is for good: an older word that arrives late must not bring the endpoint back.
+    const isDraining = record.isDraining || this.#record.isDraining;
+    this.#record = { ...record, isDraining };
+    this.#leftMs = undefined;
+  }
+
+  /** @param nowMs - when the endpoint was found to have left, in milliseconds */
+  leave(nowMs: number): void {
+    this.#leftMs ??= nowMs;
+  }
+
+  /** @returns whether the endpoint lists a model and has not denied it since */
+  holds(model: string, nowMs: number): boolean {
+    if (this.lacks(model, nowMs)) return false;
+    return this.#record.models.some(({ name }) => name === model);
+  }
+
+  /**
+   * @param item - a model, or a model and an adapter
+   * @param nowMs - when the endpoint denied having it, in milliseconds
+   */
+  denied(item: string, nowMs: number): void {
+    this.#lacks.set(item, nowMs + LACK_MEMORY_MS);
+  }
+
+  /** @param item - a model, or a model and an adapter, that the endpoint has now */
+  gained(item: string): void {
+    this.#lacks.delete(item);
+  }
+
+  /** @returns whether the endpoint denied having something a short time ago */
+  lacks(item: string, nowMs: number): boolean {
+    return nowMs < (this.#lacks.get(item) ?? 0);
+  }
+
+  /** Closes idle connections now and the others when their requests end. */
+  close(): void {
+    void this.pool.close().catch(() => {
+      // Closing twice is harmless.
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gateway.ts
@@ -0,0 +1,440 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import { chooseTarget, Random, SharedRetryBudget, WaitingLine } from '@chervilseam/decisions';
+import type { PartLogger } from '@chervilseam/observe';
+import { EndpointPicker } from './dispatch/endpoint-picker.js';
+import { RequestRun } from './dispatch/request-run.js';
+import type { RunContext } from './dispatch/run-context.js';
+import { ConfigFeed } from './feed/config-feed.js';
+import { EndpointFeed } from './feed/endpoint-feed.js';
+import { EndpointRegistry } from './feed/endpoint-registry.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { CallerExchange } from './ingress/caller-exchange.js';
+import { IngressServer } from './ingress/ingress-server.js';
+import { GatewayMetrics } from './observe/gateway-metrics.js';
+import { EngineFleet } from './owner/engine-fleet.js';
+import { GroupMember } from './owner/group-member.js';
+import type { InstanceState } from './peer/instance-state.js';
+import { PeerSync } from './peer/peer-sync.js';
+import { PeerTable } from './peer/peer-table.js';
+import type { EndpointCodec } from './ports/endpoint-codec.js';
+import type { EngineCalls } from './ports/engine-calls.js';
+import type { StateStore } from './ports/state-store.js';
+
+/** Time between two looks at what is due, in milliseconds. */
+const TICK_MS = 25;
+/** Time between two plans of placement, in milliseconds. */
+const PLAN_MS = 300;
+/** Loads known from the others are summed up again after this, in milliseconds. */
+const OTHERS_MS = 20;
+/** Time after which callers come back to an instance that knows nothing yet, in milliseconds. */
+const NOT_READY_RETRY_MS = 500;
+/** Time that the balancer needs to take an instance out of rotation, in milliseconds. */
+const ROTATION_MS = 2_600;
+/** Part of the grace period that is left unused, in milliseconds. */
+const GRACE_MARGIN_MS = 700;
+const STOP_POLL_MS = 50;
+
+/** Ways to the outside. */
+export interface GatewayPorts {
+  readonly store: StateStore;
+  readonly calls: EngineCalls;
+  readonly codec: EndpointCodec;
+  /** @returns a logger for a part */
+  readonly logger: (part: string) => PartLogger;
+}
+
+/** An entry instance: takes callers' requests and sends each to an endpoint. */
+export class Gateway {
+  readonly #settings: GatewaySettings;
+  readonly #ports: GatewayPorts;
+  readonly #logger: PartLogger;
+  readonly #metrics = new GatewayMetrics();
+  readonly #random = new Random(Date.now() >>> 0);
+  readonly #registry = new EndpointRegistry();
+  readonly #peers = new PeerTable();
+  readonly #sync: PeerSync;
+  readonly #member: GroupMember;
+  readonly #config: ConfigFeed;
+  readonly #list: EndpointFeed;
+  readonly #fleet: EngineFleet;
+  readonly #ingress: IngressServer;
+  readonly #picker: EndpointPicker;
+  readonly #run: RunContext;
+  readonly #lines = new Map<string, WaitingLine>();
+  readonly #budgets = new Map<string, SharedRetryBudget>();
+  readonly #usedAdapters = new Map<string, Set<string>>();
+  readonly #startedMs = Date.now();
+  readonly #ready: Server;
+  readonly #metricsServer: Server;
+  #sequence = 0;
+  #others = new Map<string, number>();
+  #othersMs = -Infinity;
+  #plannedMs = 0;
+  #timer: NodeJS.Timeout | undefined;
+  #isStopping = false;
+  #isPumpDue = false;
+  #wasReady = false;
+  #instanceCountMax = 1;
+
+  /**
+   * @param settings - what the instance is told
+   * @param ports - ways to the outside
+   */
+  constructor(settings: GatewaySettings, ports: GatewayPorts) {
+    this.#settings = settings;
+    this.#ports = ports;
+    this.#logger = ports.logger('gateway');
+    const { nowMs } = Gateway;
+    this.#list = new EndpointFeed({
+      store: ports.store,
+      registry: this.#registry,
+      logger: ports.logger('list'),
+      nowMs,
+      rank: () => this.#rank(),
+      relay: (page) => this.#sync.relay(page),
+      onNews: () => this.#schedulePump(),
+    });
+    this.#config = new ConfigFeed({
+      store: ports.store,
+      logger: ports.logger('config'),
+      nowMs,
+      onChange: ({ limits, version }) => {
+        this.#ingress.apply(limits);
+        this.#metrics.configVersion.set(version);
+        this.#schedulePump();
+      },
+    });
+    this.#sync = new PeerSync({
+      instance: settings.instance,
+      secret: settings.peerSecret,
+      table: this.#peers,
+      logger: ports.logger('peer'),
+      nowMs,
+      state: () => this.#state(),
+      prepare: (wish) => this.#fleet.prepare(wish),
+      onEndpoints: (page) => this.#list.take(page),
+      onState: (state) => this.#hear(state),
+    });
+    this.#member = new GroupMember({
+      store: ports.store,
+      logger: ports.logger('group'),
+      nowMs,
+      wallMs: Date.now,
+      instance: settings.instance,
+      host: settings.peerAddress.host,
+      port: settings.peerAddress.port,
+      ttlMinMs: settings.leaseTtlMinMs,
+      handoverMs: settings.handoverMs,
+      onMembers: (addresses) => addresses.forEach((address) => this.#sync.add(address)),
+      onFailure: () => this.#list.storeFailed(),
+    });
+    this.#fleet = new EngineFleet({
+      settings,
+      calls: ports.calls,
+      logger: ports.logger('engine'),
+      nowMs,
+      registry: this.#registry,
+      peers: this.#peers,
+      member: this.#member,
+      sync: this.#sync,
+      config: () => this.#config.config,
+      instanceCount: () => this.#instanceCount,
+      onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
+    });
+    this.#picker = new EndpointPicker({
+      failureDomain: settings.failureDomain,
+      nowMs,
+      randomUnit: () => this.#random.unit(),
+      endpointsOf: (service) => this.#registry.ofService(service),
+      othersCount: (id) => this.#othersCount(id),
+      engineState: (id) => this.#fleet.stateOf(id),
+      instanceCount: () => this.#instanceCount,
+      adapterRank: (id, item) => this.#fleet.adapterRank(id, item),
+    });
+    this.#run = this.#createRunContext();
+    this.#ingress = new IngressServer({
+      nowMs,
+      limits: () => this.#config.config?.limits,
+      onRequest: (exchange, body) => this.#take(exchange, body),
+    });
+    this.#ready = createServer((_, response) => {
+      response.statusCode = this.isReady ? 200 : 503;
+      response.end();
+    });
+    this.#metricsServer = createServer((_, response) => {
+      void this.#writeMetrics().then((text) => response.end(text));
+    });
+  }
+
+  /** A clock that only goes forward, in milliseconds. */
+  static nowMs(): number {
+    return performance.now();
+  }
+
+  /** Whether the instance can serve callers. */
+  get isReady(): boolean {
+    return !this.#isStopping && this.#config.config !== undefined && this.#list.isLoaded;
+  }
+
+  /** Starts to listen and to follow the store. */
+  async start(): Promise<void> {
+    const { settings } = { settings: this.#settings };
+    const metricsAddress = { host: settings.host, port: settings.metricsPort };
+    await Promise.all([
+      this.#ingress.listen(settings.callerAddress),
+      this.#sync.listen(settings.peerAddress),
+      Gateway.#listen(this.#ready, settings.readyAddress),
+      Gateway.#listen(this.#metricsServer, metricsAddress),
+    ]);
+    settings.seeds.forEach((address) => this.#sync.add(address));
+    this.#config.start();
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#logger.info('started', 'the instance has started', {
+      instance: settings.instance,
+      failureDomain: settings.failureDomain,
+    });
+  }
+
+  /** Stops without cutting a request: out of rotation first, then no more connections. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const startMs = Gateway.nowMs();
+    const endMs = startMs + this.#settings.graceMs - GRACE_MARGIN_MS;
+    this.#logger.info('stopping', 'the instance leaves rotation', {
+      open: this.#ingress.openCount,
+      connections: this.#ingress.connectionCount,
+    });
+    this.#ingress.startStopping();
+    void this.#member.leave();
+    while (Gateway.nowMs() < endMs) {
+      const isOutOfRotation = Gateway.nowMs() - startMs > ROTATION_MS;
+      if (isOutOfRotation) this.#ingress.closeIdle();
+      if (isOutOfRotation && this.#ingress.connectionCount === 0) break;
+      // eslint-disable-next-line no-await-in-loop
+      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
+    }
+    this.#ingress.close();
+    this.#config.stop();
+    clearInterval(this.#timer);
+    this.#sync.close();
+    this.#logger.info('stopped', 'the instance has stopped', {
+      open: this.#ingress.openCount,
+      afterMs: Math.round(Gateway.nowMs() - startMs),
+    });
+  }
+
+  get #instanceCount(): number {
+    return Math.max(this.#peers.size + 1, this.#instanceCountMax);
+  }
+
+  #tick(): void {
+    const nowMs = Gateway.nowMs();
+    this.#peers.settle(nowMs);
+    this.#instanceCountMax = Math.max(this.#instanceCountMax, this.#peers.size + 1);
+    this.#member.tick();
+    this.#list.tick();
+    this.#sync.tick();
+    this.#fleet.tick();
+    this.#logReadiness();
+    if (nowMs - this.#plannedMs >= PLAN_MS) {
+      this.#plannedMs = nowMs;
+      this.#fleet.plan();
+    }
+    this.#pump();
+  }
+
+  #logReadiness(): void {
+    if (this.isReady === this.#wasReady) return;
+    this.#wasReady = this.isReady;
+    const text = this.isReady ? 'the instance is ready' : 'the instance is not ready';
+    this.#logger.info('readiness', text, {
+      configVersion: this.#config.version,
+      endpoints: this.#registry.all.length,
+    });
+  }
+
+  #pump(): void {
+    this.#isPumpDue = false;
+    this.#lines.forEach((line) => {
+      if (line.size > 0) line.pump(Gateway.nowMs());
+    });
+  }
+
+  #schedulePump(): void {
+    if (this.#isPumpDue) return;
+    this.#isPumpDue = true;
+    setImmediate(() => this.#pump());
+  }
+
+  #take(exchange: CallerExchange, body: Buffer): void {
+    const { config, routes } = this.#config;
+    const head = this.#ports.codec.readCaller(exchange.headers);
+    const refuse = (status: number, reason: string, retryAfterMs?: number): void => {
+      this.#run.finished(
+        { requestId: head.requestId, route: '', outcome: 'refused', status, reason },
+        { host: exchange.headers.host, path: exchange.path, configVersion: this.#config.version },
+      );
+      exchange.refuse(status, reason, retryAfterMs);
+    };
+    if (!config || !routes || !this.#list.isLoaded) {
+      refuse(503, 'not ready', NOT_READY_RETRY_MS);
+      return;
+    }
+    const route = routes.match(exchange.headers.host ?? '', exchange.path);
+    if (!route) {
+      refuse(404, 'no route');
+      return;
+    }
+    const service = config.services.get(chooseTarget(route, this.#random.unit()) ?? '');
+    if (!service) {
+      refuse(503, 'no service', NOT_READY_RETRY_MS);
+      return;
+    }
+    new RequestRun(this.#run, exchange, { route, service }, head, body).start();
+  }
+
+  #createRunContext(): RunContext {
+    const { codec, logger } = this.#ports;
+    const requestLogger = logger('request');
+    return {
+      picker: this.#picker,
+      codec,
+      nowMs: Gateway.nowMs,
+      randomUnit: () => this.#random.unit(),
+      retryAfterMinMs: this.#settings.retryAfterMinMs,
+      instanceCount: () => this.#instanceCount,
+      line: (service) => this.#line(service),
+      budget: (service) => this.#budget(service),
+      prepare: (endpoint, model, adapter) =>
+        this.#fleet.prepareThroughOwner(endpoint, model, adapter),
+      asked: (model) => this.#fleet.demand.asked(model),
+      sent: (endpoint, { model, adapter }) => {
+        this.#metrics.dispatches.inc();
+        if (adapter !== undefined) this.#noteAdapter(endpoint.id, `${model}/${adapter}`);
+      },
+      ended: (_, service, holdMs) => {
+        if (this.#config.config?.services.get(service)?.engine) this.#fleet.demand.ended(holdMs);
+        this.#metrics.observe('endpoint_hold', holdMs);
+        this.#schedulePump();
+      },
+      denied: (endpoint, answer, { model, adapter }) => {
+        const item = adapter === undefined ? model : `${model}/${adapter}`;
+        const isOther = answer.endpointId !== undefined && answer.endpointId !== endpoint.id;
+        if (isOther) endpoint.health.wasSilent(Gateway.nowMs());
+        else if (item !== undefined) endpoint.denied(item, Gateway.nowMs());
+      },
+      decision: (requestId, event, text, inputs) => {
+        if (event === 'attempt_failed') this.#metrics.failures.inc();
+        requestLogger.info(event, text, { request: requestId, ...inputs });
+      },
+      finished: (end, inputs) => {
+        const { requestId, ...rest } = end;
+        this.#metrics.requests.inc({ outcome: end.outcome });
+        requestLogger.info('done', `request ${end.outcome}`, {
+          request: requestId,
+          ...rest,
+          ...inputs,
+        });
+      },
+    };
+  }
+
+  #line(service: string): WaitingLine {
+    let line = this.#lines.get(service);
+    if (!line) {
+      line = new WaitingLine();
+      this.#lines.set(service, line);
+    }
+    return line;
+  }
+
+  #budget(service: string): SharedRetryBudget {
+    let budget = this.#budgets.get(service);
+    if (!budget) {
+      const { retryRatio, retryWindowMs, retryFreeCount } = this.#settings;
+      budget = new SharedRetryBudget({
+        ratio: retryRatio,
+        windowMs: retryWindowMs,
+        freeCount: retryFreeCount,
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #noteAdapter(endpoint: string, item: string): void {
+    const used = this.#usedAdapters.get(endpoint) ?? new Set();
+    used.add(item);
+    this.#usedAdapters.set(endpoint, used);
+  }
+
+  #othersCount(id: string): number {
+    const nowMs = Gateway.nowMs();
+    if (nowMs - this.#othersMs > OTHERS_MS) {
+      this.#others = this.#peers.outstanding(nowMs);
+      this.#othersMs = nowMs;
+    }
+    return this.#others.get(id) ?? 0;
+  }
+
+  #rank(): number {
+    const names = this.#peers.fresh(Gateway.nowMs()).map(({ instance }) => instance);
+    return names.filter((name) => name < this.#settings.instance).length;
+  }
+
+  #hear(state: InstanceState): void {
+    this.#config.heard(state.configVersion);
+    this.#fleet.hear(state);
+    this.#schedulePump();
+  }
+
+  #state(): InstanceState {
+    const busy = this.#registry.all.filter(({ ownCount }) => ownCount > 0);
+    const used = [...this.#usedAdapters].map(([id, items]) => [id, [...items]] as const);
+    this.#usedAdapters.clear();
+    this.#sequence += 1;
+    const { instance, failureDomain, peerAddress } = this.#settings;
+    const state: InstanceState = {
+      instance,
+      failureDomain,
+      host: peerAddress.host,
+      port: peerAddress.port,
+      sequence: this.#sequence,
+      startedMs: this.#startedMs,
+      isStopping: this.#isStopping,
+      configVersion: this.#config.version,
+      outstanding: Object.fromEntries(busy.map(({ id, ownCount }) => [id, ownCount])),
+      demand: this.#fleet.ownDemand(),
+      usedAdapters: Object.fromEntries(used),
+      generation: this.#member.generation,
+      shares: this.#isStopping ? [] : this.#member.shares,
+      engines: this.#fleet.ownStates(),
+      peers: this.#sync.addresses,
+    };
+    this.#fleet.hear(state);
+    return state;
+  }
+
+  async #writeMetrics(): Promise<string> {
+    const nowMs = Gateway.nowMs();
+    const waiting = [...this.#lines.values()].reduce((sum, { size }) => sum + size, 0);
+    this.#metrics.waiting.set(waiting);
+    this.#metrics.instances.set(this.#peers.fresh(nowMs).length + 1);
+    this.#metrics.endpoints.set(this.#registry.all.length);
+    this.#metrics.listAgeMs.set(this.#list.ageMs(nowMs));
+    this.#metrics.ownedEngines.set(Object.keys(this.#fleet.ownStates()).length);
+    return this.#metrics.text();
+  }
+
+  static async #listen(
+    server: Server,
+    { host, port }: { readonly host: string; readonly port: number },
+  ): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -0,0 +1,17 @@
+import { MetricsRegistry } from '@chervilseam/observe';
+
+type LatencyName = 'request' | 'first_event' | 'endpoint_hold';
+
+/** Counters, gauges and latencies of an instance. */
+export class GatewayMetrics extends MetricsRegistry<LatencyName> {
+  readonly requests = this.counter('requests_total', 'Requests by outcome.', ['outcome']);
+  readonly dispatches = this.counter('dispatches_total', 'Requests sent to endpoints.', []);
+  readonly failures = this.counter('attempt_failures_total', 'Attempts that failed.', []);
+  readonly orders = this.counter('orders_total', 'Orders to engines by outcome.', ['outcome']);
+  readonly waiting = this.gauge('waiting', 'Requests that wait for a place.', []);
+  readonly instances = this.gauge('instances', 'Instances that are heard, with this one.', []);
+  readonly endpoints = this.gauge('endpoints', 'Endpoints that have not left.', []);
+  readonly configVersion = this.gauge('config_version', 'Version in force.', []);
+  readonly listAgeMs = this.gauge('list_age_ms', 'Age of the list of endpoints.', []);
+  readonly ownedEngines = this.gauge('owned_engines', 'Engines that may be ordered from here.', []);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -0,0 +1,164 @@
+import { OwnershipLease } from '@chervilseam/decisions';
+import type { PartLogger } from '@chervilseam/observe';
+import type { StateStore } from '../ports/state-store.js';
+
+/** Time between two renewals, in milliseconds. */
+const RENEW_MS = 700;
+/** Time to live of a member as a multiple of the time between renewals. */
+const TTL_RENEWALS = 3;
+/** Time after a change of the group in which others may still join, in milliseconds. */
+const SETTLE_MS = 900;
+/** Clocks that run apart by this much show that the process stood still, in milliseconds. */
+const STANDSTILL_MS = 120;
+
+/** What the member needs around it. */
+interface GroupMemberContext {
+  readonly store: StateStore;
+  readonly logger: PartLogger;
+  readonly nowMs: () => number;
+  /** Time of day, in milliseconds; it goes on while the process stands still. */
+  readonly wallMs: () => number;
+  readonly instance: string;
+  readonly host: string;
+  readonly port: number;
+  readonly ttlMinMs: number;
+  readonly handoverMs: number;
+  readonly onMembers: (addresses: readonly { host: string; port: number }[]) => void;
+  readonly onFailure: () => void;
+}
+
+const MEMBER = /^(.+)@([\d.]+):(\d+)$/;
+
+/** Keeps this instance in the group whose members own shares of the endpoints. */
+export class GroupMember {
+  readonly #context: GroupMemberContext;
+  readonly #lease: OwnershipLease;
+  readonly #member: string;
+  readonly #ttlMs: number;
+  #nextMs = 0;
+  #isRenewing = false;
+  #isStopped = false;
+  #failureCount = 0;
+  #clockGapMs: number;
+  #listDueMs = Infinity;
+  #hasListed = false;
+
+  /** @param context - what the member needs around it */
+  constructor(context: GroupMemberContext) {
+    this.#context = context;
+    const { instance, host, port, ttlMinMs, handoverMs, wallMs, nowMs } = context;
+    this.#member = `${instance}@${host}:${port}`;
+    this.#ttlMs = Math.max(ttlMinMs, RENEW_MS * TTL_RENEWALS);
+    this.#lease = new OwnershipLease({ ttlMs: this.#ttlMs, handoverMs });
+    this.#clockGapMs = wallMs() - nowMs();
+  }
+
+  /** Generation of the group that was last heard of. */
+  get generation(): number {
+    return this.#lease.generation;
+  }
+
+  /** Shares that this instance owns, usable or not yet. */
+  get shares(): readonly number[] {
+    return this.#lease.shares;
+  }
+
+  /**
+   * @param share - a share of the endpoints
+   * @returns the fencing token to act with, or `undefined` when this instance must not act now
+   */
+  tokenOf(share: number): number | undefined {
+    this.#checkClocks();
+    return this.#isStopped ? undefined : this.#lease.tokenOf(share, this.#context.nowMs());
+  }
+
+  /** Renews when it is time. */
+  tick(): void {
+    const { nowMs } = this.#context;
+    this.#checkClocks();
+    if (this.#isStopped) return;
+    if (!this.#isRenewing && nowMs() >= this.#nextMs) void this.#renew();
+    if (nowMs() < this.#listDueMs) return;
+    this.#listDueMs = Infinity;
+    void this.#list();
+  }
+
+  /** Leaves the group, so that others own its shares at once. */
+  async leave(): Promise<void> {
+    this.#isStopped = true;
+    this.#lease.suspend();
+    try {
+      await this.#context.store.leave(this.#member);
+    } catch (error) {
+      const fields = { error: (error as Error).message };
+      this.#context.logger.info('leave_unsaid', 'the store did not hear of the leaving', fields);
+    }
+  }
+
+  // The steady clock stops while a process stands still and the time of day goes on: if the two
+  // have come apart, the lease may have lapsed unseen. A time of day that was set looks the same
+  // and costs one renewal.
+  #checkClocks(): void {
+    const { wallMs, nowMs, logger } = this.#context;
+    const gapMs = wallMs() - nowMs();
+    const driftMs = gapMs - this.#clockGapMs;
+    this.#clockGapMs = gapMs;
+    if (Math.abs(driftMs) < STANDSTILL_MS) return;
+    this.#lease.suspend();
+    this.#nextMs = 0;
+    logger.warn('clocks_apart', 'the process stood still or the time of day was set', {
+      driftMs: Math.round(driftMs),
+    });
+  }
+
+  async #renew(): Promise<void> {
+    const { store, nowMs, logger, onFailure } = this.#context;
+    this.#isRenewing = true;
+    const sentMs = nowMs();
+    const gapMs = this.#clockGapMs;
+    const { generation } = this.#lease;
+    try {
+      const answer = await store.join(this.#member, this.#ttlMs, generation);
+      this.#checkClocks();
+      // An answer to a renewal from before a standstill says nothing of what happened since.
+      if (Math.abs(this.#clockGapMs - gapMs) < STANDSTILL_MS) {
+        this.#lease.renewed(answer, sentMs, nowMs());
+      }
+      this.#nextMs = sentMs + RENEW_MS;
+      if (this.#failureCount > 0) {
+        logger.info('group_regained', 'the group can be joined again', {
+          failures: this.#failureCount,
+        });
+      }
+      this.#failureCount = 0;
+      if (answer.generation === generation && this.#hasListed) return;
+      this.#listDueMs = nowMs() + SETTLE_MS;
+      logger.info('shares_changed', 'the group has changed', { ...answer, previous: generation });
+    } catch (error) {
+      this.#failureCount += 1;
+      this.#nextMs = nowMs() + RENEW_MS / 2;
+      onFailure();
+      if (this.#failureCount > 1) return;
+      logger.warn('group_lost', 'the group cannot be joined', { error: (error as Error).message });
+    } finally {
+      this.#isRenewing = false;
+    }
+  }
+
+  async #list(): Promise<void> {
+    const { store, onMembers, logger } = this.#context;
+    try {
+      const members = await store.members();
+      this.#hasListed = true;
+      const addresses = members.flatMap((member) => {
+        const found = MEMBER.exec(member);
+        return found ? [{ host: found[2], port: Number(found[3]) }] : [];
+      });
+      onMembers(addresses);
+    } catch (error) {
+      logger.info('members_unread', 'the members could not be read', {
+        error: (error as Error).message,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -0,0 +1,37 @@
+/** What the owner of an engine tells of it. */
+export interface OwnedEngineState {
+  /** Adapters that can serve, as model and adapter. */
+  readonly adapters: readonly string[];
+  /** Models that take no new requests. */
+  readonly leaving: readonly string[];
+  /** Models that are being loaded, and the time until they serve, in milliseconds. */
+  readonly loading: readonly { readonly model: string; readonly remainingMs: number }[];
+}
+
+/** What an instance tells the others, several times a second. */
+export interface InstanceState {
+  readonly instance: string;
+  readonly failureDomain: string;
+  readonly host: string;
+  readonly port: number;
+  /** Grows with each state of one start of the instance. */
+  readonly sequence: number;
+  readonly startedMs: number;
+  readonly isStopping: boolean;
+  /** Version of the configuration that is in force there. */
+  readonly configVersion: number;
+  /** Requests under way by endpoint; endpoints without any are left out. */
+  readonly outstanding: Readonly<Record<string, number>>;
+  /** Requests a second by model, in places of an engine that they keep busy. */
+  readonly demand: Readonly<Record<string, number>>;
+  /** Adapters used since the last state, by endpoint. */
+  readonly usedAdapters: Readonly<Record<string, readonly string[]>>;
+  /** Generation of the group that the shares belong to. */
+  readonly generation: number;
+  /** Shares of the endpoints that this instance owns. */
+  readonly shares: readonly number[];
+  /** Engines that this instance owns, by endpoint. */
+  readonly engines: Readonly<Record<string, OwnedEngineState>>;
+  /** Other instances that this one hears, as host and port. */
+  readonly peers: readonly string[];
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -0,0 +1,199 @@
+import { PeerPool, PeerServer } from '@chervilseam/peer';
+import type { PartLogger } from '@chervilseam/observe';
+import type { EndpointPage } from '../ports/state-store.js';
+import type { InstanceState } from './instance-state.js';
+import type { PeerTable } from './peer-table.js';
+
+/** Time between two words to the same instance while there are few, in milliseconds. */
+const PERIOD_MS = 100;
+/** Words a second that an instance sends at most, to all others together. */
+const WORDS_PER_SECOND = 60;
+/** A word without an answer for this long is lost, and its connection is made anew, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 700;
+/** An instance that does not answer is tried again after this, in milliseconds. */
+const RETRY_MS = 1_000;
+/** An instance that has not answered for this long is no longer called, in milliseconds. */
+const GIVE_UP_MS = 20_000;
+/** Time for an owner to prepare an adapter, in milliseconds. */
+const ADAPTER_TIMEOUT_MS = 400;
+
+/** A request to the owner of an engine to load an adapter. */
+export interface AdapterWish {
+  readonly endpoint: string;
+  readonly model: string;
+  readonly adapter: string;
+  /** Whether the engine denied having it although its owner listed it. */
+  readonly wasDenied: boolean;
+}
+
+interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+interface PeerLine {
+  readonly address: PeerAddress;
+  nextMs: number;
+  answeredMs: number;
+  isCalling: boolean;
+}
+
+/** What the exchange needs around it. */
+interface PeerSyncContext {
+  readonly instance: string;
+  readonly secret: string;
+  readonly table: PeerTable;
+  readonly logger: PartLogger;
+  readonly nowMs: () => number;
+  readonly state: () => InstanceState;
+  /** Loads an adapter on an engine that this instance owns. */
+  readonly prepare: (wish: AdapterWish) => Promise<boolean>;
+  /** Takes a read of the endpoints' list that another instance made. */
+  readonly onEndpoints: (page: EndpointPage & { readonly fromOffset?: number }) => void;
+  readonly onState: (state: InstanceState) => void;
+}
+
+const keyOf = ({ host, port }: PeerAddress): string => `${host}:${port}`;
+
+/** Exchanges states with the other instances, each pair by its own connection. */
+export class PeerSync {
+  readonly #context: PeerSyncContext;
+  readonly #pool: PeerPool;
+  readonly #server: PeerServer;
+  readonly #lines = new Map<string, PeerLine>();
+  #ownKey = '';
+
+  /** @param context - what is needed around it */
+  constructor(context: PeerSyncContext) {
+    this.#context = context;
+    const { instance, secret } = context;
+    const handlers: ConstructorParameters<typeof PeerServer>[0]['handlers'] = {
+      state: (params, stream) => {
+        this.#takeState(params as InstanceState);
+        stream.end({});
+      },
+      endpoints: (params, stream) => {
+        context.onEndpoints(params as EndpointPage);
+        stream.end({});
+      },
+      adapter: (params, stream) => {
+        void context.prepare(params as AdapterWish).then((isReady) => stream.end({ isReady }));
+      },
+    };
+    this.#pool = new PeerPool({ instance, secret, handlers: {} });
+    this.#server = new PeerServer({ instance, secret, handlers });
+  }
+
+  /** Instances that answered a moment ago; a count. */
+  get lineCount(): number {
+    return this.#lines.size;
+  }
+
+  /** Addresses of instances that answer. */
+  get addresses(): readonly string[] {
+    const { nowMs } = this.#context;
+    return [...this.#lines.values()].flatMap(({ address, answeredMs }) =>
+      nowMs() - answeredMs < 2 * RETRY_MS ? [keyOf(address)] : [],
+    );
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - where to
+   */
+  async listen(address: PeerAddress): Promise<void> {
+    this.#ownKey = keyOf(address);
+    await this.#server.listen(address.host, address.port);
+  }
+
+  /** @param address - another instance; this one and known ones are passed over */
+  add(address: PeerAddress): void {
+    const key = keyOf(address);
+    if (key === this.#ownKey || this.#lines.has(key)) return;
+    const nowMs = this.#context.nowMs();
+    this.#lines.set(key, { address, nextMs: nowMs, answeredMs: nowMs, isCalling: false });
+  }
+
+  /** Sends a word to each instance whose turn it is. */
+  tick(): void {
+    const nowMs = this.#context.nowMs();
+    const periodMs = Math.max(PERIOD_MS, (1_000 * this.#lines.size) / WORDS_PER_SECOND);
+    const due = [...this.#lines.values()].filter((line) => !line.isCalling && nowMs >= line.nextMs);
+    if (due.length === 0) return;
+    const state = this.#context.state();
+    due.forEach((line) => {
+      this.#lines.get(keyOf(line.address))!.nextMs = nowMs + periodMs;
+      void this.#send(line, state);
+    });
+  }
+
+  /**
+   * Hands a read of the endpoints' list on.
+   *
+   * @param page - what was read, and where the read began
+   */
+  relay(page: EndpointPage & { readonly fromOffset?: number }): void {
+    this.#lines.forEach(({ address }) => {
+      this.#pool.call(address, 'endpoints', page, ANSWER_TIMEOUT_MS).catch(() => {
+        // The other side reads for itself when it hears nothing.
+      });
+    });
+  }
+
+  /**
+   * Asks the owner of an engine to load an adapter.
+   *
+   * @param address - the owner
+   * @param wish - what to load where
+   * @returns whether it can serve now
+   */
+  async prepare(address: PeerAddress, wish: AdapterWish): Promise<boolean> {
+    try {
+      const answer = await this.#pool.call(address, 'adapter', wish, ADAPTER_TIMEOUT_MS);
+      return (answer as { isReady?: boolean }).isReady === true;
+    } catch (error) {
+      const fields = { ...wish, owner: keyOf(address), error: (error as Error).message };
+      this.#context.logger.info('owner_silent', 'the owner did not load an adapter', fields);
+      return false;
+    }
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.#server.close();
+    this.#pool.close();
+  }
+
+  async #send(line: PeerLine, state: InstanceState): Promise<void> {
+    const { nowMs, logger } = this.#context;
+    const entry = line;
+    entry.isCalling = true;
+    try {
+      await this.#pool.call(line.address, 'state', state, ANSWER_TIMEOUT_MS);
+      entry.answeredMs = nowMs();
+    } catch (error) {
+      entry.nextMs = nowMs() + RETRY_MS;
+      // A connection may have gone silent for good while new ones work.
+      this.#pool.drop(line.address);
+      if (nowMs() - entry.answeredMs > GIVE_UP_MS) {
+        this.#lines.delete(keyOf(line.address));
+        const fields = { peer: keyOf(line.address), error: (error as Error).message };
+        logger.info('peer_lost', 'an instance is no longer called', fields);
+      }
+    } finally {
+      entry.isCalling = false;
+    }
+  }
+
+  #takeState(state: InstanceState): void {
+    const { table, nowMs, onState } = this.#context;
+    table.update(state, nowMs());
+    this.add({ host: state.host, port: state.port });
+    state.peers.forEach((key) => {
+      const [host, port] = key.split(':');
+      this.add({ host, port: Number(port) });
+    });
+    onState(state);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -0,0 +1,87 @@
+import type { InstanceState, OwnedEngineState } from './instance-state.js';
+
+/** A state older than this says nothing of the load any more, in milliseconds. */
+const FRESH_MS = 2_000;
+/** An instance that has not been heard of for this long is forgotten, in milliseconds. */
+const FORGET_MS = 12_000;
+
+interface PeerEntry {
+  readonly state: InstanceState;
+  readonly heardMs: number;
+}
+
+const isNewer = (next: InstanceState, known: InstanceState | undefined): boolean =>
+  !known ||
+  next.startedMs > known.startedMs ||
+  (next.startedMs === known.startedMs && next.sequence > known.sequence);
+
+/** The latest word of every other instance. */
+export class PeerTable {
+  readonly #entries = new Map<string, PeerEntry>();
+
+  /** Instances heard of lately, this one left out; a count. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /**
+   * Takes an instance's word, unless a newer one is known.
+   *
+   * @param state - the word
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  update(state: InstanceState, nowMs: number): void {
+    if (!isNewer(state, this.#entries.get(state.instance)?.state)) return;
+    this.#entries.set(state.instance, { state, heardMs: nowMs });
+  }
+
+  /** Forgets instances that have fallen silent. */
+  settle(nowMs: number): void {
+    this.#entries.forEach(({ heardMs }, instance) => {
+      if (nowMs > heardMs + FORGET_MS) this.#entries.delete(instance);
+    });
+  }
+
+  /** @returns states of instances that were heard a moment ago */
+  fresh(nowMs: number): InstanceState[] {
+    return [...this.#entries.values()].flatMap(({ state, heardMs }) =>
+      nowMs <= heardMs + FRESH_MS ? [state] : [],
+    );
+  }
+
+  /** @returns requests of the other instances that are under way, by endpoint */
+  outstanding(nowMs: number): Map<string, number> {
+    const sums = new Map<string, number>();
+    this.fresh(nowMs).forEach(({ outstanding }) => {
+      Object.entries(outstanding).forEach(([id, count]) => {
+        sums.set(id, (sums.get(id) ?? 0) + count);
+      });
+    });
+    return sums;
+  }
+
+  /** @returns demand of the other instances by model */
+  demand(nowMs: number): Map<string, number> {
+    const sums = new Map<string, number>();
+    this.fresh(nowMs).forEach(({ demand }) => {
+      Object.entries(demand).forEach(([model, value]) => {
+        sums.set(model, (sums.get(model) ?? 0) + value);
+      });
+    });
+    return sums;
+  }
+
+  /** @returns the instance that owns a share by the newest word, if any is heard */
+  ownerOf(share: number, nowMs: number): InstanceState | undefined {
+    return this.fresh(nowMs)
+      .filter(({ shares }) => shares.includes(share))
+      .sort((left, right) => right.generation - left.generation)
+      .at(0);
+  }
+
+  /** @returns what owners tell of their engines, by endpoint */
+  engines(nowMs: number): Map<string, OwnedEngineState> {
+    const told = this.fresh(nowMs).sort((left, right) => left.generation - right.generation);
+    return new Map(told.flatMap(({ engines }) => Object.entries(engines)));
+  }
+}
--- a/packages/peer/src/lib/peer-pool.ts
+++ b/packages/peer/src/lib/peer-pool.ts
@@ -79,6 +79,15 @@
     });
   }
 
+  /**
+   * Closes the connection to an instance, if there is one; the next stream makes a new one.
+   *
+   * @param address - where the instance listens
+   */
+  drop({ host, port }: PeerAddress): void {
+    this.#connections.get(`${host}:${port}`)?.connection.close();
+  }
+
   /** Closes every connection. */
   close(): void {
     this.#connections.forEach(({ connection }) => connection.close());
