--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -16,6 +16,8 @@
   banner: {
     js: "import { createRequire as bundleRequire } from 'node:module'; const require = bundleRequire(import.meta.url);",
   },
+  // Optional parts of libraries that nothing here needs.
+  external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'cbor-extract', 'source-map-support'],
   logLevel: 'warning',
 });
 await cp('packages/decisions/charts', `${TARGET}/charts`, { recursive: true });
