--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -128,8 +128,12 @@
   #victims({ bytes }: Model, engine: Engine): Model[] | undefined {
     let missing = bytes - this.#freeBytes(engine);
     if (missing <= 0) return [];
+    // Among equals the one with the most other replicas goes.
+    const replicaCount = ({ name }: Model): number => this.#replicas.get(name)?.size ?? 0;
     const candidates = this.#evictable(engine).sort(
-      (left, right) => this.#worth(left, engine) - this.#worth(right, engine),
+      (left, right) =>
+        this.#worth(left, engine) - this.#worth(right, engine) ||
+        replicaCount(right) - replicaCount(left),
     );
     const victims: Model[] = [];
     candidates.forEach((candidate) => {
--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -269,6 +269,7 @@
 
   #adapterObjection({ action, model, adapter }: EngineOrder, held: HeldModel | undefined) {
     if (held?.state !== 'ready') return 'its model is not ready';
+    if (this.isBusy) return 'a model is being loaded or unloaded';
     const isHeld = held.adapters.has(adapter as string);
     if (action === 'unload') return isHeld ? undefined : 'not resident';
     if (isHeld) return 'resident already';
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -97,9 +97,11 @@
     const others = holders
       .filter((endpoint) => !ready.includes(endpoint) && !need.tried.has(endpoint.id))
       .filter((endpoint) => !endpoint.health.isPaused(nowMs()) && this.#hasPlace(endpoint, need))
+      .filter((endpoint) => this.#takesAdapters(endpoint, item))
       .sort((left, right) => adapterRank(left.id, item) - adapterRank(right.id, item));
     if (others.length > 0) return { kind: 'prepare', endpoints: others };
-    return choice;
+    if (choice.kind === 'send' || ready.length > 0) return choice;
+    return { kind: 'wait', reason: 'adapter absent', etaMs: 0 };
   }
 
   #choose(candidates: readonly Endpoint[], need: PickNeed): Pick {
@@ -137,6 +139,13 @@
     return isRoom && endpoint.ownCount < ownMax;
   }
 
+  // An engine that denied having the adapter is asked to load it; one that could not load it rests.
+  #takesAdapters(endpoint: Endpoint, item: string): boolean {
+    const { engineState, nowMs } = this.#context;
+    if (engineState(endpoint.id)?.isBusy === true) return false;
+    return !endpoint.lacks(`load ${item}`, nowMs());
+  }
+
   #hasAdapter(endpoint: Endpoint, item: string): boolean {
     const state = this.#context.engineState(endpoint.id);
     if (state) return state.adapters.includes(item);
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -26,8 +26,8 @@
 /** Time to wait while nothing better is known, in milliseconds. */
 const RETRY_AFTER_MS = 600;
 const RETRY_AFTER_SPREAD_MS = 600;
-/** Pause before a request that found no engine for its adapter looks again, in milliseconds. */
-const PREPARE_PAUSE_MS = 60;
+/** Engines that are asked to load an adapter before the request waits; a count. */
+const PREPARE_COUNT = 2;
 const OK_MAX = 299;
 const SERVER_ERROR = 500;
 
@@ -159,21 +159,24 @@
     const { prepare, nowMs, decision } = this.#context;
     const { model = '', adapter = '' } = this.#head;
     const item = `${model}/${adapter}`;
-    for (let at = 0; at < Math.min(2, endpoints.length); at += 1) {
+    for (let at = 0; at < Math.min(PREPARE_COUNT, endpoints.length); at += 1) {
       const endpoint = endpoints[at];
       // eslint-disable-next-line no-await-in-loop
       const isReady = await prepare(endpoint, model, adapter);
       if (this.#isOver) return;
       if (isReady) {
         endpoint.gained(item);
+        endpoint.gained(`load ${item}`);
         this.#send({ kind: 'send', endpoint, candidateCount: endpoints.length });
         return;
       }
-      endpoint.denied(item, nowMs());
+      endpoint.denied(`load ${item}`, nowMs());
     }
-    decision(this.#head.requestId, 'adapter', 'no engine could load the adapter', { item });
-    if (this.#deadlineMs - nowMs() < REMAINING_MIN_MS) this.#giveUp('no adapter');
-    else setTimeout(() => this.#next(), PREPARE_PAUSE_MS);
+    decision(this.#head.requestId, 'adapter', 'no engine could load the adapter', {
+      item,
+      asked: endpoints.slice(0, PREPARE_COUNT).map(({ id }) => id),
+    });
+    this.#wait();
   }
 
   #send({ endpoint, candidateCount }: Extract<Pick, { kind: 'send' }>): void {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -113,6 +113,7 @@
       nowMs,
       state: () => this.#state(),
       prepare: (wish) => this.#fleet.prepare(wish),
+      begin: (endpoint, move) => this.#fleet.begin(endpoint, move),
       onEndpoints: (page) => this.#list.take(page),
       onState: (state) => this.#hear(state),
     });
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -9,6 +9,7 @@
 import type { PeerTable } from '../peer/peer-table.js';
 import type { EngineCalls } from '../ports/engine-calls.js';
 import { DemandMeter } from './demand-meter.js';
+import type { EngineMove } from './engine-move.js';
 import { EngineOwner } from './engine-owner.js';
 import type { GroupMember } from './group-member.js';
 import { PlacementLoop } from './placement-loop.js';
@@ -60,9 +61,8 @@
       endpointsOf: (service) => registry.ofService(service),
       endpoint: (id) => registry.get(id),
       engineState: (id) => this.stateOf(id),
-      ownerOf: (id) => this.#activeOwner(id),
+      begin: (id, move) => this.#beginThroughOwner(id, move),
       demand: () => this.#demandOfAll(),
-      ownerCount: () => Math.min(settings.shareCount, context.instanceCount()),
       loadWindowMs: settings.loadWindowMs,
       loadSlackRatio: settings.loadSlackRatio,
     });
@@ -90,10 +90,10 @@
     });
   }
 
-  /** Plans placement and begins what is on engines of this instance. */
+  /** Plans placement, if that falls to this instance. */
   plan(): void {
     const config = this.#context.config();
-    if (config && this.#owners.size > 0) this.#placement.tick(config);
+    if (config && this.#isPlanner()) this.#placement.tick(config);
   }
 
   /** @returns what the owner of an engine tells of it, this instance or another */
@@ -160,6 +160,32 @@
     return owner ? sync.prepare({ host: owner.host, port: owner.port }, wish) : false;
   }
 
+  /**
+   * Begins a change of the models on an engine that this instance owns.
+   *
+   * @param endpoint - the engine
+   * @param move - what to load and unload
+   * @returns whether it was begun
+   */
+  begin(endpoint: string, move: EngineMove): boolean {
+    return this.#activeOwner(endpoint)?.begin(move) ?? false;
+  }
+
+  #beginThroughOwner(endpoint: string, move: EngineMove): void {
+    const { nowMs, peers, sync, settings } = this.#context;
+    if (this.begin(endpoint, move)) return;
+    const owner = peers.ownerOf(shareOf(endpoint, settings.shareCount), nowMs());
+    if (owner) sync.begin({ host: owner.host, port: owner.port }, endpoint, move);
+  }
+
+  // The owner of the lowest share plans for all: two planners would answer the same demand twice.
+  #isPlanner(): boolean {
+    const { nowMs, peers, member } = this.#context;
+    const lowest = Math.min(...member.shares);
+    const others = peers.fresh(nowMs()).flatMap(({ shares }) => shares);
+    return member.shares.length > 0 && others.every((share) => share > lowest);
+  }
+
   #demandOfAll(): ReadonlyMap<string, number> {
     const { nowMs, peers } = this.#context;
     const sums = peers.demand(nowMs());
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '../feed/endpoint.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
 import type { EngineCalls } from '../ports/engine-calls.js';
+import type { EngineMove } from './engine-move.js';
 
 /** Reports are this old at most, in milliseconds: what is asked sooner after an order may not show it. */
 const REPORT_LAG_MS = 450;
@@ -18,14 +19,8 @@
 const LEAVING_NOTICE_MS = 250;
 /** Entries of the list are this much older than the engine's own word, in milliseconds. */
 const LIST_LAG_MS = 1_500;
-/** Reports in a row that may fail before the engine is left alone for a while; a count. */
-const REPORT_PAUSE_MS = 600;
-
-/** A change of the models on an engine. */
-export interface EngineMove {
-  readonly load: string;
-  readonly unload: readonly string[];
-}
+/** Time between two reports while a change is awaited, in milliseconds. */
+const REPORT_PAUSE_MS = 400;
 
 /** What an owner needs around it. */
 interface EngineOwnerContext {
@@ -72,7 +67,8 @@
       remainingMs: Math.max(0, Math.round(doneMs - nowMs)),
     }));
     const leaving = [...new Set([...this.#leaving.keys(), ...this.#holding.modelsIn('leaving')])];
-    return { adapters: this.#holding.readyAdapters, leaving, loading };
+    const adapters = this.#holding.readyAdapters;
+    return { adapters, isBusy: this.#holding.isBusy, leaving, loading };
   }
 
   /** Whether the engine's models are being changed. */
@@ -91,7 +87,7 @@
     if (token() === undefined || this.#queuedCount > 0) return;
     const isQuiet = nowMs() > this.#lastOrderMs + LIST_LAG_MS;
     if (isQuiet && this.isKnown) this.#observeList();
-    const needsReport = !this.isKnown || this.#isLoadOverdue();
+    const needsReport = !this.isKnown || this.#isChangeDue();
     if (needsReport && nowMs() >= this.#nextReportMs) {
       void this.#enqueue(() => this.#readReport());
       return;
@@ -131,7 +127,7 @@
    * @returns whether it can serve now
    */
   async prepare(model: string, adapter: string, wasDenied: boolean): Promise<boolean> {
-    if (this.#context.token() === undefined || !this.isKnown) return false;
+    if (this.#context.token() === undefined || !this.isKnown || this.#holding.isBusy) return false;
     const known = this.#holding.hasAdapter(model, adapter);
     if (known === 'ready' && !wasDenied) return true;
     if (known === 'ready') this.#holding.lacks(model, adapter);
@@ -194,10 +190,11 @@
     });
   }
 
-  // The list tells of a loaded model late; the engine itself knows sooner.
-  #isLoadOverdue(): boolean {
+  // The list tells late of a model that was loaded or unloaded; the engine itself knows sooner.
+  #isChangeDue(): boolean {
+    if (!this.#holding.isBusy) return false;
     const nowMs = this.#context.nowMs();
-    return [...this.#loadDoneMs.values()].some((doneMs) => nowMs > doneMs + REPORT_LAG_MS);
+    return [...this.#loadDoneMs.values()].every((doneMs) => nowMs > doneMs);
   }
 
   async #readReport(): Promise<void> {
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -131,9 +131,11 @@
         });
       }
       this.#failureCount = 0;
-      if (answer.generation === generation && this.#hasListed) return;
-      this.#listDueMs = nowMs() + SETTLE_MS;
-      logger.info('shares_changed', 'the group has changed', { ...answer, previous: generation });
+      const hasChanged = answer.generation !== generation;
+      if (hasChanged || !this.#hasListed)
+        this.#listDueMs = Math.min(this.#listDueMs, nowMs() + SETTLE_MS);
+      if (hasChanged)
+        logger.info('shares_changed', 'the group has changed', { ...answer, previous: generation });
     } catch (error) {
       this.#failureCount += 1;
       this.#nextMs = nowMs() + RENEW_MS / 2;
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -3,7 +3,7 @@
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
-import type { EngineOwner } from './engine-owner.js';
+import type { EngineMove } from './engine-move.js';
 
 /** Share of an engine's places that its models' demand may fill: above it tokens come slowly. */
 const PLACE_SHARE = 0.4;
@@ -11,6 +11,10 @@
 const LABEL_MS = 20_000;
 /** Moves of one round, over all engines; a count. */
 const MOVE_MAX = 6;
+/** Part of the weight store's limit that one planner uses: another may take its place meanwhile. */
+const LOAD_SHARE = 0.5;
+/** Time until the owner of an engine tells of a move, in milliseconds. */
+const PENDING_MS = 1_200;
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
 
@@ -22,24 +26,23 @@
   readonly endpoint: (id: string) => Endpoint | undefined;
   /** What the owner of an engine tells of it, or `undefined` while it has none that is heard. */
   readonly engineState: (endpoint: string) => OwnedEngineState | undefined;
-  /** The owner of an engine, where that is this instance and it may act. */
-  readonly ownerOf: (endpoint: string) => EngineOwner | undefined;
+  /** Tells the owner of an engine to change its models. */
+  readonly begin: (endpoint: string, move: EngineMove) => void;
   /** Demand of all instances by model. */
   readonly demand: () => ReadonlyMap<string, number>;
-  /** Instances that own engines; a count. */
-  readonly ownerCount: () => number;
   readonly loadWindowMs: number;
   readonly loadSlackRatio: number;
 }
 
 /**
- * Follows demand with the models in the engines' memory. Each owner makes the same plan from what
- * all tell each other and carries out the part that is on its own engines.
+ * Follows demand with the models in the engines' memory. One instance plans for all engines, by what
+ * all tell each other, and the owners of the engines carry the moves out.
  */
 export class PlacementLoop {
   readonly #context: PlacementContext;
   readonly #askedMs = new Map<string, number>();
   readonly #loads: WindowLimit;
+  readonly #pending = new Map<string, EngineMove & { readonly untilMs: number }>();
 
   /** @param context - what placement needs around it */
   constructor(context: PlacementContext) {
@@ -57,7 +60,7 @@
   }
 
   #plan(service: string, spec: EngineSpec, demand: ReadonlyMap<string, number>): void {
-    const { nowMs, endpointsOf, ownerOf, logger } = this.#context;
+    const { nowMs, endpointsOf, begin, logger } = this.#context;
     const endpoints = endpointsOf(service).filter(({ isLeaving }) => !isLeaving);
     const plan = planPlacement({
       models: [...spec.models.values()].map(({ name, sizeMb }) => ({
@@ -72,11 +75,9 @@
       moveBudget: MOVE_MAX,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
-      const owner = ownerOf(engine);
-      if (!owner || owner.isMoving || !owner.isKnown) return;
-      if (!this.#mayLoad(engine, load, spec)) return;
-      const isBegun = owner.begin({ load, unload });
-      if (!isBegun) return;
+      if (this.#isFixed(engine) || !this.#mayLoad(engine, load, spec)) return;
+      this.#pending.set(engine, { load, unload, untilMs: nowMs() + PENDING_MS });
+      begin(engine, { load, unload });
       logger.info('move', reason, {
         endpoint: engine,
         load,
@@ -90,14 +91,16 @@
 
   // An engine that nobody may give orders to, or that is being changed, stays as it is in the plan.
   #engine(endpoint: Endpoint, spec: EngineSpec) {
-    const { engineState, ownerOf } = this.#context;
-    const state = engineState(endpoint.id);
-    const owner = ownerOf(endpoint.id);
+    const state = this.#context.engineState(endpoint.id);
+    const pending = this.#pendingOf(endpoint.id);
     const listed = endpoint.record.models.map(({ name }) => name);
-    const loading = state?.loading.map(({ model }) => model) ?? [];
-    const leaving = new Set(state?.leaving);
+    const loading = [
+      ...(state?.loading.map(({ model }) => model) ?? []),
+      pending?.load ?? [],
+    ].flat();
+    const leaving = new Set([...(state?.leaving ?? []), ...(pending?.unload ?? [])]);
     const models = [...new Set([...listed, ...loading])].filter((model) => !leaving.has(model));
-    const isFixed = !state || leaving.size > 0 || loading.length > 0 || owner?.isMoving === true;
+    const isFixed = this.#isFixed(endpoint.id);
     const usedMb = models.reduce((sum, name) => sum + (spec.models.get(name)?.sizeMb ?? 0), 0);
     const capacityMb = isFixed ? usedMb : spec.memoryMb - PlacementLoop.#adapterMb(spec);
     return {
@@ -110,6 +113,19 @@
     };
   }
 
+  #isFixed(endpoint: string): boolean {
+    const state = this.#context.engineState(endpoint);
+    if (!state || state.isBusy || this.#pendingOf(endpoint)) return true;
+    return state.leaving.length > 0 || state.loading.length > 0;
+  }
+
+  #pendingOf(endpoint: string): (EngineMove & { readonly untilMs: number }) | undefined {
+    const pending = this.#pending.get(endpoint);
+    if (!pending || this.#context.nowMs() < pending.untilMs) return pending;
+    this.#pending.delete(endpoint);
+    return undefined;
+  }
+
   static #adapterMb(spec: EngineSpec): number {
     const largest = Math.max(0, ...[...spec.models.values()].map(({ adapterMb }) => adapterMb));
     return largest * spec.adapterSlotCount;
@@ -117,11 +133,10 @@
 
   // Loads from the engine's own disk or memory do not touch the weight store.
   #mayLoad(engine: string, model: string, spec: EngineSpec): boolean {
-    const { endpoint, nowMs, loadWindowMs, loadSlackRatio, ownerCount } = this.#context;
+    const { endpoint, nowMs, loadWindowMs, loadSlackRatio } = this.#context;
     const record = endpoint(engine)?.record;
     if (record?.hostModels.includes(model) || record?.diskModels.includes(model)) return true;
     const allowed = (spec.storeLoadsPerSecond * loadWindowMs * loadSlackRatio) / MS_PER_SECOND;
-    const share = Math.max(1, Math.floor(allowed / Math.max(1, ownerCount())));
-    return this.#loads.take(share, nowMs());
+    return this.#loads.take(Math.max(1, Math.floor(allowed * LOAD_SHARE)), nowMs());
   }
 }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -2,6 +2,8 @@
 export interface OwnedEngineState {
   /** Adapters that can serve, as model and adapter. */
   readonly adapters: readonly string[];
+  /** Whether a model is being loaded or unloaded: adapters cannot be loaded meanwhile. */
+  readonly isBusy: boolean;
   /** Models that take no new requests. */
   readonly leaving: readonly string[];
   /** Models that are being loaded, and the time until they serve, in milliseconds. */
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,5 +1,6 @@
 import { PeerPool, PeerServer } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
+import type { EngineMove } from '../owner/engine-move.js';
 import type { EndpointPage } from '../ports/state-store.js';
 import type { InstanceState } from './instance-state.js';
 import type { PeerTable } from './peer-table.js';
@@ -48,6 +49,8 @@
   readonly state: () => InstanceState;
   /** Loads an adapter on an engine that this instance owns. */
   readonly prepare: (wish: AdapterWish) => Promise<boolean>;
+  /** Begins a change of the models on an engine that this instance owns. */
+  readonly begin: (endpoint: string, move: EngineMove) => boolean;
   /** Takes a read of the endpoints' list that another instance made. */
   readonly onEndpoints: (page: EndpointPage & { readonly fromOffset?: number }) => void;
   readonly onState: (state: InstanceState) => void;
@@ -76,6 +79,10 @@
         context.onEndpoints(params as EndpointPage);
         stream.end({});
       },
+      move: (params, stream) => {
+        const { endpoint, move } = params as { endpoint: string; move: EngineMove };
+        stream.end({ isBegun: context.begin(endpoint, move) });
+      },
       adapter: (params, stream) => {
         void context.prepare(params as AdapterWish).then((isReady) => stream.end({ isReady }));
       },
@@ -159,6 +166,22 @@
     }
   }
 
+  /**
+   * Asks the owner of an engine to change its models.
+   *
+   * @param address - the owner
+   * @param endpoint - the engine
+   * @param move - what to load and unload
+   */
+  begin(address: PeerAddress, endpoint: string, move: EngineMove): void {
+    this.#pool
+      .call(address, 'move', { endpoint, move }, ANSWER_TIMEOUT_MS)
+      .catch((error: Error) => {
+        const fields = { endpoint, ...move, owner: keyOf(address), error: error.message };
+        this.#context.logger.info('move_unheard', 'the owner did not hear of a move', fields);
+      });
+  }
+
   /** Ends all connections. */
   close(): void {
     this.#server.close();
