--- a/packages/decisions/src/lib/serving/choose-endpoint.ts
+++ b/packages/decisions/src/lib/serving/choose-endpoint.ts
@@ -9,6 +9,8 @@
   readonly failureCount: number;
   /** Mean time to answer of late, in milliseconds. */
   readonly latencyMs: number;
+  /** Mean pause between events of late, in milliseconds. */
+  readonly paceMs: number;
   readonly isLocal: boolean;
   /** Tokens of the prompt that the endpoint has read of late. */
   readonly cachedTokenCount: number;
@@ -16,6 +18,8 @@
 
 /** Time that a full endpoint costs against an empty one, in milliseconds: all its tokens are slower. */
 const OCCUPANCY_MS = 250;
+/** Events of a stream that a slow pace is felt for; a count. */
+const FELT_EVENT_COUNT = 8;
 /** Time that a recent failure costs, in milliseconds: about what a second attempt takes. */
 const FAILURE_MS = 300;
 /** Time that a paused endpoint costs, in milliseconds: more than anything else. */
@@ -39,6 +43,7 @@
   const queuedMs = QUEUED_MS * Math.max(0, outstandingCount + 1 - slotCount);
   return (
     latencyMs * (1 + occupancy) +
+    FELT_EVENT_COUNT * choice.paceMs +
     OCCUPANCY_MS * occupancy +
     queuedMs +
     FAILURE_MS * failureCount +
--- a/packages/decisions/src/lib/serving/endpoint-health.ts
+++ b/packages/decisions/src/lib/serving/endpoint-health.ts
@@ -7,6 +7,8 @@
 const PAUSE_MAX_MS = 2_000;
 /** Weight of the newest answer in the mean time to answer. */
 const LATENCY_WEIGHT = 0.25;
+/** Weight of the newest pause in the mean pause: events are many. */
+const PACE_WEIGHT = 0.05;
 /** Half-life of what is known of an endpoint's latency, in milliseconds, so that it is tried again. */
 const LATENCY_HALF_LIFE_MS = 2_500;
 
@@ -21,6 +23,8 @@
   #pausedUntilMs = 0;
   #latencyMs = 0;
   #latencyAtMs = 0;
+  #paceMs = 0;
+  #paceAtMs = 0;
 
   /**
    * Takes an answer.
@@ -38,6 +42,23 @@
     this.#latencyAtMs = nowMs;
   }
 
+  /**
+   * Takes a pause between two events of a stream.
+   *
+   * @param gapMs - the pause, in milliseconds
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  paced(gapMs: number, nowMs: number): void {
+    const isKnown = this.#paceAtMs > 0;
+    this.#paceMs += (isKnown ? PACE_WEIGHT : 1) * (gapMs - this.#paceMs);
+    this.#paceAtMs = nowMs;
+  }
+
+  /** @returns the mean pause between events of late, in milliseconds; old knowledge fades to 0 */
+  paceMs(nowMs: number): number {
+    return halved(this.#paceMs, nowMs - this.#paceAtMs, LATENCY_HALF_LIFE_MS);
+  }
+
   /**
    * Takes a failure that the endpoint answered with.
    *
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -116,6 +116,7 @@
         isPaused: endpoint.health.isPaused(nowMs()),
         failureCount: endpoint.health.failureCount(nowMs()),
         latencyMs: endpoint.health.latencyMs(nowMs()),
+        paceMs: endpoint.health.paceMs(nowMs()),
         isLocal: endpoint.record.failureDomain === failureDomain,
         cachedTokenCount: 0,
       })),
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -23,6 +23,8 @@
 const STALL_MS = 1_200;
 /** Part of the time left that a request may wait for a place or a model. */
 const WAIT_SHARE = 0.55;
+/** Part of the time after which callers leave that a request may wait. */
+const PATIENCE_SHARE = 0.7;
 /** Time to wait while nothing better is known, in milliseconds. */
 const RETRY_AFTER_MS = 600;
 const RETRY_AFTER_SPREAD_MS = 600;
@@ -59,6 +61,9 @@
   #splitter = new EventSplitter();
   #lastEvent: number | undefined;
   #isRelaying = false;
+  #firstDataMs: number | undefined;
+  #lastDataMs = 0;
+  #gapMaxMs = 0;
 
   constructor(
     context: RunContext,
@@ -102,14 +107,7 @@
   /** @returns whether the request needs no place any more: it was sent, refused or is being prepared */
   #tryNow(): boolean {
     if (this.#isOver) return true;
-    const { picker, nowMs } = this.#context;
-    const pick = picker.pick({
-      service: this.#service,
-      model: this.#head.model,
-      adapter: this.#head.adapter,
-      tried: this.#tried,
-    });
-    const leftMs = this.#deadlineMs - nowMs();
+    const pick = this.#pick();
     const handlers: Record<Pick['kind'], () => boolean> = {
       send: () => {
         this.#send(pick as Extract<Pick, { kind: 'send' }>);
@@ -123,7 +121,7 @@
         const { reason, etaMs } = pick as Extract<Pick, { kind: 'wait' }>;
         if (reason === 'every endpoint tried') return this.#giveUp(reason);
         // A model that cannot be there in time is refused now, not when the time is up.
-        if (etaMs > leftMs * WAIT_SHARE) return this.#giveUp(reason, etaMs);
+        if (etaMs > this.#waitMaxMs()) return this.#giveUp(reason, etaMs);
         return false;
       },
       refuse: () => {
@@ -134,13 +132,30 @@
     return handlers[pick.kind]();
   }
 
+  #pick(): Pick {
+    return this.#context.picker.pick({
+      service: this.#service,
+      model: this.#head.model,
+      adapter: this.#head.adapter,
+      tried: this.#tried,
+    });
+  }
+
+  // A caller that hears nothing leaves long before its deadline.
+  #waitMaxMs(): number {
+    const nowMs = this.#context.nowMs();
+    const leftMs = WAIT_SHARE * (this.#deadlineMs - nowMs);
+    if (this.#isRelaying) return leftMs;
+    const patienceMs = PATIENCE_SHARE * this.#route.callerPatienceMs;
+    return Math.min(leftMs, patienceMs - (nowMs - this.#exchange.receivedMs));
+  }
+
   #wait(): void {
     const { line, nowMs } = this.#context;
-    const leftMs = this.#deadlineMs - nowMs();
     const waiter: Waiter = {
       priority: this.#route.priority,
       sinceMs: nowMs(),
-      untilMs: nowMs() + leftMs * WAIT_SHARE,
+      untilMs: nowMs() + this.#waitMaxMs(),
       tryNow: () => {
         const isDone = this.#tryNow();
         if (isDone) this.#waiter = undefined;
@@ -247,6 +262,11 @@
   #loosePatience(): void {
     const attempt = this.#attempt;
     if (!attempt || this.#isOver) return;
+    // Without another endpoint that could take it, the request is better off where it is.
+    if (this.#pick().kind !== 'send') {
+      this.#patience = setTimeout(() => this.#loosePatience(), STALL_MS);
+      return;
+    }
     attempt.cancel();
     this.#takeFailure(attempt, { wasSent: true, reason: 'silent for too long' });
   }
@@ -284,6 +304,7 @@
 
   #relay(chunk: Buffer): boolean {
     this.#patience?.refresh();
+    this.#timeData();
     let isWelcome = true;
     this.#splitter.push(chunk).forEach(({ number, data }) => {
       // An event that the caller has already may come again when a stream goes on.
@@ -294,6 +315,17 @@
     return isWelcome;
   }
 
+  #timeData(): void {
+    const nowMs = this.#context.nowMs();
+    if (this.#firstDataMs === undefined) this.#firstDataMs = nowMs;
+    else {
+      const gapMs = nowMs - this.#lastDataMs;
+      this.#gapMaxMs = Math.max(this.#gapMaxMs, gapMs);
+      this.#endpoint?.health.paced(gapMs, nowMs);
+    }
+    this.#lastDataMs = nowMs;
+  }
+
   #takeEnd(attempt: EndpointAttempt): void {
     if (attempt !== this.#attempt) return;
     const answer = this.#answer as AnswerHead;
@@ -448,6 +480,19 @@
     this.#lastEndpoint = endpoint;
   }
 
+  // How long the request waited here, and what the caller saw of the stream.
+  #timing(): Readonly<Record<string, number>> {
+    const { receivedMs } = this.#exchange;
+    const firstMs = this.#firstDataMs;
+    return {
+      sentAfterMs: Math.round(this.#sentMs - receivedMs),
+      ...(firstMs !== undefined && {
+        firstAfterMs: Math.round(firstMs - receivedMs),
+        gapMaxMs: Math.round(this.#gapMaxMs),
+      }),
+    };
+  }
+
   #finish(outcome: string, status: number, reason = ''): void {
     this.#isOver = true;
     clearTimeout(this.#deadline);
@@ -460,6 +505,7 @@
         model: this.#head.model,
         endpoint: this.#lastEndpoint?.id,
         afterMs: Math.round(this.#context.nowMs() - this.#exchange.receivedMs),
+        ...this.#timing(),
       },
     );
   }
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -17,6 +17,8 @@
 const ORDER_REPEAT_MAX = 2;
 /** Time that requests have to hear that a model is leaving, in milliseconds. */
 const LEAVING_NOTICE_MS = 250;
+/** Time that an unload is expected to take: requests in progress end first; in milliseconds. */
+const UNLOAD_MS = 1_500;
 /** Entries of the list are this much older than the engine's own word, in milliseconds. */
 const LIST_LAG_MS = 1_500;
 /** Time between two reports while a change is awaited, in milliseconds. */
@@ -66,6 +68,10 @@
       model,
       remainingMs: Math.max(0, Math.round(doneMs - nowMs)),
     }));
+    const next = this.#move?.load;
+    if (next !== undefined && !this.#loadDoneMs.has(next)) {
+      loading.push({ model: next, remainingMs: UNLOAD_MS + this.#loadMs(next) });
+    }
     const leaving = [...new Set([...this.#leaving.keys(), ...this.#holding.modelsIn('leaving')])];
     const adapters = this.#holding.readyAdapters;
     return { adapters, isBusy: this.#holding.isBusy, leaving, loading };
@@ -165,18 +171,24 @@
   }
 
   async #load(model: string): Promise<void> {
-    const { record } = this.#endpoint;
-    const spec = this.#spec.models.get(model);
-    const outcome = spec ? await this.#order({ action: 'load', model }) : OrderOutcome.refused;
-    if (spec && outcome === OrderOutcome.accepted) {
-      const diskMs = record.diskModels.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
-      const loadMs = record.hostModels.includes(model) ? spec.hostLoadMs : diskMs;
+    const loadMs = this.#loadMs(model);
+    const outcome = await this.#order({ action: 'load', model });
+    if (outcome === OrderOutcome.accepted) {
       this.#loadDoneMs.set(model, this.#context.nowMs() + loadMs);
     }
     // A conflict is followed by a report, after which the move is tried once more.
     if (outcome !== OrderOutcome.conflict) this.#drop();
   }
 
+  // From the nearest copy: the engine's memory, its disk, or the weight store.
+  #loadMs(model: string): number {
+    const { hostModels, diskModels } = this.#endpoint.record;
+    const spec = this.#spec.models.get(model);
+    if (!spec) return 0;
+    if (hostModels.includes(model)) return spec.hostLoadMs;
+    return diskModels.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
+  }
+
   #drop(): void {
     this.#move = undefined;
     this.#leaving.clear();
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -6,7 +6,7 @@
 import type { EngineMove } from './engine-move.js';
 
 /** Share of an engine's places that its models' demand may fill: above it tokens come slowly. */
-const PLACE_SHARE = 0.4;
+const PLACE_SHARE = 0.22;
 /** A model stays reachable for this long after it was last asked for, in milliseconds. */
 const LABEL_MS = 20_000;
 /** Moves of one round, over all engines; a count. */
