--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -21,6 +21,8 @@
   readonly ready: readonly string[];
   /** Bytes that the ledger counts besides those models. */
   readonly otherBytes: number;
+  /** Time to load each model there, in milliseconds; one left out loads at once. */
+  readonly loadMsByModel?: ReadonlyMap<string, number>;
 }
 
 /** What a round of placement starts from. */
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -8,6 +8,9 @@
 /** A move must win this share of the engine's tokens a second to be worth its load time. */
 const GAIN_SHARE_MIN = 0.01;
 const ALTERNATIVE_COUNT = 4;
+/** Share of an engine's tokens that a second of loading costs in the choice among engines. */
+const LOAD_SECOND_SHARE = 0.2;
+const MS_PER_SECOND = 1_000;
 
 type Engine = PlacementInput['engines'][number];
 type Model = PlacementInput['models'][number];
@@ -72,7 +75,9 @@
     return [...this.#engines.values()]
       .flatMap((engine) => this.#option(model, engine, mustServe) ?? [])
       .sort(
-        (left, right) => right.gain - left.gain || this.#freeAfter(right) - this.#freeAfter(left),
+        (left, right) =>
+          this.#score(right, model) - this.#score(left, model) ||
+          this.#freeAfter(right) - this.#freeAfter(left),
       );
   }
 
@@ -114,6 +119,12 @@
     return { engine, unload: victims.map(({ name }) => name), gain };
   }
 
+  // A copy near the engine serves seconds sooner than the weight store.
+  #score({ engine, gain }: Option, { name }: Model): number {
+    const loadMs = engine.loadMsByModel?.get(name) ?? 0;
+    return gain - (LOAD_SECOND_SHARE * engine.tokensPerSecond * loadMs) / MS_PER_SECOND;
+  }
+
   // What a replica is worth to its model: what the model's other engines have no room for.
   #worth({ name, demand }: Model, engine: Engine): number {
     const others = [...(this.#replicas.get(name) ?? [])].filter((other) => other !== engine.name);
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -1,6 +1,7 @@
 import { chooseEndpoint } from '@chervilseam/decisions';
-import type { EngineSpec, ServiceSpec } from '@chervilseam/model';
+import type { EngineSpec, ModelSpec, ServiceSpec } from '@chervilseam/model';
 import type { Endpoint } from '../feed/endpoint.js';
+import { loadTimeMs } from '../owner/load-time-ms.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
 
 /** Requests that a plain service may queue beyond its places; a count. */
@@ -157,13 +158,11 @@
 
   // The soonest that any engine could serve the model: one that loads it already, or the nearest copy.
   #loadEtaMs(live: readonly Endpoint[], model: string, engine: EngineSpec): number {
-    const spec = engine.models.get(model);
+    const spec = engine.models.get(model) as ModelSpec;
     const etas = live.map(({ id, record }) => {
       const loading = this.#context.engineState(id)?.loading.find((one) => one.model === model);
       if (loading) return loading.remainingMs;
-      if (record.hostModels.includes(model)) return LOAD_NOTICE_MS + (spec?.hostLoadMs ?? 0);
-      if (record.diskModels.includes(model)) return LOAD_NOTICE_MS + (spec?.diskLoadMs ?? 0);
-      return LOAD_NOTICE_MS + (spec?.storeLoadMs ?? 0);
+      return LOAD_NOTICE_MS + loadTimeMs(record, spec);
     });
     return Math.min(...etas);
   }
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '../feed/endpoint.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
 import type { EngineCalls } from '../ports/engine-calls.js';
+import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
 
 /** Reports are this old at most, in milliseconds: what is asked sooner after an order may not show it. */
@@ -180,13 +181,9 @@
     if (outcome !== OrderOutcome.conflict) this.#drop();
   }
 
-  // From the nearest copy: the engine's memory, its disk, or the weight store.
   #loadMs(model: string): number {
-    const { hostModels, diskModels } = this.#endpoint.record;
     const spec = this.#spec.models.get(model);
-    if (!spec) return 0;
-    if (hostModels.includes(model)) return spec.hostLoadMs;
-    return diskModels.includes(model) ? spec.diskLoadMs : spec.storeLoadMs;
+    return spec ? loadTimeMs(this.#endpoint.record, spec) : 0;
   }
 
   #drop(): void {
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -3,21 +3,28 @@
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
+import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
 
 /** Share of an engine's places that its models' demand may fill: above it tokens come slowly. */
 const PLACE_SHARE = 0.22;
 /** A model stays reachable for this long after it was last asked for, in milliseconds. */
-const LABEL_MS = 20_000;
+const LABEL_MS = 4_000;
 /** Moves of one round, over all engines; a count. */
 const MOVE_MAX = 6;
 /** Part of the weight store's limit that one planner uses: another may take its place meanwhile. */
 const LOAD_SHARE = 0.5;
 /** Time until the owner of an engine tells of a move, in milliseconds. */
 const PENDING_MS = 1_200;
+/** Bounds of an engine's speed against the usual one; a ratio. */
+const SPEED_MIN = 0.3;
+const SPEED_MAX = 1.5;
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
 
+const median = (values: readonly number[]): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+
 /** What placement needs around it. */
 interface PlacementContext {
   readonly logger: PartLogger;
@@ -62,6 +69,9 @@
   #plan(service: string, spec: EngineSpec, demand: ReadonlyMap<string, number>): void {
     const { nowMs, endpointsOf, begin, logger } = this.#context;
     const endpoints = endpointsOf(service).filter(({ isLeaving }) => !isLeaving);
+    const usualPaceMs = median(
+      endpoints.map(({ health }) => health.paceMs(nowMs())).filter(Boolean),
+    );
     const plan = planPlacement({
       models: [...spec.models.values()].map(({ name, sizeMb }) => ({
         name,
@@ -70,7 +80,7 @@
         demand: demand.get(name) ?? 0,
       })),
       engines: endpoints
-        .map((endpoint) => this.#engine(endpoint, spec))
+        .map((endpoint) => this.#engine(endpoint, spec, usualPaceMs))
         .sort((left, right) => (left.name < right.name ? -1 : 1)),
       moveBudget: MOVE_MAX,
     });
@@ -90,7 +100,7 @@
   }
 
   // An engine that nobody may give orders to, or that is being changed, stays as it is in the plan.
-  #engine(endpoint: Endpoint, spec: EngineSpec) {
+  #engine(endpoint: Endpoint, spec: EngineSpec, usualPaceMs: number) {
     const state = this.#context.engineState(endpoint.id);
     const pending = this.#pendingOf(endpoint.id);
     const listed = endpoint.record.models.map(({ name }) => name);
@@ -106,13 +116,23 @@
     return {
       name: endpoint.id,
       capacityBytes: capacityMb * BYTES_PER_MB,
-      tokensPerSecond: spec.slotCount * PLACE_SHARE,
+      tokensPerSecond: spec.slotCount * PLACE_SHARE * this.#speed(endpoint, usualPaceMs),
+      loadMsByModel: new Map(
+        [...spec.models.values()].map((model) => [model.name, loadTimeMs(endpoint.record, model)]),
+      ),
       models,
       ready: isFixed ? [] : models,
       otherBytes: 0,
     };
   }
 
+  // An engine that makes tokens slowly, by nature or because it is crowded, carries less.
+  #speed({ health }: Endpoint, usualPaceMs: number): number {
+    const paceMs = health.paceMs(this.#context.nowMs());
+    if (paceMs === 0 || usualPaceMs === 0) return 1;
+    return Math.min(SPEED_MAX, Math.max(SPEED_MIN, usualPaceMs / paceMs));
+  }
+
   #isFixed(endpoint: string): boolean {
     const state = this.#context.engineState(endpoint);
     if (!state || state.isBusy || this.#pendingOf(endpoint)) return true;
