--- a/packages/decisions/src/lib/serving/endpoint-health.ts
+++ b/packages/decisions/src/lib/serving/endpoint-health.ts
@@ -21,6 +21,7 @@
   #failuresMs = 0;
   #silentCount = 0;
   #pausedUntilMs = 0;
+  #unreachableUntilMs = 0;
   #latencyMs = 0;
   #latencyAtMs = 0;
   #paceMs = 0;
@@ -37,6 +38,7 @@
     this.#failuresMs = nowMs;
     this.#silentCount = 0;
     this.#pausedUntilMs = 0;
+    this.#unreachableUntilMs = 0;
     const isKnown = this.#latencyAtMs > 0;
     this.#latencyMs += (isKnown ? LATENCY_WEIGHT : 1) * (latencyMs - this.#latencyMs);
     this.#latencyAtMs = nowMs;
@@ -83,6 +85,21 @@
     this.#pausedUntilMs = nowMs + pauseMs;
   }
 
+  /**
+   * Takes a connection that could not be made.
+   *
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  wasUnreachable(nowMs: number): void {
+    this.wasSilent(nowMs);
+    this.#unreachableUntilMs = Math.max(this.#pausedUntilMs, nowMs + PAUSE_MIN_MS);
+  }
+
+  /** @returns whether connections to the endpoint failed a moment ago */
+  isUnreachable(nowMs: number): boolean {
+    return nowMs < this.#unreachableUntilMs;
+  }
+
   /** @returns whether the endpoint is left alone while others can serve */
   isPaused(nowMs: number): boolean {
     return nowMs < this.#pausedUntilMs;
--- a/packages/decisions/src/lib/serving/waiting-line.ts
+++ b/packages/decisions/src/lib/serving/waiting-line.ts
@@ -27,6 +27,13 @@
     else this.#waiters.splice(at, 0, waiter);
   }
 
+  /** Lets go of all: nothing will become free for them here. */
+  clear(): void {
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    waiters.forEach((waiter) => waiter.giveUp());
+  }
+
   /** @param waiter - a request whose caller has gone */
   remove(waiter: Waiter): void {
     this.#waiters = this.#waiters.filter((other) => other !== waiter);
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -1,11 +1,16 @@
 import { chooseEndpoint } from '@chervilseam/decisions';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '@chervilseam/model';
 import type { Endpoint } from '../feed/endpoint.js';
+import { PickReason } from './pick-reason.js';
 import { loadTimeMs } from '../owner/load-time-ms.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
 
 /** Requests that a plain service may queue beyond its places; a count. */
 const PLAIN_QUEUE_COUNT = 2;
+/** Part of the longest pause on time that the mean pause may reach before places are withheld. */
+const PACE_SHARE = 0.55;
+/** Least share of its places that a slow engine offers. */
+const SLOT_SHARE_MIN = 0.15;
 /** Part of an endpoint's connections that instances divide among themselves. */
 const CONNECTION_SHARE = 0.9;
 /** Time that a busy engine needs before it begins another load, in milliseconds. */
@@ -16,6 +21,8 @@
   readonly service: ServiceSpec;
   readonly model?: string;
   readonly adapter?: string;
+  /** Longest pause between events that is on time, in milliseconds. */
+  readonly paceMaxMs: number;
   /** Endpoints that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
 }
@@ -26,7 +33,7 @@
   /** The adapter has to be loaded first, on one of these engines, the best first. */
   | { readonly kind: 'prepare'; readonly endpoints: readonly Endpoint[] }
   /** Places or the model will be there in a while, in milliseconds. */
-  | { readonly kind: 'wait'; readonly reason: string; readonly etaMs: number }
+  | { readonly kind: 'wait'; readonly reason: PickReason; readonly etaMs: number }
   | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
 
 /** What the choice rests on. */
@@ -79,10 +86,11 @@
     }
     const holders = live.filter((endpoint) => {
       const isLeaving = engineState(endpoint.id)?.leaving.includes(model) ?? false;
-      return endpoint.holds(model, nowMs()) && !isLeaving;
+      const isThere = !endpoint.health.isUnreachable(nowMs());
+      return isThere && endpoint.holds(model, nowMs()) && !isLeaving;
     });
     if (holders.length === 0) {
-      return { kind: 'wait', reason: 'model absent', etaMs: this.#loadEtaMs(live, model, engine) };
+      return { kind: 'wait', reason: PickReason.model, etaMs: this.#loadEtaMs(live, model, engine) };
     }
     if (need.adapter === undefined) return this.#choose(holders, need);
     return this.#pickAdapter(holders, need, `${model}/${need.adapter}`);
@@ -102,7 +110,7 @@
       .sort((left, right) => adapterRank(left.id, item) - adapterRank(right.id, item));
     if (others.length > 0) return { kind: 'prepare', endpoints: others };
     if (choice.kind === 'send' || ready.length > 0) return choice;
-    return { kind: 'wait', reason: 'adapter absent', etaMs: 0 };
+    return { kind: 'wait', reason: PickReason.adapter, etaMs: 0 };
   }
 
   #choose(candidates: readonly Endpoint[], need: PickNeed): Pick {
@@ -125,7 +133,7 @@
     );
     const endpoint = choice && open.find(({ id }) => id === choice.id);
     if (endpoint) return { kind: 'send', endpoint, candidateCount: open.length };
-    const reason = fresh.length === 0 ? 'every endpoint tried' : 'all places taken';
+    const reason = fresh.length === 0 ? PickReason.tried : PickReason.full;
     return { kind: 'wait', reason, etaMs: 0 };
   }
 
@@ -133,11 +141,18 @@
     return endpoint.ownCount + this.#context.othersCount(endpoint.id);
   }
 
-  #hasPlace(endpoint: Endpoint, { service }: PickNeed): boolean {
+  // An engine whose streams have become slow takes fewer at a time.
+  #slotShare({ health }: Endpoint, paceMaxMs: number): number {
+    const paceMs = health.paceMs(this.#context.nowMs());
+    return Math.max(SLOT_SHARE_MIN, Math.min(1, (PACE_SHARE * paceMaxMs) / Math.max(1, paceMs)));
+  }
+
+  #hasPlace(endpoint: Endpoint, { service, paceMaxMs }: PickNeed): boolean {
     const queueCount = service.engine ? 0 : PLAIN_QUEUE_COUNT;
     const connections = CONNECTION_SHARE * service.connectionCountMax;
     const ownMax = Math.max(1, Math.floor(connections / this.#context.instanceCount()));
-    const isRoom = this.#outstanding(endpoint) < endpoint.record.slotCount + queueCount;
+    const slots = endpoint.record.slotCount * this.#slotShare(endpoint, paceMaxMs);
+    const isRoom = this.#outstanding(endpoint) < slots + queueCount;
     return isRoom && endpoint.ownCount < ownMax;
   }
 
--- /dev/null
+++ b/packages/gateway/src/lib/dispatch/pick-reason.ts
@@ -0,0 +1,9 @@
+/** Why no endpoint can take a request now. */
+export const PickReason = {
+  full: 'all places taken',
+  tried: 'every endpoint tried',
+  model: 'model absent',
+  adapter: 'adapter absent',
+} as const;
+
+export type PickReason = (typeof PickReason)[keyof typeof PickReason];
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -8,6 +8,7 @@
 import { EndpointAttempt } from './endpoint-attempt.js';
 import type { AttemptFailure } from './endpoint-attempt.js';
 import type { Pick } from './endpoint-picker.js';
+import { PickReason } from './pick-reason.js';
 import type { RunContext } from './run-context.js';
 
 /** Less time than this is not enough for an answer, in milliseconds. */
@@ -23,6 +24,8 @@
 const STALL_MS = 1_200;
 /** Part of the time left that a request may wait for a place or a model. */
 const WAIT_SHARE = 0.55;
+/** Part of its objective that a request may wait for a place. */
+const PLACE_WAIT_SHARE = 0.12;
 /** Part of the time after which callers leave that a request may wait. */
 const PATIENCE_SHARE = 0.7;
 /** Time to wait while nothing better is known, in milliseconds. */
@@ -51,6 +54,8 @@
   #patience: NodeJS.Timeout | undefined;
   #sentMs = 0;
   #isFirstByteIn = false;
+  #hasStartedOver = false;
+  #waitReason: PickReason = PickReason.full;
   #runCount = 0;
   #offerCount = 0;
   #mayHaveRun = false;
@@ -90,7 +95,7 @@
 
   /** Looks for an endpoint. */
   start(): void {
-    if (this.#head.model !== undefined) this.#context.asked(this.#head.model);
+    if (this.#head.model !== undefined) this.#context.asked(this.#head);
     this.#context.budget(this.#service.name).earn(this.#context.nowMs());
     this.#next();
   }
@@ -119,9 +124,10 @@
       },
       wait: () => {
         const { reason, etaMs } = pick as Extract<Pick, { kind: 'wait' }>;
-        if (reason === 'every endpoint tried') return this.#giveUp(reason);
-        // A model that cannot be there in time is refused now, not when the time is up.
-        if (etaMs > this.#waitMaxMs()) return this.#giveUp(reason, etaMs);
+        if (reason === PickReason.tried && !this.#mayStartOver()) return this.#giveUp(reason);
+        // What cannot be there in time is refused now, not when the time is up.
+        if (etaMs >= this.#waitMaxMs(reason)) return this.#giveUp(reason, etaMs);
+        this.#waitReason = reason;
         return false;
       },
       refuse: () => {
@@ -137,16 +143,30 @@
       service: this.#service,
       model: this.#head.model,
       adapter: this.#head.adapter,
+      paceMaxMs: this.#route.paceMaxMs,
       tried: this.#tried,
     });
   }
 
-  // A caller that hears nothing leaves long before its deadline.
-  #waitMaxMs(): number {
+  // The only endpoint that has the model may be asked again by a request that may run twice.
+  #mayStartOver(): boolean {
+    if (this.#hasStartedOver || !this.#isSafeToRepeat) return false;
+    this.#hasStartedOver = true;
+    this.#tried.clear();
+    return true;
+  }
+
+  // A caller that hears nothing leaves long before its deadline; for a place it waits no longer than
+  // the answer would still be on time.
+  #waitMaxMs(reason: PickReason): number {
+    const { objectiveMs, callerPatienceMs } = this.#route;
     const nowMs = this.#context.nowMs();
     const leftMs = WAIT_SHARE * (this.#deadlineMs - nowMs);
     if (this.#isRelaying) return leftMs;
-    const patienceMs = PATIENCE_SHARE * this.#route.callerPatienceMs;
+    const patienceMs =
+      reason === PickReason.full
+        ? PLACE_WAIT_SHARE * objectiveMs
+        : PATIENCE_SHARE * callerPatienceMs;
     return Math.min(leftMs, patienceMs - (nowMs - this.#exchange.receivedMs));
   }
 
@@ -155,7 +175,7 @@
     const waiter: Waiter = {
       priority: this.#route.priority,
       sinceMs: nowMs(),
-      untilMs: nowMs() + this.#waitMaxMs(),
+      untilMs: nowMs() + this.#waitMaxMs(this.#waitReason),
       tryNow: () => {
         const isDone = this.#tryNow();
         if (isDone) this.#waiter = undefined;
@@ -163,7 +183,7 @@
       },
       giveUp: () => {
         this.#waiter = undefined;
-        this.#giveUp('waited in vain');
+        this.#giveUp(`waited in vain: ${this.#waitReason}`);
       },
     };
     this.#waiter = waiter;
@@ -191,6 +211,7 @@
       item,
       asked: endpoints.slice(0, PREPARE_COUNT).map(({ id }) => id),
     });
+    this.#waitReason = PickReason.adapter;
     this.#wait();
   }
 
@@ -398,7 +419,8 @@
   #takeFailure(attempt: EndpointAttempt, { wasSent, reason }: AttemptFailure): void {
     if (attempt !== this.#attempt) return;
     const { nowMs } = this.#context;
-    this.#endpoint?.health.wasSilent(nowMs());
+    if (wasSent) this.#endpoint?.health.wasSilent(nowMs());
+    else this.#endpoint?.health.wasUnreachable(nowMs());
     this.#release();
     if (wasSent) {
       this.#runCount += 1;
@@ -476,7 +498,7 @@
     this.#endpoint = undefined;
     if (!endpoint) return;
     endpoint.ownCount -= 1;
-    this.#context.ended(endpoint, this.#service.name, this.#context.nowMs() - this.#sentMs);
+    this.#context.ended(endpoint, this.#context.nowMs() - this.#sentMs);
     this.#lastEndpoint = endpoint;
   }
 
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -29,11 +29,11 @@
   /** Loads an adapter on an engine through its owner. */
   readonly prepare: (endpoint: Endpoint, model: string, adapter: string) => Promise<boolean>;
   /** A request asks for a model. */
-  readonly asked: (model: string) => void;
+  readonly asked: (head: CallerHead) => void;
   /** A request was sent. */
   readonly sent: (endpoint: Endpoint, head: CallerHead) => void;
   /** A request has left an endpoint after some time, in milliseconds. */
-  readonly ended: (endpoint: Endpoint, service: string, holdMs: number) => void;
+  readonly ended: (endpoint: Endpoint, holdMs: number) => void;
   /** An endpoint said that it lacks what was asked of it, or that it is another one. */
   readonly denied: (endpoint: Endpoint, answer: AnswerHead, head: CallerHead) => void;
   /** Explains a decision on a request. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -33,6 +33,8 @@
 const ROTATION_MS = 2_600;
 /** Part of the grace period that is left unused, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
+/** Time before the end in which requests that still wait are refused, in milliseconds. */
+const REFUSE_MS = 1_000;
 const STOP_POLL_MS = 50;
 
 /** Ways to the outside. */
@@ -212,6 +214,7 @@
     while (Gateway.nowMs() < endMs) {
       const isOutOfRotation = Gateway.nowMs() - startMs > ROTATION_MS;
       if (isOutOfRotation) this.#ingress.closeIdle();
+      if (Gateway.nowMs() > endMs - REFUSE_MS) this.#lines.forEach((line) => line.clear());
       if (isOutOfRotation && this.#ingress.connectionCount === 0) break;
       // eslint-disable-next-line no-await-in-loop
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
@@ -310,13 +313,12 @@
       budget: (service) => this.#budget(service),
       prepare: (endpoint, model, adapter) =>
         this.#fleet.prepareThroughOwner(endpoint, model, adapter),
-      asked: (model) => this.#fleet.demand.asked(model),
+      asked: (head) => this.#fleet.demand.asked(head),
       sent: (endpoint, { model, adapter }) => {
         this.#metrics.dispatches.inc();
         if (adapter !== undefined) this.#noteAdapter(endpoint.id, `${model}/${adapter}`);
       },
-      ended: (_, service, holdMs) => {
-        if (this.#config.config?.services.get(service)?.engine) this.#fleet.demand.ended(holdMs);
+      ended: (_, holdMs) => {
         this.#metrics.observe('endpoint_hold', holdMs);
         this.#schedulePump();
       },
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -71,10 +71,10 @@
     this.#isStopping = true;
   }
 
-  /** Closes connections without a request. */
+  /** Closes connections without a request; one that crosses the closing is never read. */
   closeIdle(): void {
     this.#sockets.forEach((count, socket) => {
-      if (count === 0) socket.end();
+      if (count === 0) socket.destroy();
     });
   }
 
--- a/packages/gateway/src/lib/owner/demand-meter.ts
+++ b/packages/gateway/src/lib/owner/demand-meter.ts
@@ -1,19 +1,24 @@
 import { DemandEstimate } from '@chervilseam/decisions';
-
-/** Time that a request keeps a place of an engine busy while none has been measured, in milliseconds. */
-const FIRST_HOLD_MS = 1_200;
-const HOLD_WEIGHT = 0.02;
-/** Demand below this is not worth a word to the others; places of an engine. */
-const DEMAND_MIN = 0.005;
+import type { CallerHead } from '../ports/caller-head.js';
+
+/** Tokens read in the time that one output token takes of a full batch: steps last about 5 ms. */
+const OUTPUT_TOKEN_WORK = 7;
+/** Output tokens of a request that gives no hint, at the most; a count. */
+const OUTPUT_TOKENS_UNHINTED = 300;
+/** Demand below this is not worth a word to the others, in tokens a second. */
+const DEMAND_MIN = 20;
 const MS_PER_SECOND = 1_000;
 /** A model's demand rises within a second and falls within a few. */
-const RATES = { risePerSecond: 0.85, fallPerSecond: 0.3 };
+const RATES = { risePerSecond: 0.85, fallPerSecond: 0.35 };
 
-/** Demand that callers of this instance have for each model, in places of an engine kept busy. */
+/**
+ * Demand that callers of this instance have for each model, in tokens to read a second. It counts
+ * the work of requests and not their duration: that grows when engines are crowded, and what follows
+ * demand would then chase its own effect.
+ */
 export class DemandMeter {
   readonly #estimate = new DemandEstimate(RATES);
-  #requests = new Map<string, number>();
-  #holdMs = FIRST_HOLD_MS;
+  #work = new Map<string, number>();
   #sinceMs: number;
 
   /** @param nowMs - a clock that only goes forward, in milliseconds */
@@ -21,33 +26,23 @@
     this.#sinceMs = nowMs;
   }
 
-  /** @param model - model that a new request asks for */
-  asked(model: string): void {
-    this.#requests.set(model, (this.#requests.get(model) ?? 0) + 1);
-  }
-
-  /** @param holdMs - time that a request kept its place, in milliseconds */
-  ended(holdMs: number): void {
-    this.#holdMs += HOLD_WEIGHT * (holdMs - this.#holdMs);
-  }
-
-  /** Mean time that a request keeps its place, in milliseconds. */
-  get holdMs(): number {
-    return this.#holdMs;
+  /** @param head - a new request */
+  asked({ model, promptTokenCount, outputTokenCountMax, outputTokenHint }: CallerHead): void {
+    if (model === undefined) return;
+    const unhinted = Math.min(outputTokenCountMax, OUTPUT_TOKENS_UNHINTED);
+    const work = promptTokenCount + OUTPUT_TOKEN_WORK * (outputTokenHint ?? unhinted);
+    this.#work.set(model, (this.#work.get(model) ?? 0) + work);
   }
 
   /** Closes a window of time. */
   tick(nowMs: number): void {
     const durationMs = nowMs - this.#sinceMs;
     if (durationMs <= 0) return;
-    const places = new Map(
-      [...this.#requests].map(([model, count]) => {
-        const perSecond = (count * MS_PER_SECOND) / durationMs;
-        return [model, (perSecond * this.#holdMs) / MS_PER_SECOND] as const;
-      }),
+    const rates = new Map(
+      [...this.#work].map(([model, work]) => [model, (work * MS_PER_SECOND) / durationMs]),
     );
-    this.#estimate.observe(places, durationMs);
-    this.#requests = new Map();
+    this.#estimate.observe(rates, durationMs);
+    this.#work = new Map();
     this.#sinceMs = nowMs;
   }
 
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -6,8 +6,12 @@
 import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
 
-/** Share of an engine's places that its models' demand may fill: above it tokens come slowly. */
-const PLACE_SHARE = 0.22;
+/** Tokens that an engine of usual speed reads a second: 38 a millisecond on the users' sheets. */
+const ENGINE_TOKENS_PER_SECOND = 38_000;
+/** Share of that which demand may fill: above it tokens come slowly. */
+const UTILIZATION = 0.55;
+/** Loads that the weight store allows in a window beyond its rate; a count. */
+const LOAD_FREE_COUNT = 3;
 /** A model stays reachable for this long after it was last asked for, in milliseconds. */
 const LABEL_MS = 4_000;
 /** Moves of one round, over all engines; a count. */
@@ -68,7 +72,9 @@
 
   #plan(service: string, spec: EngineSpec, demand: ReadonlyMap<string, number>): void {
     const { nowMs, endpointsOf, begin, logger } = this.#context;
-    const endpoints = endpointsOf(service).filter(({ isLeaving }) => !isLeaving);
+    const endpoints = endpointsOf(service).filter(
+      ({ isLeaving, health }) => !isLeaving && !health.isUnreachable(nowMs()),
+    );
     const usualPaceMs = median(
       endpoints.map(({ health }) => health.paceMs(nowMs())).filter(Boolean),
     );
@@ -92,8 +98,8 @@
         endpoint: engine,
         load,
         unload,
-        gain: Math.round(gain * 100) / 100,
-        demand: demand.get(load),
+        gain: Math.round(gain),
+        demand: Math.round(demand.get(load) ?? 0),
         servedShare: plan.servedShare,
       });
     });
@@ -116,7 +122,7 @@
     return {
       name: endpoint.id,
       capacityBytes: capacityMb * BYTES_PER_MB,
-      tokensPerSecond: spec.slotCount * PLACE_SHARE * this.#speed(endpoint, usualPaceMs),
+      tokensPerSecond: ENGINE_TOKENS_PER_SECOND * UTILIZATION * this.#speed(endpoint, usualPaceMs),
       loadMsByModel: new Map(
         [...spec.models.values()].map((model) => [model.name, loadTimeMs(endpoint.record, model)]),
       ),
@@ -156,7 +162,8 @@
     const { endpoint, nowMs, loadWindowMs, loadSlackRatio } = this.#context;
     const record = endpoint(engine)?.record;
     if (record?.hostModels.includes(model) || record?.diskModels.includes(model)) return true;
-    const allowed = (spec.storeLoadsPerSecond * loadWindowMs * loadSlackRatio) / MS_PER_SECOND;
+    const regular = (spec.storeLoadsPerSecond * loadWindowMs * loadSlackRatio) / MS_PER_SECOND;
+    const allowed = regular + LOAD_FREE_COUNT;
     return this.#loads.take(Math.max(1, Math.floor(allowed * LOAD_SHARE)), nowMs());
   }
 }
--- a/packages/gateway/src/lib/ports/caller-head.ts
+++ b/packages/gateway/src/lib/ports/caller-head.ts
@@ -8,6 +8,8 @@
   readonly adapter?: string;
   readonly promptTokenCount: number;
   readonly outputTokenCountMax: number;
+  /** Output tokens that the caller expects; right in the middle, often far off. */
+  readonly outputTokenHint?: number;
   /** Parts of the prompt in order; requests share parts. */
   readonly promptParts: readonly { readonly id: string; readonly tokenCount: number }[];
   /** Number of the last event that the caller has, when it resumes a stream. */
--- a/packages/model/src/lib/serving/route-spec.ts
+++ b/packages/model/src/lib/serving/route-spec.ts
@@ -14,6 +14,8 @@
   readonly timeoutMs: number;
   /** Time to the answer, or to the first event of a stream, that is on time, in milliseconds. */
   readonly objectiveMs: number;
+  /** Longest pause between events of a stream that is on time, in milliseconds. */
+  readonly paceMaxMs: number;
   /** Time without an answer or an event after which callers leave, in milliseconds. */
   readonly callerPatienceMs: number;
   /** Endpoints that one request may be sent to; a count. */
