--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -5,6 +5,8 @@
   readonly bytes: number;
   /** Whether it must stay reachable. */
   readonly isLabelled: boolean;
+  /** Whether requests wait for it: it gets a place although nothing is gained by it. */
+  readonly isAwaited?: boolean;
   /** Wanted tokens a second. */
   readonly demand: number;
 }
@@ -31,4 +33,6 @@
   readonly engines: readonly PlacementEngine[];
   /** Moves that may be begun in this round; a count. */
   readonly moveBudget: number;
+  /** Share of an engine's tokens that a move must win; a hundredth when left out. */
+  readonly gainShareMin?: number;
 }
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -29,9 +29,11 @@
   readonly #held = new Map<string, Set<string>>();
   /** Engines where each model can serve now: a replica that is still loading saves nobody. */
   readonly #ready = new Map<string, Set<string>>();
+  readonly #gainShareMin: number;
   #flow: PlacementFlow;
 
-  constructor({ models, engines }: PlacementInput) {
+  constructor({ models, engines, gainShareMin = GAIN_SHARE_MIN }: PlacementInput) {
+    this.#gainShareMin = gainShareMin;
     this.#models = new Map(models.map((model) => [model.name, model]));
     this.#engines = new Map(
       engines.map((engine) => [
@@ -55,18 +57,24 @@
     return this.#flow.unserved;
   }
 
-  /** Labelled models without any replica, most wanted first. */
+  /** Models without any replica that must have one, most wanted first. */
   unreachable(): Model[] {
     return [...this.#models.values()]
-      .filter(({ name, isLabelled }) => isLabelled && this.#replicas.get(name)?.size === 0)
+      .filter(({ isLabelled, isAwaited }) => isLabelled || isAwaited)
+      .filter(({ name }) => this.#replicas.get(name)?.size === 0)
       .sort((left, right) => right.demand - left.demand);
   }
 
-  /** Models that want more than their engines make, the largest rest first. */
-  hungry(): Model[] {
+  /** Tokens a second of the fastest engine. */
+  get largestEngine(): number {
+    return Math.max(0, ...[...this.#engines.values()].map(({ tokensPerSecond }) => tokensPerSecond));
+  }
+
+  /** Models that want more than their engines make by more than `restMin`, the largest rest first. */
+  hungry(restMin: number): Model[] {
     const rest = ({ name }: Model): number => this.#flow.unservedByModel.get(name) ?? 0;
     return [...this.#models.values()]
-      .filter((model) => rest(model) > 0)
+      .filter((model) => rest(model) > restMin)
       .sort((left, right) => rest(right) - rest(left));
   }
 
@@ -114,7 +122,7 @@
     const lost = victims.reduce((sum, victim) => sum + this.#worth(victim, engine), 0);
     const room = this.#flow.room(engine);
     const gain = Math.min(rest, room) - lost;
-    const isWorth = gain >= GAIN_SHARE_MIN * engine.tokensPerSecond;
+    const isWorth = gain >= this.#gainShareMin * engine.tokensPerSecond;
     if (!mustServe && !isWorth) return undefined;
     return { engine, unload: victims.map(({ name }) => name), gain };
   }
@@ -160,9 +168,9 @@
   #evictable(engine: Engine): Model[] {
     return [...(this.#held.get(engine.name) ?? [])]
       .flatMap((name) => this.#models.get(name) ?? [])
-      .filter(({ name, isLabelled }) => {
+      .filter(({ name, isLabelled, isAwaited }) => {
         const ready = this.#ready.get(name);
-        return ready?.has(engine.name) && (!isLabelled || ready.size > 1);
+        return ready?.has(engine.name) && ((!isLabelled && !isAwaited) || ready.size > 1);
       });
   }
 
@@ -202,6 +210,25 @@
   const round = new PlacementRound(input);
   const moves: PlacementMove[] = [];
   const shortfalls: { model: string; bytes: number }[] = [];
+  const skipped = new Set<string>();
+  // Adds replicas of the models that lack most, as long as each wins enough.
+  const feed = (restMin: number, countMax: number): void => {
+    const end = Math.min(input.moveBudget, moves.length + countMax);
+    while (moves.length < end) {
+      const model = round.hungry(restMin).find(({ name }) => !skipped.has(name));
+      if (!model) return;
+      const options = round.options(model, false);
+      if (options.length === 0) {
+        skipped.add(model.name);
+      } else {
+        moves.push(toMove(model.name, 'more is wanted than its engines make', options));
+        round.apply(model.name, options[0]);
+      }
+    }
+  };
+  // A model that lacks more than an engine makes keeps more callers waiting than one that is asked
+  // for now and then: half of the moves are for such models first.
+  feed(round.largestEngine, Math.floor(input.moveBudget / 2));
   round.unreachable().forEach((model) => {
     const options = round.options(model, true);
     if (options.length === 0) {
@@ -212,18 +239,7 @@
     moves.push(toMove(model.name, 'no replica can be reached', options));
     round.apply(model.name, options[0]);
   });
-  const skipped = new Set<string>();
-  while (moves.length < input.moveBudget) {
-    const model = round.hungry().find(({ name }) => !skipped.has(name));
-    if (!model) break;
-    const options = round.options(model, false);
-    if (options.length === 0) {
-      skipped.add(model.name);
-    } else {
-      moves.push(toMove(model.name, 'more is wanted than its engines make', options));
-      round.apply(model.name, options[0]);
-    }
-  }
+  feed(0, input.moveBudget);
   const wanted = input.models.reduce((sum, { demand }) => sum + demand, 0);
   const servedShare = wanted === 0 ? 1 : 1 - round.unserved / wanted;
   return { moves, shortfalls, servedShare };
--- a/packages/decisions/src/lib/serving/waiting-line.ts
+++ b/packages/decisions/src/lib/serving/waiting-line.ts
@@ -3,6 +3,8 @@
   /** Rank of its route, 0 first. */
   readonly priority: number;
   readonly sinceMs: number;
+  /** Model that it needs, if it needs one. */
+  readonly model?: string;
   /** When it is no longer worth waiting, in milliseconds. */
   readonly untilMs: number;
   /** @returns whether the request was sent and waits no more */
@@ -20,6 +22,11 @@
     return this.#waiters.length;
   }
 
+  /** Models that requests wait for. */
+  get models(): readonly string[] {
+    return this.#waiters.flatMap(({ model }) => model ?? []);
+  }
+
   /** @param waiter - a request that starts to wait */
   add(waiter: Waiter): void {
     const at = this.#waiters.findIndex(({ priority }) => priority > waiter.priority);
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -175,6 +175,7 @@
     const waiter: Waiter = {
       priority: this.#route.priority,
       sinceMs: nowMs(),
+      model: this.#waitReason === PickReason.model ? this.#head.model : undefined,
       untilMs: nowMs() + this.#waitMaxMs(this.#waitReason),
       tryNow: () => {
         const isDone = this.#tryNow();
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -143,6 +143,7 @@
       sync: this.#sync,
       config: () => this.#config.config,
       instanceCount: () => this.#instanceCount,
+      awaited: () => this.#awaited(),
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
     });
     this.#picker = new EndpointPicker({
@@ -367,6 +368,10 @@
     return budget;
   }
 
+  #awaited(): string[] {
+    return [...new Set([...this.#lines.values()].flatMap(({ models }) => models))];
+  }
+
   #noteAdapter(endpoint: string, item: string): void {
     const used = this.#usedAdapters.get(endpoint) ?? new Set();
     used.add(item);
@@ -410,6 +415,7 @@
       configVersion: this.#config.version,
       outstanding: Object.fromEntries(busy.map(({ id, ownCount }) => [id, ownCount])),
       demand: this.#fleet.ownDemand(),
+      awaited: this.#awaited(),
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
       shares: this.#isStopping ? [] : this.#member.shares,
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -34,6 +34,8 @@
   readonly sync: PeerSync;
   readonly config: () => ServingConfig | undefined;
   readonly instanceCount: () => number;
+  /** Models that requests of this instance wait for. */
+  readonly awaited: () => readonly string[];
   readonly onOrder: (outcome: OrderOutcome) => void;
 }
 
@@ -63,6 +65,7 @@
       engineState: (id) => this.stateOf(id),
       begin: (id, move) => this.#beginThroughOwner(id, move),
       demand: () => this.#demandOfAll(),
+      awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
       loadWindowMs: settings.loadWindowMs,
       loadSlackRatio: settings.loadSlackRatio,
     });
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -12,8 +12,12 @@
 const UTILIZATION = 0.55;
 /** Loads that the weight store allows in a window beyond its rate; a count. */
 const LOAD_FREE_COUNT = 3;
-/** A model stays reachable for this long after it was last asked for, in milliseconds. */
-const LABEL_MS = 4_000;
+/** A replica serves for this long before its place may go to another model, in milliseconds. */
+const RESIDENCE_MS = 3_000;
+/** Demand above which a model that is nowhere gets a place, in tokens a second. */
+const AWAITED_DEMAND = 200;
+/** Share of an engine's tokens that a move must win to be worth its load. */
+const GAIN_SHARE_MIN = 0.12;
 /** Moves of one round, over all engines; a count. */
 const MOVE_MAX = 6;
 /** Part of the weight store's limit that one planner uses: another may take its place meanwhile. */
@@ -41,6 +45,8 @@
   readonly begin: (endpoint: string, move: EngineMove) => void;
   /** Demand of all instances by model. */
   readonly demand: () => ReadonlyMap<string, number>;
+  /** Models that requests of any instance wait for. */
+  readonly awaited: () => ReadonlySet<string>;
   readonly loadWindowMs: number;
   readonly loadSlackRatio: number;
 }
@@ -51,7 +57,9 @@
  */
 export class PlacementLoop {
   readonly #context: PlacementContext;
-  readonly #askedMs = new Map<string, number>();
+  /** When each replica was first seen, by engine and model. */
+  #seenMs = new Map<string, number>();
+  #stillSeenMs = new Map<string, number>();
   readonly #loads: WindowLimit;
   readonly #pending = new Map<string, EngineMove & { readonly untilMs: number }>();
 
@@ -64,10 +72,11 @@
   /** @param config - the configuration in force */
   tick(config: ServingConfig): void {
     const demand = this.#context.demand();
-    demand.forEach((_, model) => this.#askedMs.set(model, this.#context.nowMs()));
+    this.#stillSeenMs = new Map();
     config.services.forEach(({ name, engine }) => {
       if (engine) this.#plan(name, engine, demand);
     });
+    this.#seenMs = this.#stillSeenMs;
   }
 
   #plan(service: string, spec: EngineSpec, demand: ReadonlyMap<string, number>): void {
@@ -75,6 +84,7 @@
     const endpoints = endpointsOf(service).filter(
       ({ isLeaving, health }) => !isLeaving && !health.isUnreachable(nowMs()),
     );
+    const awaited = this.#context.awaited();
     const usualPaceMs = median(
       endpoints.map(({ health }) => health.paceMs(nowMs())).filter(Boolean),
     );
@@ -82,13 +92,15 @@
       models: [...spec.models.values()].map(({ name, sizeMb }) => ({
         name,
         bytes: sizeMb * BYTES_PER_MB,
-        isLabelled: nowMs() < (this.#askedMs.get(name) ?? -Infinity) + LABEL_MS,
+        isLabelled: false,
+        isAwaited: awaited.has(name) || (demand.get(name) ?? 0) > AWAITED_DEMAND,
         demand: demand.get(name) ?? 0,
       })),
       engines: endpoints
         .map((endpoint) => this.#engine(endpoint, spec, usualPaceMs))
         .sort((left, right) => (left.name < right.name ? -1 : 1)),
       moveBudget: MOVE_MAX,
+      gainShareMin: GAIN_SHARE_MIN,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
       if (this.#isFixed(engine) || !this.#mayLoad(engine, load, spec)) return;
@@ -127,11 +139,19 @@
         [...spec.models.values()].map((model) => [model.name, loadTimeMs(endpoint.record, model)]),
       ),
       models,
-      ready: isFixed ? [] : models,
+      ready: isFixed ? [] : models.filter((model) => this.#isSettled(endpoint.id, model)),
       otherBytes: 0,
     };
   }
 
+  #isSettled(endpoint: string, model: string): boolean {
+    const key = `${endpoint}/${model}`;
+    const nowMs = this.#context.nowMs();
+    const seenMs = this.#seenMs.get(key) ?? nowMs;
+    this.#stillSeenMs.set(key, seenMs);
+    return nowMs >= seenMs + RESIDENCE_MS;
+  }
+
   // An engine that makes tokens slowly, by nature or because it is crowded, carries less.
   #speed({ health }: Endpoint, usualPaceMs: number): number {
     const paceMs = health.paceMs(this.#context.nowMs());
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -26,6 +26,8 @@
   readonly outstanding: Readonly<Record<string, number>>;
   /** Requests a second by model, in places of an engine that they keep busy. */
   readonly demand: Readonly<Record<string, number>>;
+  /** Models that requests wait for. */
+  readonly awaited: readonly string[];
   /** Adapters used since the last state, by endpoint. */
   readonly usedAdapters: Readonly<Record<string, readonly string[]>>;
   /** Generation of the group that the shares belong to. */
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -71,6 +71,11 @@
     return sums;
   }
 
+  /** @returns models that requests of other instances wait for */
+  awaited(nowMs: number): Set<string> {
+    return new Set(this.fresh(nowMs).flatMap(({ awaited }) => awaited));
+  }
+
   /** @returns the instance that owns a share by the newest word, if any is heard */
   ownerOf(share: number, nowMs: number): InstanceState | undefined {
     return this.fresh(nowMs)
