--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -33,6 +33,8 @@
   readonly engines: readonly PlacementEngine[];
   /** Moves that may be begun in this round; a count. */
   readonly moveBudget: number;
+  /** Share of an engine's tokens that a model without a replica may take from others. */
+  readonly lossShareMax?: number;
   /** Share of an engine's tokens that a move must win; a hundredth when left out. */
   readonly gainShareMin?: number;
 }
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -30,10 +30,17 @@
   /** Engines where each model can serve now: a replica that is still loading saves nobody. */
   readonly #ready = new Map<string, Set<string>>();
   readonly #gainShareMin: number;
+  readonly #lossShareMax: number;
   #flow: PlacementFlow;
 
-  constructor({ models, engines, gainShareMin = GAIN_SHARE_MIN }: PlacementInput) {
+  constructor({
+    models,
+    engines,
+    gainShareMin = GAIN_SHARE_MIN,
+    lossShareMax = Infinity,
+  }: PlacementInput) {
     this.#gainShareMin = gainShareMin;
+    this.#lossShareMax = lossShareMax;
     this.#models = new Map(models.map((model) => [model.name, model]));
     this.#engines = new Map(
       engines.map((engine) => [
@@ -67,7 +74,10 @@
 
   /** Tokens a second of the fastest engine. */
   get largestEngine(): number {
-    return Math.max(0, ...[...this.#engines.values()].map(({ tokensPerSecond }) => tokensPerSecond));
+    return Math.max(
+      0,
+      ...[...this.#engines.values()].map(({ tokensPerSecond }) => tokensPerSecond),
+    );
   }
 
   /** Models that want more than their engines make by more than `restMin`, the largest rest first. */
@@ -124,6 +134,7 @@
     const gain = Math.min(rest, room) - lost;
     const isWorth = gain >= this.#gainShareMin * engine.tokensPerSecond;
     if (!mustServe && !isWorth) return undefined;
+    if (lost > this.#lossShareMax * engine.tokensPerSecond) return undefined;
     return { engine, unload: victims.map(({ name }) => name), gain };
   }
 
--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -34,6 +34,8 @@
   readonly #spec: EngineSpec;
   readonly #models = new Map<string, HeldModel>();
   #orderCount: number | undefined;
+  /** Orders that the engine is known to have taken: a report of fewer is older than that. */
+  #orderCountMin = 0;
   #doubt: EngineOrder | undefined;
   #doubtMs = 0;
 
@@ -91,12 +93,15 @@
   }
 
   /**
-   * Takes a report that is newer than every order.
+   * Takes a report, unless it is older than an order that the engine has taken.
    *
    * @param report - the report
    * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns whether it was taken
    */
-  adopt(report: EngineStateReport, nowMs: number): void {
+  adopt(report: EngineStateReport, nowMs: number): boolean {
+    if (report.orderCount < this.#orderCountMin) return false;
+    this.#orderCountMin = report.orderCount;
     // An order without an answer that the engine has not counted may still be carried out.
     const mayStillArrive =
       report.orderCount === this.#orderCount && nowMs < this.#doubtMs + DOUBT_MS;
@@ -116,14 +121,15 @@
       const held = this.#models.get(model);
       held?.adapters.set(adapter, { usedMs: nowMs, orderedMs: nowMs, isInFlight: true });
     });
-    if (doubt?.action === 'load') this.sent(doubt, nowMs);
+    if (doubt) this.#reserve(doubt, nowMs);
     // A busy engine is loading or unloading something that its report does not name.
-    if (!report.isBusy) return;
+    if (!report.isBusy) return true;
     known.forEach((held, name) => {
       if (held.state === 'loading' && !this.#models.has(name)) this.#models.set(name, held);
       const listed = this.#models.get(name);
       if (held.state === 'leaving' && listed) listed.state = 'leaving';
     });
+    return true;
   }
 
   /**
@@ -167,19 +173,9 @@
    * @param nowMs - a clock that only goes forward, in milliseconds
    */
   sent(order: EngineOrder, nowMs: number): void {
-    const { action, model, adapter } = order;
     this.#doubtMs = nowMs;
-    if (order === this.#doubt) return;
-    if (action === 'unload') {
-      if (adapter === undefined) this.#models.get(model)!.state = 'leaving';
-      return;
-    }
-    if (adapter === undefined) {
-      this.#models.set(model, { adapters: new Map(), state: 'loading' });
-      return;
-    }
-    const fresh = { usedMs: nowMs, orderedMs: nowMs, isInFlight: true };
-    this.#models.get(model)?.adapters.set(adapter, fresh);
+    // Sent once more, it is counted already.
+    if (order !== this.#doubt) this.#reserve(order, nowMs);
   }
 
   /**
@@ -192,13 +188,13 @@
     const handlers: Record<OrderOutcome, () => void> = {
       // An order that was taken rules out the one before it that had no answer.
       [OrderOutcome.accepted]: () => {
-        this.#orderCount = (this.#orderCount ?? 0) + 1;
+        this.#count();
         this.#settleDoubt(order);
         this.#apply(order);
       },
       [OrderOutcome.holds]: () => {
         if (order.action === 'unload' && order.adapter !== undefined) {
-          this.#orderCount = (this.#orderCount ?? 0) + 1;
+          this.#count();
           this.#settleDoubt(order);
         }
         this.#confirm(order);
@@ -281,6 +277,25 @@
     return undefined;
   }
 
+  #reserve({ action, model, adapter }: EngineOrder, nowMs: number): void {
+    const held = this.#models.get(model);
+    if (action === 'unload') {
+      if (adapter === undefined && held) held.state = 'leaving';
+      return;
+    }
+    if (adapter === undefined) {
+      this.#models.set(model, { adapters: new Map(), state: 'loading' });
+      return;
+    }
+    const fresh = { usedMs: nowMs, orderedMs: nowMs, isInFlight: true };
+    held?.adapters.set(adapter, fresh);
+  }
+
+  #count(): void {
+    this.#orderCountMin += 1;
+    this.#orderCount = this.#orderCountMin;
+  }
+
   // The order before was not carried out and cannot be any more.
   #settleDoubt(order: EngineOrder): void {
     const doubt = this.#doubt;
--- /dev/null
+++ b/packages/decisions/src/test/serving/ownership-lease_test.ts
@@ -0,0 +1,66 @@
+import { expect } from 'chai';
+import { OwnershipLease } from '@chervilseam/decisions';
+
+const TTL_MS = 2_000;
+const HANDOVER_MS = 3_000;
+const WAIT_MS = TTL_MS + HANDOVER_MS;
+
+describe('OwnershipLease', () => {
+  let lease: OwnershipLease;
+
+  const renew = (generation: number, sentMs: number, nowMs = sentMs, shares = [1]): void =>
+    lease.renewed({ generation, shares }, sentMs, nowMs);
+
+  const keep = (generation: number, fromMs: number, untilMs: number): void => {
+    for (let atMs = fromMs; atMs <= untilMs; atMs += 500) renew(generation, atMs);
+  };
+
+  beforeEach(() => {
+    lease = new OwnershipLease({ ttlMs: TTL_MS, handoverMs: HANDOVER_MS });
+  });
+
+  it('waits until the owner before must have stopped', () => {
+    keep(1, 0, WAIT_MS - 500);
+    expect(lease.tokenOf(1, WAIT_MS - 1)).to.equal(undefined);
+    expect(lease.tokenOf(1, WAIT_MS)).to.equal(1);
+  });
+
+  it('stops before the store can give the share away', () => {
+    keep(1, 0, 10_000);
+    expect(lease.tokenOf(1, 11_000)).to.equal(1);
+    expect(lease.tokenOf(1, 12_000)).to.equal(undefined);
+  });
+
+  it('counts the time to live from the sending, not from the answer', () => {
+    keep(1, 0, 10_000);
+    renew(1, 10_500, 12_000);
+    expect(lease.tokenOf(1, 12_200)).to.equal(undefined);
+  });
+
+  it('goes on at once when nobody can have owned the share meanwhile', () => {
+    keep(1, 0, 10_000);
+    renew(1, 20_000);
+    expect(lease.tokenOf(1, 20_001)).to.equal(1);
+  });
+
+  it('waits again, with a higher token, when the group changed while the lease had lapsed', () => {
+    keep(1, 0, 10_000);
+    keep(3, 20_000, 20_000 + WAIT_MS);
+    expect(lease.tokenOf(1, 20_000 + WAIT_MS - 1)).to.equal(undefined);
+    expect(lease.tokenOf(1, 20_000 + WAIT_MS)).to.equal(3);
+  });
+
+  it('does nothing after a standstill until it has renewed', () => {
+    keep(1, 0, 10_000);
+    lease.suspend();
+    expect(lease.tokenOf(1, 10_001)).to.equal(undefined);
+    renew(1, 10_100);
+    expect(lease.tokenOf(1, 10_101)).to.equal(1);
+  });
+
+  it('lets go of a share that is no longer its own', () => {
+    keep(1, 0, 10_000);
+    renew(2, 10_100, 10_100, [5]);
+    expect(lease.tokenOf(1, 10_101)).to.equal(undefined);
+  });
+});
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -90,7 +90,11 @@
       return isThere && endpoint.holds(model, nowMs()) && !isLeaving;
     });
     if (holders.length === 0) {
-      return { kind: 'wait', reason: PickReason.model, etaMs: this.#loadEtaMs(live, model, engine) };
+      return {
+        kind: 'wait',
+        reason: PickReason.model,
+        etaMs: this.#loadEtaMs(live, model, engine),
+      };
     }
     if (need.adapter === undefined) return this.#choose(holders, need);
     return this.#pickAdapter(holders, need, `${model}/${need.adapter}`);
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -9,7 +9,7 @@
 import type { EngineMove } from './engine-move.js';
 
 /** Reports are this old at most, in milliseconds: what is asked sooner after an order may not show it. */
-const REPORT_LAG_MS = 450;
+const REPORT_LAG_MS = 250;
 /** Time that an adapter takes to arrive, in milliseconds. */
 const ADAPTER_ARRIVAL_MS = 11;
 /** An adapter that was used this lately is not taken away, in milliseconds. */
@@ -17,13 +17,13 @@
 /** Times that an order without an answer is sent again: the first that is taken rules out the others. */
 const ORDER_REPEAT_MAX = 2;
 /** Time that requests have to hear that a model is leaving, in milliseconds. */
-const LEAVING_NOTICE_MS = 250;
+const LEAVING_NOTICE_MS = 130;
 /** Time that an unload is expected to take: requests in progress end first; in milliseconds. */
 const UNLOAD_MS = 1_500;
 /** Entries of the list are this much older than the engine's own word, in milliseconds. */
 const LIST_LAG_MS = 1_500;
 /** Time between two reports while a change is awaited, in milliseconds. */
-const REPORT_PAUSE_MS = 400;
+const REPORT_PAUSE_MS = 200;
 
 /** What an owner needs around it. */
 interface EngineOwnerContext {
@@ -216,7 +216,7 @@
     }
     try {
       const report = await calls.report(this.#endpoint.record);
-      this.#holding.adopt(report, nowMs());
+      if (!this.#holding.adopt(report, nowMs())) return;
       this.#loadDoneMs.forEach((_, model) => {
         if (this.#holding.modelsIn('loading').includes(model)) return;
         this.#loadDoneMs.delete(model);
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -9,7 +9,9 @@
 /** Tokens that an engine of usual speed reads a second: 38 a millisecond on the users' sheets. */
 const ENGINE_TOKENS_PER_SECOND = 38_000;
 /** Share of that which demand may fill: above it tokens come slowly. */
-const UTILIZATION = 0.55;
+const UTILIZATION = 0.9;
+/** Share of an engine's tokens that a rare model may take from others. */
+const LOSS_SHARE_MAX = 0.35;
 /** Loads that the weight store allows in a window beyond its rate; a count. */
 const LOAD_FREE_COUNT = 3;
 /** A replica serves for this long before its place may go to another model, in milliseconds. */
@@ -101,6 +103,7 @@
         .sort((left, right) => (left.name < right.name ? -1 : 1)),
       moveBudget: MOVE_MAX,
       gainShareMin: GAIN_SHARE_MIN,
+      lossShareMax: LOSS_SHARE_MAX,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
       if (this.#isFixed(engine) || !this.#mayLoad(engine, load, spec)) return;
