--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -31,6 +31,8 @@
 export class EndpointAttempt implements Dispatcher.DispatchHandler {
   readonly #listener: AttemptListener;
   readonly #readAnswer: (status: number, headers: readonly Buffer[]) => AnswerHead;
+  readonly #isResetting: () => boolean;
+  #isFramed = true;
   #abort: (() => void) | undefined;
   #resume: (() => void) | undefined;
   #isOver = false;
@@ -38,11 +40,14 @@
   /**
    * @param listener - hears what becomes of it
    * @param readAnswer - decodes the head of the answer
+   * @param isResetting - tells whether a connection to the endpoint is being reset in this very turn
    */
   constructor(
     listener: AttemptListener,
     readAnswer: (status: number, headers: readonly Buffer[]) => AnswerHead,
+    isResetting: () => boolean,
   ) {
+    this.#isResetting = isResetting;
     this.#listener = listener;
     this.#readAnswer = readAnswer;
   }
@@ -91,7 +96,9 @@
   onHeaders(status: number, headers: Buffer[], resume: () => void): boolean {
     if (status < FIRST_FINAL_STATUS || this.#isOver) return true;
     this.#resume = resume;
-    this.#listener.onHead(this.#readAnswer(status, headers));
+    const answer = this.#readAnswer(status, headers);
+    this.#isFramed = answer.isFramed;
+    this.#listener.onHead(answer);
     return true;
   }
 
@@ -101,6 +108,11 @@
 
   onComplete(): void {
     if (this.#isOver) return;
+    // The client library takes a reset for the end of an answer that ends with its connection.
+    if (!this.#isFramed && this.#isResetting()) {
+      this.onError(new Error('reset within an answer without a length'));
+      return;
+    }
     this.#isOver = true;
     this.#listener.onEnd();
   }
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -1,6 +1,6 @@
 import { EndpointHealth } from '@chervilseam/decisions';
 import type { EndpointRecord } from '@chervilseam/model';
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
 
 /** A new connection takes a round trip; one that takes this long is to a dead instance, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -19,13 +19,19 @@
   ownCount = 0;
   #record: EndpointRecord;
   #leftMs: number | undefined;
+  #isResetting = false;
   readonly #lacks = new Map<string, number>();
 
   /** @param record - what the endpoint says of itself */
   constructor(record: EndpointRecord) {
     this.#record = record;
+    const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     this.pool = new Pool(`http://${record.host}:${record.port}`, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) =>
+        connector(options, (...result) => {
+          result[1]?.prependListener('error', () => this.#noteReset());
+          callback(...result);
+        }),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       pipelining: 1,
@@ -89,6 +95,18 @@
     return nowMs < (this.#lacks.get(item) ?? 0);
   }
 
+  /** Whether a connection is being reset in this very turn of the loop. */
+  get isResetting(): boolean {
+    return this.#isResetting;
+  }
+
+  #noteReset(): void {
+    this.#isResetting = true;
+    setImmediate(() => {
+      this.#isResetting = false;
+    });
+  }
+
   /** Closes idle connections now and the others when their requests end. */
   close(): void {
     void this.pool.close().catch(() => {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -33,6 +33,8 @@
 const ROTATION_MS = 2_600;
 /** Part of the grace period that is left unused, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
+/** Time after the start of stopping in which requests are still taken, in milliseconds. */
+const LATE_MS = 2_800;
 /** Time before the end in which requests that still wait are refused, in milliseconds. */
 const REFUSE_MS = 1_000;
 const STOP_POLL_MS = 50;
@@ -75,6 +77,7 @@
   #plannedMs = 0;
   #timer: NodeJS.Timeout | undefined;
   #isStopping = false;
+  #stoppingMs = 0;
   #isPumpDue = false;
   #wasReady = false;
   #instanceCountMax = 1;
@@ -205,6 +208,7 @@
     if (this.#isStopping) return;
     this.#isStopping = true;
     const startMs = Gateway.nowMs();
+    this.#stoppingMs = startMs;
     const endMs = startMs + this.#settings.graceMs - GRACE_MARGIN_MS;
     this.#logger.info('stopping', 'the instance leaves rotation', {
       open: this.#ingress.openCount,
@@ -283,6 +287,10 @@
       );
       exchange.refuse(status, reason, retryAfterMs);
     };
+    if (this.#isTooLate()) {
+      refuse(503, 'stopping', this.#settings.retryAfterMinMs);
+      return;
+    }
     if (!config || !routes || !this.#list.isLoaded) {
       refuse(503, 'not ready', NOT_READY_RETRY_MS);
       return;
@@ -300,6 +308,11 @@
     new RequestRun(this.#run, exchange, { route, service }, head, body).start();
   }
 
+  // A request that comes long after the stopping began may not end before the process does.
+  #isTooLate(): boolean {
+    return this.#isStopping && Gateway.nowMs() > this.#stoppingMs + LATE_MS;
+  }
+
   #createRunContext(): RunContext {
     const { codec, logger } = this.#ports;
     const requestLogger = logger('request');
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -90,6 +90,8 @@
     response.on('close', () => {
       const count = this.#sockets.get(socket);
       if (count !== undefined) this.#sockets.set(socket, count - 1);
+      // The head may have promised to keep the connection before the stopping began.
+      if (this.#isStopping && count === 1) socket.destroySoon();
     });
     if (this.#isStopping) response.shouldKeepAlive = false;
     const exchange = new CallerExchange(request, response, nowMs());
--- a/packages/gateway/src/lib/ports/answer-head.ts
+++ b/packages/gateway/src/lib/ports/answer-head.ts
@@ -11,6 +11,8 @@
   readonly isMisdirected: boolean;
   /** Endpoint that answers at the address, when it said so. */
   readonly endpointId: string | undefined;
+  /** Whether the answer says where its body ends; otherwise it ends with its connection. */
+  readonly isFramed: boolean;
   /** Whether the endpoint closes the connection: it may be leaving. */
   readonly isClosing: boolean;
   /** Headers for the caller: names and values in turn. */
