Never pass on as whole an answer whose end nothing shows

Ruled out: a reset that the client library hides (its events were traced: end, then its own destroy) and chunked answers (its parser reports them).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export { Gateway } from './lib/gateway.js';
 export type { GatewayPorts } from './lib/gateway.js';
 export type { GatewaySettings } from './lib/gateway-settings.js';
+export { AnswerFraming } from './lib/ports/answer-framing.js';
 export type { AnswerHead } from './lib/ports/answer-head.js';
 export type { CallerHead } from './lib/ports/caller-head.js';
 export type { DispatchHead } from './lib/ports/dispatch-head.js';
--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -1,4 +1,6 @@
 import type { Dispatcher } from 'undici';
+import { ConnectionEnding } from '../feed/connection-ending.js';
+import { AnswerFraming } from '../ports/answer-framing.js';
 import type { AnswerHead } from '../ports/answer-head.js';
 
 /** How an attempt failed. */
@@ -25,14 +27,24 @@
   readonly body: Buffer;
 }
 
+/** Ends of a connection that leave an answer incomplete, by how its end is known. */
+const brokenBy: Readonly<Record<AnswerFraming, readonly ConnectionEnding[]>> = {
+  // The client library compares the length itself.
+  [AnswerFraming.length]: [],
+  [AnswerFraming.chunks]: [ConnectionEnding.closed, ConnectionEnding.reset],
+  // A crash within such an answer was seen to close the connection in good order: nothing shows that
+  // the body is whole, so it is never passed on as whole.
+  [AnswerFraming.connection]: [ConnectionEnding.closed, ConnectionEnding.reset],
+};
+
 const FIRST_FINAL_STATUS = 200;
 
 /** One request to one endpoint. */
 export class EndpointAttempt implements Dispatcher.DispatchHandler {
   readonly #listener: AttemptListener;
   readonly #readAnswer: (status: number, headers: readonly Buffer[]) => AnswerHead;
-  readonly #isResetting: () => boolean;
-  #isFramed = true;
+  readonly #ending: () => ConnectionEnding;
+  #framing: AnswerFraming = AnswerFraming.length;
   #abort: (() => void) | undefined;
   #resume: (() => void) | undefined;
   #isOver = false;
@@ -40,14 +52,14 @@
   /**
    * @param listener - hears what becomes of it
    * @param readAnswer - decodes the head of the answer
-   * @param isResetting - tells whether a connection to the endpoint is being reset in this very turn
+   * @param ending - tells whether a connection to the endpoint is ending in this very turn
    */
   constructor(
     listener: AttemptListener,
     readAnswer: (status: number, headers: readonly Buffer[]) => AnswerHead,
-    isResetting: () => boolean,
+    ending: () => ConnectionEnding,
   ) {
-    this.#isResetting = isResetting;
+    this.#ending = ending;
     this.#listener = listener;
     this.#readAnswer = readAnswer;
   }
@@ -97,7 +109,7 @@
     if (status < FIRST_FINAL_STATUS || this.#isOver) return true;
     this.#resume = resume;
     const answer = this.#readAnswer(status, headers);
-    this.#isFramed = answer.isFramed;
+    this.#framing = answer.framing;
     this.#listener.onHead(answer);
     return true;
   }
@@ -108,9 +120,10 @@
 
   onComplete(): void {
     if (this.#isOver) return;
-    // The client library takes a reset for the end of an answer that ends with its connection.
-    if (!this.#isFramed && this.#isResetting()) {
-      this.onError(new Error('reset within an answer without a length'));
+    // Where an answer announced that its connection will close, the client library takes any end of
+    // the connection for the end of the answer.
+    if (brokenBy[this.#framing].includes(this.#ending())) {
+      this.onError(new Error('the connection ended within the answer'));
       return;
     }
     this.#isOver = true;
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -261,7 +261,7 @@
         onFail: (failure) => this.#takeFailure(attempt, failure),
       },
       (status, raw) => codec.readAnswer(status, raw),
-      () => endpoint.isResetting,
+      () => endpoint.ending,
     );
     this.#attempt = attempt;
     this.#answer = undefined;
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -1,6 +1,7 @@
 import { EndpointHealth } from '@chervilseam/decisions';
 import type { EndpointRecord } from '@chervilseam/model';
 import { buildConnector, Pool } from 'undici';
+import { ConnectionEnding } from './connection-ending.js';
 
 /** A new connection takes a round trip; one that takes this long is to a dead instance, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -19,7 +20,7 @@
   ownCount = 0;
   #record: EndpointRecord;
   #leftMs: number | undefined;
-  #isResetting = false;
+  #ending: ConnectionEnding = ConnectionEnding.none;
   readonly #lacks = new Map<string, number>();
 
   /** @param record - what the endpoint says of itself */
@@ -29,7 +30,8 @@
     this.pool = new Pool(`http://${record.host}:${record.port}`, {
       connect: (options, callback) =>
         connector(options, (...result) => {
-          result[1]?.prependListener('error', () => this.#noteReset());
+          result[1]?.prependListener('error', () => this.#noteEnding(ConnectionEnding.reset));
+          result[1]?.prependListener('end', () => this.#noteEnding(ConnectionEnding.closed));
           callback(...result);
         }),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
@@ -95,15 +97,16 @@
     return nowMs < (this.#lacks.get(item) ?? 0);
   }
 
-  /** Whether a connection is being reset in this very turn of the loop. */
-  get isResetting(): boolean {
-    return this.#isResetting;
+  /** What is happening to one of its connections in this very turn of the loop. */
+  get ending(): ConnectionEnding {
+    return this.#ending;
   }
 
-  #noteReset(): void {
-    this.#isResetting = true;
-    setImmediate(() => {
-      this.#isResetting = false;
+  // Listeners of one event run in one go, so this is over before anything else is heard.
+  #noteEnding(ending: ConnectionEnding): void {
+    this.#ending = ending;
+    queueMicrotask(() => {
+      this.#ending = ConnectionEnding.none;
     });
   }
 
--- a/packages/gateway/src/lib/ports/answer-head.ts
+++ b/packages/gateway/src/lib/ports/answer-head.ts
@@ -1,3 +1,5 @@
+import type { AnswerFraming } from './answer-framing.js';
+
 /** The head of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -11,8 +13,8 @@
   readonly isMisdirected: boolean;
   /** Endpoint that answers at the address, when it said so. */
   readonly endpointId: string | undefined;
-  /** Whether the answer says where its body ends; otherwise it ends with its connection. */
-  readonly isFramed: boolean;
+  /** How the end of the body is known. */
+  readonly framing: AnswerFraming;
   /** Whether the endpoint closes the connection: it may be leaving. */
   readonly isClosing: boolean;
   /** Headers for the caller: names and values in turn. */
