--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -36,7 +36,8 @@
   #orderCount: number | undefined;
   /** Orders that the engine is known to have taken: a report of fewer is older than that. */
   #orderCountMin = 0;
-  #doubt: EngineOrder | undefined;
+  /** Orders without an answer; at most one of them can be carried out, as all name one count. */
+  #doubts: EngineOrder[] = [];
   #doubtMs = 0;
 
   /** @param spec - what the engine can do */
@@ -49,9 +50,9 @@
     return this.#orderCount;
   }
 
-  /** The order without an answer that may still be carried out. */
+  /** The latest order without an answer that may still be carried out. */
   get doubt(): EngineOrder | undefined {
-    return this.#doubt;
+    return this.#doubts.at(-1);
   }
 
   /** Models that the engine holds or is getting. */
@@ -105,9 +106,9 @@
     // An order without an answer that the engine has not counted may still be carried out.
     const mayStillArrive =
       report.orderCount === this.#orderCount && nowMs < this.#doubtMs + DOUBT_MS;
-    const doubt = mayStillArrive ? this.#doubt : undefined;
+    const doubts = mayStillArrive ? this.#doubts : [];
     this.#orderCount = report.orderCount;
-    this.#doubt = doubt;
+    this.#doubts = doubts;
     const known = new Map(this.#models);
     this.#models.clear();
     report.models.forEach(({ name, adapters }) => {
@@ -121,7 +122,7 @@
       const held = this.#models.get(model);
       held?.adapters.set(adapter, { usedMs: nowMs, orderedMs: nowMs, isInFlight: true });
     });
-    if (doubt) this.#reserve(doubt, nowMs);
+    doubts.forEach((doubt) => this.#reserve(doubt, nowMs));
     // A busy engine is loading or unloading something that its report does not name.
     if (!report.isBusy) return true;
     known.forEach((held, name) => {
@@ -132,22 +133,6 @@
     return true;
   }
 
-  /**
-   * Takes the models that the engine says it has, from its entry in the list.
-   *
-   * @param listed - names of the models in its memory
-   */
-  observeModels(listed: readonly string[]): void {
-    this.#models.forEach((held, name) => {
-      if (held.state === 'loading' && listed.includes(name))
-        this.#models.get(name)!.state = 'ready';
-      if (held.state === 'leaving' && !listed.includes(name)) this.#models.delete(name);
-    });
-    listed.forEach((name) => {
-      if (!this.#models.has(name)) this.#models.set(name, { adapters: new Map(), state: 'ready' });
-    });
-  }
-
   /**
    * @param order - an order that may be sent next
    * @returns why it must not be sent, or `undefined` when it may
@@ -156,7 +141,7 @@
     const held = this.#models.get(order.model);
     if (this.#orderCount === undefined) return 'no report yet';
     // Sent once more it does nothing that is not counted already.
-    if (order === this.#doubt) return undefined;
+    if (this.#doubts.includes(order)) return undefined;
     if (order.adapter !== undefined) return this.#adapterObjection(order, held);
     if (this.isBusy) return 'another model is being loaded or unloaded';
     if (order.action === 'unload') return held ? undefined : 'not resident';
@@ -175,7 +160,7 @@
   sent(order: EngineOrder, nowMs: number): void {
     this.#doubtMs = nowMs;
     // Sent once more, it is counted already.
-    if (order !== this.#doubt) this.#reserve(order, nowMs);
+    if (!this.#doubts.includes(order)) this.#reserve(order, nowMs);
   }
 
   /**
@@ -189,13 +174,13 @@
       // An order that was taken rules out the one before it that had no answer.
       [OrderOutcome.accepted]: () => {
         this.#count();
-        this.#settleDoubt(order);
+        this.#settleDoubts(order);
         this.#apply(order);
       },
       [OrderOutcome.holds]: () => {
         if (order.action === 'unload' && order.adapter !== undefined) {
           this.#count();
-          this.#settleDoubt(order);
+          this.#settleDoubts(order);
         }
         this.#confirm(order);
       },
@@ -208,7 +193,7 @@
         this.#orderCount = undefined;
       },
       [OrderOutcome.unknown]: () => {
-        this.#doubt = order;
+        if (!this.#doubts.includes(order)) this.#doubts.push(order);
       },
     };
     handlers[outcome]();
@@ -296,11 +281,11 @@
     this.#orderCount = this.#orderCountMin;
   }
 
-  // The order before was not carried out and cannot be any more.
-  #settleDoubt(order: EngineOrder): void {
-    const doubt = this.#doubt;
-    this.#doubt = undefined;
-    if (doubt && doubt !== order) this.#undo(doubt);
+  // The orders before were not carried out and cannot be any more.
+  #settleDoubts(order: EngineOrder): void {
+    const doubts = this.#doubts;
+    this.#doubts = [];
+    doubts.filter((doubt) => doubt !== order).forEach((doubt) => this.#undo(doubt));
   }
 
   #apply({ action, model, adapter }: EngineOrder): void {
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -55,6 +55,8 @@
 /** Time after which a caller without any endpoint is to come back, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 1_000;
 
+const nameOf = ({ name }: { readonly name: string }): string => name;
+
 /** Chooses where a request goes. */
 export class EndpointPicker {
   readonly #context: PickerContext;
@@ -85,9 +87,10 @@
       return { kind: 'refuse', reason: 'unknown model', retryAfterMs: NO_ENDPOINT_RETRY_MS };
     }
     const holders = live.filter((endpoint) => {
-      const isLeaving = engineState(endpoint.id)?.leaving.includes(model) ?? false;
-      const isThere = !endpoint.health.isUnreachable(nowMs());
-      return isThere && endpoint.holds(model, nowMs()) && !isLeaving;
+      if (endpoint.health.isUnreachable(nowMs()) || endpoint.lacks(model, nowMs())) return false;
+      // The owner knows seconds before the list.
+      const models = engineState(endpoint.id)?.models ?? endpoint.record.models.map(nameOf);
+      return models.includes(model);
     });
     if (holders.length === 0) {
       return {
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -73,12 +73,6 @@
     this.#leftMs ??= nowMs;
   }
 
-  /** @returns whether the endpoint lists a model and has not denied it since */
-  holds(model: string, nowMs: number): boolean {
-    if (this.lacks(model, nowMs)) return false;
-    return this.#record.models.some(({ name }) => name === model);
-  }
-
   /**
    * @param item - a model, or a model and an adapter
    * @param nowMs - when the endpoint denied having it, in milliseconds
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -20,8 +20,6 @@
 const LEAVING_NOTICE_MS = 130;
 /** Time that an unload is expected to take: requests in progress end first; in milliseconds. */
 const UNLOAD_MS = 1_500;
-/** Entries of the list are this much older than the engine's own word, in milliseconds. */
-const LIST_LAG_MS = 1_500;
 /** Time between two reports while a change is awaited, in milliseconds. */
 const REPORT_PAUSE_MS = 200;
 
@@ -75,7 +73,8 @@
     }
     const leaving = [...new Set([...this.#leaving.keys(), ...this.#holding.modelsIn('leaving')])];
     const adapters = this.#holding.readyAdapters;
-    return { adapters, isBusy: this.#holding.isBusy, leaving, loading };
+    const models = this.#holding.modelsIn('ready').filter((model) => !this.#leaving.has(model));
+    return { models, adapters, isBusy: this.#holding.isBusy, leaving, loading };
   }
 
   /** Whether the engine's models are being changed. */
@@ -92,8 +91,6 @@
   tick(): void {
     const { nowMs, token } = this.#context;
     if (token() === undefined || this.#queuedCount > 0) return;
-    const isQuiet = nowMs() > this.#lastOrderMs + LIST_LAG_MS;
-    if (isQuiet && this.isKnown) this.#observeList();
     const needsReport = !this.isKnown || this.#isChangeDue();
     if (needsReport && nowMs() >= this.#nextReportMs) {
       void this.#enqueue(() => this.#readReport());
@@ -191,14 +188,6 @@
     this.#leaving.clear();
   }
 
-  #observeList(): void {
-    const { models } = this.#endpoint.record;
-    this.#holding.observeModels(models.map(({ name }) => name));
-    this.#loadDoneMs.forEach((_, model) => {
-      if (!this.#holding.modelsIn('loading').includes(model)) this.#loadDoneMs.delete(model);
-    });
-  }
-
   // The list tells late of a model that was loaded or unloaded; the engine itself knows sooner.
   #isChangeDue(): boolean {
     if (!this.#holding.isBusy) return false;
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -124,7 +124,7 @@
   #engine(endpoint: Endpoint, spec: EngineSpec, usualPaceMs: number) {
     const state = this.#context.engineState(endpoint.id);
     const pending = this.#pendingOf(endpoint.id);
-    const listed = endpoint.record.models.map(({ name }) => name);
+    const listed = state?.models ?? endpoint.record.models.map(({ name }) => name);
     const loading = [
       ...(state?.loading.map(({ model }) => model) ?? []),
       pending?.load ?? [],
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -1,5 +1,7 @@
 /** What the owner of an engine tells of it. */
 export interface OwnedEngineState {
+  /** Models that can serve. */
+  readonly models: readonly string[];
   /** Adapters that can serve, as model and adapter. */
   readonly adapters: readonly string[];
   /** Whether a model is being loaded or unloaded: adapters cannot be loaded meanwhile. */
