--- a/packages/decisions/src/lib/serving/ownership-lease.ts
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -67,6 +67,30 @@
     this.#heldUntilMs = sentMs + ttlMs * (1 - MARGIN_SHARE);
   }
 
+  /**
+   * Lets a share be used sooner, because the owner before has said that it stopped.
+   *
+   * @param share - a share that this instance owns
+   * @param token - the fencing token that the word was checked against
+   * @param lastActMs - when the owner before last acted, in milliseconds
+   */
+  released(share: number, token: number, lastActMs: number): void {
+    const known = this.#shares.get(share);
+    if (known?.token !== token) return;
+    const usableFromMs = Math.min(known.usableFromMs, lastActMs + this.#times.handoverMs);
+    this.#shares.set(share, { token, usableFromMs });
+  }
+
+  /**
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns shares that wait for their owner before to stop, with their tokens
+   */
+  waiting(nowMs: number): { readonly share: number; readonly token: number }[] {
+    return [...this.#shares].flatMap(([share, { token, usableFromMs }]) =>
+      nowMs < usableFromMs ? [{ share, token }] : [],
+    );
+  }
+
   /** Gives all shares up until the next renewal: this instance stood still, or is stopping. */
   suspend(): void {
     this.#heldUntilMs = -Infinity;
--- a/packages/decisions/src/test/serving/ownership-lease_test.ts
+++ b/packages/decisions/src/test/serving/ownership-lease_test.ts
@@ -58,6 +58,20 @@
     expect(lease.tokenOf(1, 10_101)).to.equal(1);
   });
 
+  it('takes a share over as soon as the owner before may have acted for the last time', () => {
+    renew(4, 0);
+    expect(lease.waiting(1)).to.deep.equal([{ share: 1, token: 4 }]);
+    lease.released(1, 4, -2_500);
+    expect(lease.tokenOf(1, 499)).to.equal(undefined);
+    expect(lease.tokenOf(1, 500)).to.equal(4);
+  });
+
+  it('takes no word that was checked against another token', () => {
+    renew(4, 0);
+    lease.released(1, 3, -9_000);
+    expect(lease.tokenOf(1, 100)).to.equal(undefined);
+  });
+
   it('lets go of a share that is no longer its own', () => {
     keep(1, 0, 10_000);
     renew(2, 10_100, 10_100, [5]);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -432,6 +432,7 @@
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
       shares: this.#isStopping ? [] : this.#member.shares,
+      orderAgesMs: this.#fleet.handover.orderAgesMs(Gateway.nowMs()),
       engines: this.#fleet.ownStates(),
       peers: this.#sync.addresses,
     };
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -12,6 +12,7 @@
 import type { EngineMove } from './engine-move.js';
 import { EngineOwner } from './engine-owner.js';
 import type { GroupMember } from './group-member.js';
+import { Handover } from './handover.js';
 import { PlacementLoop } from './placement-loop.js';
 import { shareOf } from './share-of.js';
 
@@ -42,6 +43,7 @@
 /** The engines: those that this instance gives orders to, and what is known of the others. */
 export class EngineFleet {
   readonly demand: DemandMeter;
+  readonly handover: Handover;
   readonly #context: FleetContext;
   readonly #owners = new Map<
     string,
@@ -57,6 +59,7 @@
     this.#context = context;
     const { logger, nowMs, registry, settings } = context;
     this.demand = new DemandMeter(nowMs());
+    this.handover = new Handover(settings.instance);
     this.#placement = new PlacementLoop({
       logger,
       nowMs,
@@ -78,6 +81,7 @@
       this.#demandMs = nowMs();
       this.demand.tick(nowMs());
     }
+    this.#takeOver();
     registry.all.forEach((endpoint) => {
       const spec = config()?.services.get(endpoint.record.service)?.engine;
       const isKnown = this.#owners.get(endpoint.id)?.endpoint === endpoint;
@@ -123,7 +127,9 @@
   }
 
   /** @param state - the word of an instance: the adapters that its requests used */
-  hear({ usedAdapters }: InstanceState): void {
+  hear(state: InstanceState): void {
+    const { usedAdapters } = state;
+    this.handover.hear(state);
     Object.entries(usedAdapters).forEach(([id, items]) => this.#owners.get(id)?.owner.used(items));
   }
 
@@ -189,6 +195,18 @@
     return member.shares.length > 0 && others.every((share) => share > lowest);
   }
 
+  // Shares are waited for only as long as the owner before may still act.
+  #takeOver(): void {
+    const { nowMs, peers, member } = this.#context;
+    const { waiting } = member;
+    if (waiting.length === 0) return;
+    const states = peers.fresh(nowMs());
+    waiting.forEach(({ share, token }) => {
+      const lastActMs = this.handover.lastActMs(share, token, states, nowMs());
+      if (lastActMs !== undefined) member.released(share, token, lastActMs);
+    });
+  }
+
   #demandOfAll(): ReadonlyMap<string, number> {
     const { nowMs, peers } = this.#context;
     const sums = peers.demand(nowMs());
@@ -216,7 +234,10 @@
       logger,
       nowMs,
       token: () => this.#token(endpoint.id),
-      onOrder,
+      onOrder: (outcome) => {
+        this.handover.ordered(shareOf(endpoint.id, settings.shareCount), nowMs());
+        onOrder(outcome);
+      },
     };
   }
 }
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -72,6 +72,22 @@
     return this.#isStopped ? undefined : this.#lease.tokenOf(share, this.#context.nowMs());
   }
 
+  /** Shares that wait for their owner before to stop, with their tokens. */
+  get waiting(): readonly { readonly share: number; readonly token: number }[] {
+    return this.#lease.waiting(this.#context.nowMs());
+  }
+
+  /**
+   * Notes that the owner before has stopped.
+   *
+   * @param share - a share that this instance owns
+   * @param token - the fencing token that the word was checked against
+   * @param lastActMs - when the owner before last acted, in milliseconds
+   */
+  released(share: number, token: number, lastActMs: number): void {
+    this.#lease.released(share, token, lastActMs);
+  }
+
   /** Renews when it is time. */
   tick(): void {
     const { nowMs } = this.#context;
--- /dev/null
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -0,0 +1,65 @@
+import type { InstanceState } from '../peer/instance-state.js';
+
+/** Orders older than this need not be told, in milliseconds: no bound reaches back so far. */
+const ORDER_MEMORY_MS = 8_000;
+
+interface SeenOwner {
+  readonly instance: string;
+  readonly generation: number;
+}
+
+/** Tells from the others' words when a share that was theirs is free to be used. */
+export class Handover {
+  readonly #self: string;
+  /** The other instance that last said that it owns a share, by share. */
+  readonly #owners = new Map<number, SeenOwner>();
+  readonly #orderedMs = new Map<number, number>();
+
+  /** @param self - name of this instance */
+  constructor(self: string) {
+    this.#self = self;
+  }
+
+  /** Notes an order of this instance. */
+  ordered(share: number, nowMs: number): void {
+    this.#orderedMs.set(share, nowMs);
+  }
+
+  /** @returns time since this instance last gave an order, by share, in milliseconds */
+  orderAgesMs(nowMs: number): Record<number, number> {
+    const recent = [...this.#orderedMs].filter(([, atMs]) => nowMs - atMs < ORDER_MEMORY_MS);
+    return Object.fromEntries(recent.map(([share, atMs]) => [share, Math.ceil(nowMs - atMs)]));
+  }
+
+  /** @param state - the word of an instance */
+  hear({ instance, generation, shares }: InstanceState): void {
+    if (instance === this.#self) return;
+    shares.forEach((share) => {
+      const known = this.#owners.get(share);
+      if (!known || generation >= known.generation) {
+        this.#owners.set(share, { instance, generation });
+      }
+    });
+  }
+
+  /**
+   * @param share - a share that this instance has won
+   * @param token - the generation at which it won it
+   * @param states - the latest words of the instances that are heard
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns when the owner before last gave an order, in milliseconds; `undefined` while that owner
+   *   is not known, or has not said that it heard of the change
+   */
+  lastActMs(
+    share: number,
+    token: number,
+    states: readonly InstanceState[],
+    nowMs: number,
+  ): number | undefined {
+    const before = this.#owners.get(share);
+    const state = states.find(({ instance }) => instance === before?.instance);
+    if (!state || state.generation < token || state.shares.includes(share)) return undefined;
+    const ages = states.flatMap(({ orderAgesMs }) => orderAgesMs[share] ?? []);
+    return nowMs - Math.min(ORDER_MEMORY_MS, ...ages);
+  }
+}
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -36,6 +36,8 @@
   readonly generation: number;
   /** Shares of the endpoints that this instance owns. */
   readonly shares: readonly number[];
+  /** Time since this instance last gave an order in a share, in milliseconds; old ones left out. */
+  readonly orderAgesMs: Readonly<Record<number, number>>;
   /** Engines that this instance owns, by endpoint. */
   readonly engines: Readonly<Record<string, OwnedEngineState>>;
   /** Other instances that this one hears, as host and port. */
