Wait for what an owner before has ordered

Ruled out: orders in doubt (all had answers). A busy engine that nothing here explains now takes no order; the test fails before.

--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -38,6 +38,8 @@
   #orderCountMin = 0;
   /** Orders without an answer; at most one of them can be carried out, as all name one count. */
   #doubts: EngineOrder[] = [];
+  /** Whether the engine loads or unloads a model that nothing here tells of. */
+  #isChangingElse = false;
   #doubtMs = 0;
 
   /** @param spec - what the engine can do */
@@ -62,7 +64,9 @@
 
   /** Whether a model is being loaded or unloaded. */
   get isBusy(): boolean {
-    return [...this.#models.values()].some(({ state }) => state !== 'ready');
+    return (
+      this.#isChangingElse || [...this.#models.values()].some(({ state }) => state !== 'ready')
+    );
   }
 
   /** @returns models in a state */
@@ -124,12 +128,15 @@
     });
     doubts.forEach((doubt) => this.#reserve(doubt, nowMs));
     // A busy engine is loading or unloading something that its report does not name.
+    this.#isChangingElse = false;
     if (!report.isBusy) return true;
     known.forEach((held, name) => {
       if (held.state === 'loading' && !this.#models.has(name)) this.#models.set(name, held);
       const listed = this.#models.get(name);
       if (held.state === 'leaving' && listed) listed.state = 'leaving';
     });
+    // An owner before may have ordered it: there may be less room than the report shows.
+    this.#isChangingElse = !this.isBusy;
     return true;
   }
 
--- a/packages/decisions/src/test/serving/engine-holding_test.ts
+++ b/packages/decisions/src/test/serving/engine-holding_test.ts
@@ -75,6 +75,14 @@
     expect(holding.models).to.include('b');
   });
 
+  it('waits for what an owner before has ordered', () => {
+    const taken = new EngineHolding(spec);
+    taken.adopt(report(5, ['a'], true), 0);
+    expect(taken.objection(loadB)).to.equal('another model is being loaded or unloaded');
+    taken.adopt(report(5, ['a', 'b']), 500);
+    expect(taken.objection(loadC)).to.equal('no room');
+  });
+
   it('loads no adapter while a model is being loaded, and none beyond its places', () => {
     const adapter = (name: string): EngineOrder => ({ action: 'load', model: 'a', adapter: name });
     ['x', 'y'].forEach((name, at) => {
