--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,7 +45,7 @@
 }));
 
 export default [
-  { ignores: ['**/dist/**', 'node_modules/**', 'bench-report/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'node_modules/**', 'bench-report/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -90,6 +90,10 @@
       'max-classes-per-file': 'off',
     },
   },
+  {
+    files: ['deploy/**/*.js'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
   { files: ['*.config.js'], rules: { 'import-x/no-default-export': 'off' } },
   ...importRules,
 ];
--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -4,6 +4,7 @@
 import { createDrivers } from '@chervilseam/endpoints';
 import type { PeerStream } from '@chervilseam/peer';
 import { HttpInstanceList, HttpLog } from '@chervilseam/ports';
+import { PartLogger } from '@chervilseam/observe';
 import { Directory } from './entry/directory.js';
 import { Entry } from './entry/entry.js';
 import { OwnerClient } from './entry/owner-client.js';
@@ -11,7 +12,6 @@
 import { OperatorFront } from './http/operator-front.js';
 import { DecisionLog } from './observe/decision-log.js';
 import { Metrics } from './observe/metrics.js';
-import { PartLogger } from '@chervilseam/observe';
 import { HopTracer } from './observe/tracer.js';
 import { KeyService } from './keys/key-service.js';
 import { Owner } from './owner/owner.js';
--- a/packages/daemon/src/lib/place/domain-service.ts
+++ b/packages/daemon/src/lib/place/domain-service.ts
@@ -11,8 +11,8 @@
 import type { ConfigView, DomainEntry, Member, PlacementPlan } from '@chervilseam/decisions';
 import type { EndpointDriver, EngineReport } from '@chervilseam/endpoints';
 import type { LogPort } from '@chervilseam/ports';
-import type { Metrics } from '../observe/metrics.js';
 import type { PartLogger } from '@chervilseam/observe';
+import type { Metrics } from '../observe/metrics.js';
 import { JournalRunner } from '../platform/journal-runner.js';
 import { DemandMeter } from './demand-meter.js';
 import { MoveLog } from './move-log.js';
--- a/packages/daemon/src/lib/platform/config-sync.ts
+++ b/packages/daemon/src/lib/platform/config-sync.ts
@@ -1,8 +1,8 @@
 import { ConfigFold, ConfigView, SnapshotTimer } from '@chervilseam/decisions';
 import type { ConfigDecision, ConfigSnapshot } from '@chervilseam/decisions';
 import type { LogPort } from '@chervilseam/ports';
-import type { Metrics } from '../observe/metrics.js';
 import type { PartLogger } from '@chervilseam/observe';
+import type { Metrics } from '../observe/metrics.js';
 
 const STREAM = 'config';
 const PAGE_COUNT = 500;
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -21,6 +21,12 @@
   readonly gain: number;
 }
 
+// A copy near the engine serves seconds sooner than the weight store.
+const scoreOf = ({ engine, gain }: Option, { name }: Model): number => {
+  const loadMs = engine.loadMsByModel?.get(name) ?? 0;
+  return gain - (LOAD_SECOND_SHARE * engine.tokensPerSecond * loadMs) / MS_PER_SECOND;
+};
+
 /** One round of placement: the state that its moves change step by step. */
 class PlacementRound {
   readonly #models: ReadonlyMap<string, Model>;
@@ -94,7 +100,7 @@
       .flatMap((engine) => this.#option(model, engine, mustServe) ?? [])
       .sort(
         (left, right) =>
-          this.#score(right, model) - this.#score(left, model) ||
+          scoreOf(right, model) - scoreOf(left, model) ||
           this.#freeAfter(right) - this.#freeAfter(left),
       );
   }
@@ -138,12 +144,6 @@
     return { engine, unload: victims.map(({ name }) => name), gain };
   }
 
-  // A copy near the engine serves seconds sooner than the weight store.
-  #score({ engine, gain }: Option, { name }: Model): number {
-    const loadMs = engine.loadMsByModel?.get(name) ?? 0;
-    return gain - (LOAD_SECOND_SHARE * engine.tokensPerSecond * loadMs) / MS_PER_SECOND;
-  }
-
   // What a replica is worth to its model: what the model's other engines have no room for.
   #worth({ name, demand }: Model, engine: Engine): number {
     const others = [...(this.#replicas.get(name) ?? [])].filter((other) => other !== engine.name);
--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -296,8 +296,9 @@
   }
 
   #apply({ action, model, adapter }: EngineOrder): void {
-    if (action === 'unload' && adapter !== undefined)
+    if (action === 'unload' && adapter !== undefined) {
       this.#models.get(model)?.adapters.delete(adapter);
+    }
   }
 
   #confirm({ action, model, adapter }: EngineOrder): void {
--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -73,7 +73,7 @@
   send(dispatcher: Dispatcher, { method, path, headers, body }: AttemptRequest): void {
     dispatcher.dispatch(
       {
-        method: method as Dispatcher.HttpMethod,
+        method,
         path,
         headers,
         body: body.length > 0 ? body : null,
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -3,10 +3,13 @@
 import type { Endpoint } from '../feed/endpoint.js';
 import { PickReason } from './pick-reason.js';
 import { loadTimeMs } from '../owner/load-time-ms.js';
+import { shareOf } from '../owner/share-of.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
 
 /** Requests that a plain service may queue beyond its places; a count. */
 const PLAIN_QUEUE_COUNT = 2;
+/** Ranks are spread over this range. */
+const RANK_RANGE = 2 ** 31;
 /** Part of the longest pause on time that the mean pause may reach before places are withheld. */
 const PACE_SHARE = 0.55;
 /** Least share of its places that a slow engine offers. */
@@ -48,13 +51,15 @@
   readonly engineState: (endpoint: string) => OwnedEngineState | undefined;
   /** Instances that share the endpoints' connections; a count. */
   readonly instanceCount: () => number;
-  /** Order of preference for an adapter, the same at every instance: the lower the better. */
-  readonly adapterRank: (endpoint: string, adapter: string) => number;
 }
 
 /** Time after which a caller without any endpoint is to come back, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 1_000;
 
+// The order in which engines are asked for an adapter is the same at every instance.
+const rankOf = (endpoint: string, item: string): number =>
+  shareOf(`${item}@${endpoint}`, RANK_RANGE);
+
 const nameOf = ({ name }: { readonly name: string }): string => name;
 
 /** Chooses where a request goes. */
@@ -104,7 +109,7 @@
   }
 
   #pickAdapter(holders: readonly Endpoint[], need: PickNeed, item: string): Pick {
-    const { nowMs, adapterRank } = this.#context;
+    const { nowMs } = this.#context;
     const ready = holders.filter(
       (endpoint) => this.#hasAdapter(endpoint, item) && !endpoint.lacks(item, nowMs()),
     );
@@ -114,7 +119,7 @@
       .filter((endpoint) => !ready.includes(endpoint) && !need.tried.has(endpoint.id))
       .filter((endpoint) => !endpoint.health.isPaused(nowMs()) && this.#hasPlace(endpoint, need))
       .filter((endpoint) => this.#takesAdapters(endpoint, item))
-      .sort((left, right) => adapterRank(left.id, item) - adapterRank(right.id, item));
+      .sort((left, right) => rankOf(left.id, item) - rankOf(right.id, item));
     if (others.length > 0) return { kind: 'prepare', endpoints: others };
     if (choice.kind === 'send' || ready.length > 0) return choice;
     return { kind: 'wait', reason: PickReason.adapter, etaMs: 0 };
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -233,7 +233,7 @@
     this.#endpoint = endpoint;
     this.#sentMs = nowMs();
     this.#isFirstByteIn = false;
-    endpoint.ownCount += 1;
+    endpoint.began();
     sent(endpoint, this.#head);
     decision(this.#head.requestId, 'dispatch', 'sent to an endpoint', {
       endpoint: endpoint.id,
@@ -499,7 +499,7 @@
     this.#attempt = undefined;
     this.#endpoint = undefined;
     if (!endpoint) return;
-    endpoint.ownCount -= 1;
+    endpoint.ended();
     this.#context.ended(endpoint, this.#context.nowMs() - this.#sentMs);
     this.#lastEndpoint = endpoint;
   }
@@ -527,6 +527,7 @@
       {
         offers: this.#offerCount,
         model: this.#head.model,
+        adapter: this.#head.adapter,
         endpoint: this.#lastEndpoint?.id,
         afterMs: Math.round(this.#context.nowMs() - this.#exchange.receivedMs),
         ...this.#timing(),
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { RouteIndex } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
@@ -85,7 +86,7 @@
       // eslint-disable-next-line no-await-in-loop
       const pauseMs = await this.#readNext();
       // eslint-disable-next-line no-await-in-loop
-      if (pauseMs > 0) await new Promise((resolve) => setTimeout(resolve, pauseMs));
+      if (pauseMs > 0) await sleep(pauseMs);
     }
   }
 
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -104,6 +104,16 @@
     });
   }
 
+  /** Notes that a request of this instance went there. */
+  began(): void {
+    this.ownCount += 1;
+  }
+
+  /** Notes that a request of this instance is over there. */
+  ended(): void {
+    this.ownCount -= 1;
+  }
+
   /** Closes idle connections now and the others when their requests end. */
   close(): void {
     void this.pool.close().catch(() => {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { chooseTarget, Random, SharedRetryBudget, WaitingLine } from '@chervilseam/decisions';
 import type { PartLogger } from '@chervilseam/observe';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
@@ -157,7 +158,6 @@
       othersCount: (id) => this.#othersCount(id),
       engineState: (id) => this.#fleet.stateOf(id),
       instanceCount: () => this.#instanceCount,
-      adapterRank: (id, item) => this.#fleet.adapterRank(id, item),
     });
     this.#run = this.#createRunContext();
     this.#ingress = new IngressServer({
@@ -222,7 +222,7 @@
       if (Gateway.nowMs() > endMs - REFUSE_MS) this.#lines.forEach((line) => line.clear());
       if (isOutOfRotation && this.#ingress.connectionCount === 0) break;
       // eslint-disable-next-line no-await-in-loop
-      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
+      await sleep(STOP_POLL_MS);
     }
     this.#ingress.close();
     this.#config.stop();
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -20,8 +20,6 @@
 const DEMAND_MS = 250;
 /** States of others are looked up again after this, in milliseconds. */
 const STATES_MS = 20;
-/** Ranks are spread over this range. */
-const RANK_RANGE = 2 ** 31;
 
 /** What the fleet needs around it. */
 interface FleetContext {
@@ -133,12 +131,6 @@
     Object.entries(usedAdapters).forEach(([id, items]) => this.#owners.get(id)?.owner.used(items));
   }
 
-  /** @returns order of preference of an engine for an adapter, the same at every instance */
-  adapterRank(id: string, item: string): number {
-    const key = `${item}@${id}`;
-    return shareOf(key, RANK_RANGE);
-  }
-
   /**
    * Loads an adapter on an engine that this instance owns.
    *
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { EngineHolding, OrderOutcome } from '@chervilseam/decisions';
 import type { EngineOrder } from '@chervilseam/decisions';
 import type { EngineSpec } from '@chervilseam/model';
@@ -137,7 +138,7 @@
     if (known === 'ready') this.#holding.lacks(model, adapter);
     await this.#enqueue(() => this.#loadAdapter(model, adapter));
     if (this.#holding.hasAdapter(model, adapter) === 'in-flight') {
-      await new Promise((resolve) => setTimeout(resolve, ADAPTER_ARRIVAL_MS));
+      await sleep(ADAPTER_ARRIVAL_MS);
       this.#holding.arrived(model, adapter);
     }
     return this.#holding.hasAdapter(model, adapter) === 'ready';
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -148,10 +148,12 @@
       }
       this.#failureCount = 0;
       const hasChanged = answer.generation !== generation;
-      if (hasChanged || !this.#hasListed)
+      if (hasChanged || !this.#hasListed) {
         this.#listDueMs = Math.min(this.#listDueMs, nowMs() + SETTLE_MS);
-      if (hasChanged)
+      }
+      if (hasChanged) {
         logger.info('shares_changed', 'the group has changed', { ...answer, previous: generation });
+      }
     } catch (error) {
       this.#failureCount += 1;
       this.#nextMs = nowMs() + RENEW_MS / 2;
--- a/packages/observe/src/lib/bounded-log-stream.ts
+++ b/packages/observe/src/lib/bounded-log-stream.ts
@@ -39,6 +39,8 @@
   /** Writes what is left, before the process ends. */
   end(): void {
     try {
+      // The last records must be out before the process ends.
+      // eslint-disable-next-line n/no-sync
       writeSync(this.#descriptor, this.#take());
     } catch {
       // The reader has gone; nobody is left to be told.
