--- /dev/null
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -0,0 +1,207 @@
+import { expect } from 'chai';
+import {
+  chooseEndpoint,
+  chooseTarget,
+  EndpointHealth,
+  EventSplitter,
+  RouteIndex,
+  SharedRetryBudget,
+  WaitingLine,
+  WindowLimit,
+} from '@chervilseam/decisions';
+import type { EndpointChoice, Waiter } from '@chervilseam/decisions';
+import type { RouteSpec } from '@chervilseam/model';
+
+const route = (host: string, pathPrefix: string): RouteSpec => ({
+  name: `${host}${pathPrefix}`,
+  host,
+  pathPrefix,
+  isIdempotent: true,
+  isStream: false,
+  isResumable: false,
+  timeoutMs: 1_000,
+  objectiveMs: 100,
+  paceMaxMs: 300,
+  callerPatienceMs: 2_000,
+  attemptCountMax: 2,
+  priority: 0,
+  targets: [
+    { service: 'old', weight: 90 },
+    { service: 'new', weight: 10 },
+  ],
+});
+
+const endpoint = (id: string, more: Partial<EndpointChoice> = {}): EndpointChoice => ({
+  id,
+  outstandingCount: 0,
+  slotCount: 10,
+  isPaused: false,
+  failureCount: 0,
+  latencyMs: 50,
+  paceMs: 30,
+  isLocal: true,
+  cachedTokenCount: 0,
+  ...more,
+});
+
+describe('RouteIndex', () => {
+  const index = new RouteIndex({
+    routes: [route('a.example', '/x/'), route('a.example', '/x/y/')],
+  });
+
+  it('takes the longest prefix of the host, whatever its case and port', () => {
+    expect(index.match('A.example:80', '/x/y/z?q=/x/')?.pathPrefix).to.equal('/x/y/');
+    expect(index.match('a.example', '/x/z')?.pathPrefix).to.equal('/x/');
+  });
+
+  it('matches no part of a path segment and no other host', () => {
+    expect(index.match('a.example', '/xy/')).to.equal(undefined);
+    expect(index.match('b.example', '/x/')).to.equal(undefined);
+  });
+});
+
+describe('chooseTarget', () => {
+  it('spreads requests by weight', () => {
+    const spec = route('a', '/');
+    expect([0, 0.89, 0.91, 0.999].map((unit) => chooseTarget(spec, unit))).to.deep.equal([
+      'old',
+      'old',
+      'new',
+      'new',
+    ]);
+  });
+});
+
+describe('SharedRetryBudget', () => {
+  const bounds = { ratio: 0.2, windowMs: 10_000, freeCount: 60 };
+
+  it('keeps all instances together within the bound, whoever repeats', () => {
+    const budgets = Array.from({ length: 6 }, () => new SharedRetryBudget(bounds));
+    const spent = budgets.map((budget) => {
+      let count = 0;
+      while (budget.spend(0, 6)) count += 1;
+      return count;
+    });
+    expect(spent.reduce((sum, count) => sum + count, 0)).to.be.at.most(60);
+    expect(Math.min(...spent)).to.be.greaterThan(0);
+  });
+
+  it('earns with requests and gives back what is older than the window', () => {
+    const budget = new SharedRetryBudget({ ...bounds, freeCount: 0 });
+    expect(budget.spend(0, 1)).to.equal(false);
+    for (let at = 0; at < 10; at += 1) budget.earn(0);
+    expect(budget.spend(1, 1)).to.equal(true);
+    expect(budget.spend(2, 1)).to.equal(false);
+    expect(budget.spend(12_000, 1)).to.equal(false);
+  });
+});
+
+describe('A crowded engine beside free ones (chooseEndpoint)', () => {
+  const chosen = (choices: readonly EndpointChoice[]): string | undefined =>
+    chooseEndpoint(choices, 0.5)?.id;
+
+  it('goes where work is least and tokens come fast', () => {
+    expect(chosen([endpoint('a', { outstandingCount: 8 }), endpoint('b')])).to.equal('b');
+    expect(
+      chosen([endpoint('a', { paceMs: 300 }), endpoint('b', { outstandingCount: 4 })]),
+    ).to.equal('b');
+  });
+
+  it('leaves failing and silent endpoints to the last', () => {
+    expect(chosen([endpoint('a', { failureCount: 1 }), endpoint('b')])).to.equal('b');
+    expect(
+      chosen([endpoint('a', { isPaused: true }), endpoint('b', { failureCount: 9 })]),
+    ).to.equal('b');
+    expect(chosen([endpoint('a', { isPaused: true })])).to.equal('a');
+  });
+
+  it('spreads equal choices', () => {
+    const equal = [endpoint('a'), endpoint('b')];
+    expect(chooseEndpoint(equal, 0.1)?.id).not.to.equal(chooseEndpoint(equal, 0.9)?.id);
+  });
+});
+
+describe('EndpointHealth', () => {
+  it('pauses a silent endpoint longer each time, and once for what fails together', () => {
+    const health = new EndpointHealth();
+    health.wasSilent(0);
+    health.wasSilent(1);
+    expect(health.isPaused(200)).to.equal(true);
+    expect(health.isPaused(300)).to.equal(false);
+    health.wasSilent(300);
+    expect(health.isPaused(700)).to.equal(true);
+  });
+
+  it('forgets failures with time and forgives with success', () => {
+    const health = new EndpointHealth();
+    health.failed(0);
+    expect(health.failureCount(0)).to.equal(1);
+    expect(health.failureCount(10_000)).to.be.lessThan(0.05);
+    health.wasUnreachable(10_000);
+    expect(health.isUnreachable(10_001)).to.equal(true);
+    health.succeeded(40, 10_002);
+    expect(health.isUnreachable(10_003)).to.equal(false);
+  });
+});
+
+describe('EventSplitter', () => {
+  it('gives whole events only, with their numbers', () => {
+    const splitter = new EventSplitter();
+    const first = splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+    expect(first.map(({ number }) => number)).to.deep.equal([1]);
+    expect(splitter.pendingBytes).to.be.greaterThan(0);
+    const second = splitter.push(Buffer.from('ta: b\n\n'));
+    expect(second.map(({ data }) => data.toString())).to.deep.equal(['id: 2\ndata: b\n\n']);
+    expect(splitter.pendingBytes).to.equal(0);
+  });
+
+  it('finds the number behind another first line', () => {
+    const [event] = new EventSplitter().push(Buffer.from('versions: 2\nid: 7\ndata: a\n\n'));
+    expect(event.number).to.equal(7);
+  });
+});
+
+describe('WaitingLine', () => {
+  const waiter = (priority: number, log: string[], name: string, isServed = false): Waiter => ({
+    priority,
+    sinceMs: 0,
+    untilMs: 100,
+    tryNow: () => {
+      log.push(`try ${name}`);
+      return isServed;
+    },
+    giveUp: () => log.push(`give up ${name}`),
+  });
+
+  it('offers places by rank, then by arrival, and lets go in time', () => {
+    const log: string[] = [];
+    const line = new WaitingLine();
+    line.add(waiter(1, log, 'b'));
+    line.add(waiter(0, log, 'a', true));
+    line.add(waiter(1, log, 'c'));
+    line.pump(50);
+    expect(log).to.deep.equal(['try a', 'try b', 'try c']);
+    expect(line.size).to.equal(2);
+    line.pump(100);
+    expect(log.slice(3)).to.deep.equal(['try b', 'give up b', 'try c', 'give up c']);
+  });
+
+  it('lets go of all when nothing will become free', () => {
+    const log: string[] = [];
+    const line = new WaitingLine();
+    line.add(waiter(0, log, 'a'));
+    line.clear();
+    expect(log).to.deep.equal(['give up a']);
+    expect(line.size).to.equal(0);
+  });
+});
+
+describe('WindowLimit', () => {
+  it('lets so many begin in any window', () => {
+    const limit = new WindowLimit(1_000);
+    expect([0, 1, 2].map((atMs) => limit.take(2, atMs))).to.deep.equal([true, true, false]);
+    expect(limit.take(2, 1_001)).to.equal(true);
+    expect(limit.take(2, 1_001)).to.equal(true);
+    expect(limit.take(2, 1_001)).to.equal(false);
+  });
+});
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -32,7 +32,7 @@
 const RETRY_AFTER_MS = 600;
 const RETRY_AFTER_SPREAD_MS = 600;
 /** Engines that are asked to load an adapter before the request waits; a count. */
-const PREPARE_COUNT = 2;
+const PREPARE_COUNT = 3;
 const OK_MAX = 299;
 const SERVER_ERROR = 500;
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -186,7 +186,7 @@
 
   /** Starts to listen and to follow the store. */
   async start(): Promise<void> {
-    const { settings } = { settings: this.#settings };
+    const settings = this.#settings;
     const metricsAddress = { host: settings.host, port: settings.metricsPort };
     await Promise.all([
       this.#ingress.listen(settings.callerAddress),
@@ -203,6 +203,19 @@
     });
   }
 
+  /**
+   * Takes settings that were changed while the instance runs: new seeds are used at once, everything
+   * else at the next start.
+   *
+   * @param settings - the new settings
+   */
+  reload({ seeds }: Pick<GatewaySettings, 'seeds'>): void {
+    seeds.forEach((address) => this.#sync.add(address));
+    this.#logger.info('reload', 'seeds are in use, the rest at the next start', {
+      seeds: seeds.map(({ host, port }) => `${host}:${port}`),
+    });
+  }
+
   /** Stops without cutting a request: out of rotation first, then no more connections. */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
@@ -349,6 +362,10 @@
       finished: (end, inputs) => {
         const { requestId, ...rest } = end;
         this.#metrics.requests.inc({ outcome: end.outcome });
+        this.#metrics.observe('request', Number(inputs.afterMs ?? 0));
+        if (inputs.firstAfterMs !== undefined) {
+          this.#metrics.observe('first_event', Number(inputs.firstAfterMs));
+        }
         requestLogger.info('done', `request ${end.outcome}`, {
           request: requestId,
           ...rest,
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -14,7 +14,7 @@
 /** Time that an adapter takes to arrive, in milliseconds. */
 const ADAPTER_ARRIVAL_MS = 11;
 /** An adapter that was used this lately is not taken away, in milliseconds. */
-const ADAPTER_IDLE_MS = 400;
+const ADAPTER_IDLE_MS = 200;
 /** Times that an order without an answer is sent again: the first that is taken rules out the others. */
 const ORDER_REPEAT_MAX = 2;
 /** Time that requests have to hear that a model is leaving, in milliseconds. */
--- /dev/null
+++ b/packages/gateway/src/test/handover_test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import { Handover } from '../lib/owner/handover.js';
+import type { InstanceState } from '../lib/peer/instance-state.js';
+
+const state = (more: Partial<InstanceState>): InstanceState => ({
+  instance: 'before',
+  failureDomain: 'a',
+  host: '127.0.0.1',
+  port: 1,
+  sequence: 1,
+  startedMs: 1,
+  isStopping: false,
+  configVersion: 1,
+  outstanding: {},
+  demand: {},
+  awaited: [],
+  usedAdapters: {},
+  generation: 4,
+  shares: [],
+  orderAgesMs: {},
+  engines: {},
+  peers: [],
+  ...more,
+});
+
+describe('Handover', () => {
+  let handover: Handover;
+
+  beforeEach(() => {
+    handover = new Handover('self');
+    handover.hear(state({ generation: 3, shares: [1] }));
+  });
+
+  it('believes the owner before once it has heard of the change', () => {
+    const unaware = state({ generation: 3, shares: [1] });
+    expect(handover.lastActMs(1, 4, [unaware], 10_000)).to.equal(undefined);
+    const aware = state({ generation: 4, orderAgesMs: { 1: 700 } });
+    expect(handover.lastActMs(1, 4, [aware], 10_000)).to.equal(9_300);
+  });
+
+  it('waits for an owner before that is silent or was never heard', () => {
+    expect(handover.lastActMs(1, 4, [], 10_000)).to.equal(undefined);
+    expect(handover.lastActMs(2, 4, [state({})], 10_000)).to.equal(undefined);
+  });
+
+  it('counts the latest order of any instance in the share', () => {
+    const states = [state({}), state({ instance: 'other', orderAgesMs: { 1: 200 } })];
+    expect(handover.lastActMs(1, 4, states, 10_000)).to.equal(9_800);
+  });
+
+  it('tells its own orders until no bound reaches back to them', () => {
+    handover.ordered(5, 1_000);
+    expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: 500 });
+    expect(handover.orderAgesMs(20_000)).to.deep.equal({});
+  });
+});
