--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -6,6 +6,8 @@
 
 /** How long a read waits for a change, in milliseconds; peers tell of one that it misses. */
 const WAIT_MS = 12_000;
+/** Time between two questions to other instances, in milliseconds. */
+const ASK_PAUSE_MS = 300;
 const BACKOFF_MIN_MS = 100;
 const BACKOFF_MAX_MS = 800;
 
@@ -25,7 +27,7 @@
   #offset: number | undefined;
   #failureCount = 0;
   #isStopped = false;
-  #isReading = false;
+  #nextAskMs = 0;
 
   /** @param context - what the feed needs around it */
   constructor(context: ConfigFeedContext) {
@@ -58,26 +60,23 @@
   }
 
   /**
-   * Reads at once when another instance knows a newer version.
+   * Takes the configuration from another instance that has a newer one: the store may be out of reach
+   * from here.
    *
    * @param version - the version in force there
+   * @param read - asks that instance for it
    */
-  heard(version: number): void {
-    if (version <= this.version || this.#isReading) return;
-    this.#isReading = true;
-    void this.#readNewest();
-  }
-
-  async #readNewest(): Promise<void> {
-    try {
-      const { config } = await this.#context.store.readConfig(undefined, 0);
-      if (config) this.#take(config, 'peer hint');
-    } catch (error) {
-      const fields = { error: (error as Error).message };
-      this.#context.logger.info('config_unread', 'a newer version could not be read', fields);
-    } finally {
-      this.#isReading = false;
-    }
+  heard(version: number, read: () => Promise<ServingConfig>): void {
+    const { nowMs, logger } = this.#context;
+    if (version <= this.version || nowMs() < this.#nextAskMs) return;
+    this.#nextAskMs = nowMs() + ASK_PAUSE_MS;
+    read().then(
+      (config) => this.#take(config, 'peer'),
+      (error: Error) => {
+        const fields = { error: error.message, version };
+        logger.info('config_unread', 'a newer version could not be had', fields);
+      },
+    );
   }
 
   async #follow(): Promise<void> {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -8,6 +8,7 @@
 import type { RunContext } from './dispatch/run-context.js';
 import { ConfigFeed } from './feed/config-feed.js';
 import { EndpointFeed } from './feed/endpoint-feed.js';
+import { packedConfig } from './feed/packed-config.js';
 import { EndpointRegistry } from './feed/endpoint-registry.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { CallerExchange } from './ingress/caller-exchange.js';
@@ -119,6 +120,7 @@
       nowMs,
       state: () => this.#state(),
       prepare: (wish) => this.#fleet.prepare(wish),
+      config: () => this.#config.config && packedConfig.pack(this.#config.config),
       begin: (endpoint, move) => this.#fleet.begin(endpoint, move),
       onEndpoints: (page) => this.#list.take(page),
       onState: (state) => this.#hear(state),
@@ -423,7 +425,11 @@
   }
 
   #hear(state: InstanceState): void {
-    this.#config.heard(state.configVersion);
+    if (state.instance !== this.#settings.instance) {
+      this.#config.heard(state.configVersion, async () =>
+        packedConfig.unpack(await this.#sync.readConfig({ host: state.host, port: state.port })),
+      );
+    }
     this.#fleet.hear(state);
     this.#schedulePump();
   }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,5 +1,6 @@
 import { PeerPool, PeerServer } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
+import type { PackedConfig } from '../feed/packed-config.js';
 import type { EngineMove } from '../owner/engine-move.js';
 import type { EndpointPage } from '../ports/state-store.js';
 import type { InstanceState } from './instance-state.js';
@@ -51,6 +52,8 @@
   readonly prepare: (wish: AdapterWish) => Promise<boolean>;
   /** Begins a change of the models on an engine that this instance owns. */
   readonly begin: (endpoint: string, move: EngineMove) => boolean;
+  /** The configuration in force here, for an instance that cannot read it. */
+  readonly config: () => PackedConfig | undefined;
   /** Takes a read of the endpoints' list that another instance made. */
   readonly onEndpoints: (page: EndpointPage & { readonly fromOffset?: number }) => void;
   readonly onState: (state: InstanceState) => void;
@@ -79,6 +82,9 @@
         context.onEndpoints(params as EndpointPage);
         stream.end({});
       },
+      config: (_, stream) => {
+        stream.end(context.config() ?? {});
+      },
       move: (params, stream) => {
         const { endpoint, move } = params as { endpoint: string; move: EngineMove };
         stream.end({ isBegun: context.begin(endpoint, move) });
@@ -182,6 +188,19 @@
       });
   }
 
+  /**
+   * Asks another instance for the configuration in force there.
+   *
+   * @param address - the instance
+   * @returns the configuration
+   * @throws when there is no answer, or none is in force there
+   */
+  async readConfig(address: PeerAddress): Promise<PackedConfig> {
+    const answer = await this.#pool.call(address, 'config', {}, ANSWER_TIMEOUT_MS);
+    if ((answer as PackedConfig).version === undefined) throw new Error('no configuration there');
+    return answer as PackedConfig;
+  }
+
   /** Ends all connections. */
   close(): void {
     this.#server.close();
