--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,14 +1,15 @@
-import { cp, rm } from 'node:fs/promises';
+import { cp, rename } from 'node:fs/promises';
 import { build } from 'esbuild';
 
 // The state charts are read from a folder three levels above the program, as in their package.
 const TARGET = 'target';
 const PROGRAM = `${TARGET}/bin/server/main/chervilseamd.mjs`;
 
-await rm(TARGET, { recursive: true, force: true });
+// A program that runs from the folder never meets half a file.
+await cp('packages/decisions/charts', `${TARGET}/charts`, { recursive: true });
 await build({
   entryPoints: ['platform/dist/main.js'],
-  outfile: PROGRAM,
+  outfile: `${PROGRAM}.new`,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -20,4 +21,4 @@
   external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'cbor-extract', 'source-map-support'],
   logLevel: 'warning',
 });
-await cp('packages/decisions/charts', `${TARGET}/charts`, { recursive: true });
+await rename(`${PROGRAM}.new`, PROGRAM);
