--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -62,4 +62,5 @@
 export { SharedRetryBudget } from './lib/serving/shared-retry-budget.js';
 export { WaitingLine } from './lib/serving/waiting-line.js';
 export type { Waiter } from './lib/serving/waiting-line.js';
+export { waitLimitMs } from './lib/serving/wait-limit-ms.js';
 export { WindowLimit } from './lib/serving/window-limit.js';
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -6,6 +6,7 @@
   EventSplitter,
   RouteIndex,
   SharedRetryBudget,
+  waitLimitMs,
   WaitingLine,
   WindowLimit,
 } from '@chervilseam/decisions';
@@ -205,3 +206,29 @@
     expect(limit.take(2, 1_001)).to.equal(false);
   });
 });
+
+describe('More callers than places, and models that are nowhere (waitLimitMs)', () => {
+  const request = {
+    isForPlace: true,
+    isAnswering: false,
+    sinceMs: 0,
+    leftMs: 12_000,
+    objectiveMs: 300,
+    callerPatienceMs: 2_400,
+  };
+
+  it('refuses soon after the first look when no place is free', () => {
+    expect(waitLimitMs(request)).to.be.within(30, 300 / 8);
+    expect(waitLimitMs({ ...request, sinceMs: 40 })).to.be.lessThan(0);
+  });
+
+  it('waits for a model while the caller still listens, not until the deadline', () => {
+    const limitMs = waitLimitMs({ ...request, isForPlace: false });
+    expect(limitMs).to.be.within(1_200, 2_400);
+    expect(waitLimitMs({ ...request, isForPlace: false, leftMs: 1_000 })).to.be.lessThan(600);
+  });
+
+  it('keeps a stream that has begun as long as it can still end in time', () => {
+    expect(waitLimitMs({ ...request, isAnswering: true, sinceMs: 5_000 })).to.be.greaterThan(6_000);
+  });
+});
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -1,4 +1,4 @@
-import { EventSplitter } from '@chervilseam/decisions';
+import { waitLimitMs } from '@chervilseam/decisions';
 import type { Waiter } from '@chervilseam/decisions';
 import type { RouteSpec, ServiceSpec } from '@chervilseam/model';
 import type { CallerExchange } from '../ingress/caller-exchange.js';
@@ -10,6 +10,7 @@
 import type { Pick } from './endpoint-picker.js';
 import { PickReason } from './pick-reason.js';
 import type { RunContext } from './run-context.js';
+import { StreamRelay } from './stream-relay.js';
 
 /** Less time than this is not enough for an answer, in milliseconds. */
 const REMAINING_MIN_MS = 15;
@@ -22,12 +23,6 @@
 const PATIENCE_MIN_MS = 250;
 /** A stream that stands still for this long goes on elsewhere, where it may, in milliseconds. */
 const STALL_MS = 1_200;
-/** Part of the time left that a request may wait for a place or a model. */
-const WAIT_SHARE = 0.55;
-/** Part of its objective that a request may wait for a place. */
-const PLACE_WAIT_SHARE = 0.12;
-/** Part of the time after which callers leave that a request may wait. */
-const PATIENCE_SHARE = 0.7;
 /** Time to wait while nothing better is known, in milliseconds. */
 const RETRY_AFTER_MS = 600;
 const RETRY_AFTER_SPREAD_MS = 600;
@@ -45,6 +40,7 @@
   readonly #head: CallerHead;
   readonly #body: Buffer;
   readonly #deadlineMs: number;
+  readonly #relay: StreamRelay;
   readonly #tried = new Set<string>();
   readonly #deadline: NodeJS.Timeout;
   #waiter: Waiter | undefined;
@@ -63,12 +59,6 @@
   #answer: AnswerHead | undefined;
   #held: Buffer[] = [];
   #heldBytes = 0;
-  #splitter = new EventSplitter();
-  #lastEvent: number | undefined;
-  #isRelaying = false;
-  #firstDataMs: number | undefined;
-  #lastDataMs = 0;
-  #gapMaxMs = 0;
 
   constructor(
     context: RunContext,
@@ -83,6 +73,7 @@
     this.#service = target.service;
     this.#head = head;
     this.#body = body;
+    this.#relay = new StreamRelay(exchange, context.nowMs);
     const waitMs = Math.min(head.waitMs ?? Infinity, target.route.timeoutMs);
     this.#deadlineMs = exchange.receivedMs + waitMs;
     const leftMs = Math.max(0, this.#deadlineMs - context.nowMs());
@@ -101,7 +92,7 @@
   }
 
   get #isSafeToRepeat(): boolean {
-    return this.#route.isIdempotent && (!this.#isRelaying || this.#route.isResumable);
+    return this.#route.isIdempotent && (!this.#relay.isOpen || this.#route.isResumable);
   }
 
   #next(): void {
@@ -156,18 +147,16 @@
     return true;
   }
 
-  // A caller that hears nothing leaves long before its deadline; for a place it waits no longer than
-  // the answer would still be on time.
   #waitMaxMs(reason: PickReason): number {
-    const { objectiveMs, callerPatienceMs } = this.#route;
     const nowMs = this.#context.nowMs();
-    const leftMs = WAIT_SHARE * (this.#deadlineMs - nowMs);
-    if (this.#isRelaying) return leftMs;
-    const patienceMs =
-      reason === PickReason.full
-        ? PLACE_WAIT_SHARE * objectiveMs
-        : PATIENCE_SHARE * callerPatienceMs;
-    return Math.min(leftMs, patienceMs - (nowMs - this.#exchange.receivedMs));
+    return waitLimitMs({
+      isForPlace: reason === PickReason.full,
+      isAnswering: this.#relay.isOpen,
+      sinceMs: nowMs - this.#exchange.receivedMs,
+      leftMs: this.#deadlineMs - nowMs,
+      objectiveMs: this.#route.objectiveMs,
+      callerPatienceMs: this.#route.callerPatienceMs,
+    });
   }
 
   #wait(): void {
@@ -243,9 +232,10 @@
       candidates: candidateCount,
       offer: this.#offerCount,
       remainingMs,
-      lastEvent: this.#lastEvent,
+      lastEvent: this.#relay.lastEvent,
     });
-    const lastEvent = this.#lastEvent === undefined ? this.#head.lastEvent : `${this.#lastEvent}`;
+    const { lastEvent: lastSent } = this.#relay;
+    const lastEvent = lastSent === undefined ? this.#head.lastEvent : `${lastSent}`;
     const headers = codec.writeDispatch({
       callerHeaders: this.#exchange.rawHeaders,
       endpointId: endpoint.id,
@@ -308,15 +298,13 @@
     if (isGood) this.#endpoint?.health.succeeded(nowMs() - this.#sentMs, nowMs());
     if (!isGood || !this.#route.isStream) return;
     this.#armPatience();
-    if (!this.#isRelaying) this.#exchange.head(answer.status, answer.headers);
-    this.#isRelaying = true;
-    this.#splitter = new EventSplitter();
+    this.#relay.open(answer);
   }
 
   #takeData(attempt: EndpointAttempt, chunk: Buffer): boolean {
     if (attempt !== this.#attempt || !this.#answer) return true;
     const isGood = this.#answer.status <= OK_MAX && this.#answer.isSigned;
-    if (isGood && this.#route.isStream) return this.#relay(chunk);
+    if (isGood && this.#route.isStream) return this.#pass(chunk);
     this.#held.push(chunk);
     this.#heldBytes += chunk.length;
     if (this.#heldBytes <= HELD_BYTES_MAX) return true;
@@ -325,35 +313,18 @@
     return true;
   }
 
-  #relay(chunk: Buffer): boolean {
+  #pass(chunk: Buffer): boolean {
     this.#patience?.refresh();
-    this.#timeData();
-    let isWelcome = true;
-    this.#splitter.push(chunk).forEach(({ number, data }) => {
-      // An event that the caller has already may come again when a stream goes on.
-      if (number !== undefined && number <= (this.#lastEvent ?? -1)) return;
-      if (number !== undefined) this.#lastEvent = number;
-      isWelcome = this.#exchange.write(data);
-    });
+    const { isWelcome, gapMs } = this.#relay.push(chunk);
+    if (gapMs !== undefined) this.#endpoint?.health.paced(gapMs, this.#context.nowMs());
     return isWelcome;
   }
 
-  #timeData(): void {
-    const nowMs = this.#context.nowMs();
-    if (this.#firstDataMs === undefined) this.#firstDataMs = nowMs;
-    else {
-      const gapMs = nowMs - this.#lastDataMs;
-      this.#gapMaxMs = Math.max(this.#gapMaxMs, gapMs);
-      this.#endpoint?.health.paced(gapMs, nowMs);
-    }
-    this.#lastDataMs = nowMs;
-  }
-
   #takeEnd(attempt: EndpointAttempt): void {
     if (attempt !== this.#attempt) return;
     const answer = this.#answer as AnswerHead;
-    if (this.#isRelaying && answer.status <= OK_MAX && answer.isSigned) {
-      if (this.#splitter.pendingBytes > 0) {
+    if (this.#relay.isOpen && answer.status <= OK_MAX && answer.isSigned) {
+      if (this.#relay.isWithinEvent) {
         this.#takeFailure(attempt, { wasSent: true, reason: 'ended within an event' });
         return;
       }
@@ -389,7 +360,7 @@
       }
     }
     this.#release();
-    if (this.#isRelaying) {
+    if (this.#relay.isOpen) {
       this.#finish('cut', answer.status);
       this.#exchange.cut();
       return;
@@ -443,7 +414,7 @@
     decision(this.#head.requestId, 'attempt_failed', reason, {
       endpoint: this.#endpoint?.id,
       afterMs: Math.round(nowMs() - this.#sentMs),
-      lastEvent: this.#lastEvent,
+      lastEvent: this.#relay.lastEvent,
       mayHaveRun: this.#mayHaveRun,
     });
   }
@@ -452,7 +423,7 @@
   #giveUp(reason: string, etaMs?: number): true {
     if (this.#isOver) return true;
     const { randomUnit, retryAfterMinMs } = this.#context;
-    const isRelaying = this.#isRelaying;
+    const isRelaying = this.#relay.isOpen;
     if (isRelaying) {
       this.#finish('cut', 0, reason);
       this.#exchange.cut();
@@ -479,7 +450,7 @@
       this.#giveUp('deadline passed');
       return;
     }
-    const isRelaying = this.#isRelaying;
+    const isRelaying = this.#relay.isOpen;
     this.#finish('timeout', 504, 'deadline passed');
     if (isRelaying) this.#exchange.cut();
     else this.#exchange.refuse(504, 'deadline passed');
@@ -504,19 +475,6 @@
     this.#lastEndpoint = endpoint;
   }
 
-  // How long the request waited here, and what the caller saw of the stream.
-  #timing(): Readonly<Record<string, number>> {
-    const { receivedMs } = this.#exchange;
-    const firstMs = this.#firstDataMs;
-    return {
-      sentAfterMs: Math.round(this.#sentMs - receivedMs),
-      ...(firstMs !== undefined && {
-        firstAfterMs: Math.round(firstMs - receivedMs),
-        gapMaxMs: Math.round(this.#gapMaxMs),
-      }),
-    };
-  }
-
   #finish(outcome: string, status: number, reason = ''): void {
     this.#isOver = true;
     clearTimeout(this.#deadline);
@@ -530,7 +488,8 @@
         adapter: this.#head.adapter,
         endpoint: this.#lastEndpoint?.id,
         afterMs: Math.round(this.#context.nowMs() - this.#exchange.receivedMs),
-        ...this.#timing(),
+        sentAfterMs: Math.round(this.#sentMs - this.#exchange.receivedMs),
+        ...this.#relay.timing(),
       },
     );
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,11 +1,12 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { chooseTarget, Random, SharedRetryBudget, WaitingLine } from '@chervilseam/decisions';
+import { chooseTarget, Random } from '@chervilseam/decisions';
 import type { PartLogger } from '@chervilseam/observe';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
 import { RequestRun } from './dispatch/request-run.js';
 import type { RunContext } from './dispatch/run-context.js';
+import { ServiceBook } from './dispatch/service-book.js';
 import { ConfigFeed } from './feed/config-feed.js';
 import { EndpointFeed } from './feed/endpoint-feed.js';
 import { packedConfig } from './feed/packed-config.js';
@@ -14,6 +15,7 @@
 import type { CallerExchange } from './ingress/caller-exchange.js';
 import { IngressServer } from './ingress/ingress-server.js';
 import { GatewayMetrics } from './observe/gateway-metrics.js';
+import { RequestLog } from './observe/request-log.js';
 import { EngineFleet } from './owner/engine-fleet.js';
 import { GroupMember } from './owner/group-member.js';
 import type { InstanceState } from './peer/instance-state.js';
@@ -67,8 +69,8 @@
   readonly #ingress: IngressServer;
   readonly #picker: EndpointPicker;
   readonly #run: RunContext;
-  readonly #lines = new Map<string, WaitingLine>();
-  readonly #budgets = new Map<string, SharedRetryBudget>();
+  readonly #services: ServiceBook;
+  readonly #log: RequestLog;
   readonly #usedAdapters = new Map<string, Set<string>>();
   readonly #startedMs = Date.now();
   readonly #ready: Server;
@@ -92,6 +94,12 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#logger = ports.logger('gateway');
+    this.#log = new RequestLog(ports.logger('request'), this.#metrics);
+    this.#services = new ServiceBook({
+      ratio: settings.retryRatio,
+      windowMs: settings.retryWindowMs,
+      freeCount: settings.retryFreeCount,
+    });
     const { nowMs } = Gateway;
     this.#list = new EndpointFeed({
       store: ports.store,
@@ -149,7 +157,7 @@
       sync: this.#sync,
       config: () => this.#config.config,
       instanceCount: () => this.#instanceCount,
-      awaited: () => this.#awaited(),
+      awaited: () => this.#services.awaitedModels,
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
     });
     this.#picker = new EndpointPicker({
@@ -234,7 +242,7 @@
     while (Gateway.nowMs() < endMs) {
       const isOutOfRotation = Gateway.nowMs() - startMs > ROTATION_MS;
       if (isOutOfRotation) this.#ingress.closeIdle();
-      if (Gateway.nowMs() > endMs - REFUSE_MS) this.#lines.forEach((line) => line.clear());
+      if (Gateway.nowMs() > endMs - REFUSE_MS) this.#services.clear();
       if (isOutOfRotation && this.#ingress.connectionCount === 0) break;
       // eslint-disable-next-line no-await-in-loop
       await sleep(STOP_POLL_MS);
@@ -281,9 +289,7 @@
 
   #pump(): void {
     this.#isPumpDue = false;
-    this.#lines.forEach((line) => {
-      if (line.size > 0) line.pump(Gateway.nowMs());
-    });
+    this.#services.pump(Gateway.nowMs());
   }
 
   #schedulePump(): void {
@@ -329,8 +335,7 @@
   }
 
   #createRunContext(): RunContext {
-    const { codec, logger } = this.#ports;
-    const requestLogger = logger('request');
+    const { codec } = this.#ports;
     return {
       picker: this.#picker,
       codec,
@@ -338,8 +343,8 @@
       randomUnit: () => this.#random.unit(),
       retryAfterMinMs: this.#settings.retryAfterMinMs,
       instanceCount: () => this.#instanceCount,
-      line: (service) => this.#line(service),
-      budget: (service) => this.#budget(service),
+      line: (service) => this.#services.line(service),
+      budget: (service) => this.#services.budget(service),
       prepare: (endpoint, model, adapter) =>
         this.#fleet.prepareThroughOwner(endpoint, model, adapter),
       asked: (head) => this.#fleet.demand.asked(head),
@@ -357,53 +362,11 @@
         if (isOther) endpoint.health.wasSilent(Gateway.nowMs());
         else if (item !== undefined) endpoint.denied(item, Gateway.nowMs());
       },
-      decision: (requestId, event, text, inputs) => {
-        if (event === 'attempt_failed') this.#metrics.failures.inc();
-        requestLogger.info(event, text, { request: requestId, ...inputs });
-      },
-      finished: (end, inputs) => {
-        const { requestId, ...rest } = end;
-        this.#metrics.requests.inc({ outcome: end.outcome });
-        this.#metrics.observe('request', Number(inputs.afterMs ?? 0));
-        if (inputs.firstAfterMs !== undefined) {
-          this.#metrics.observe('first_event', Number(inputs.firstAfterMs));
-        }
-        requestLogger.info('done', `request ${end.outcome}`, {
-          request: requestId,
-          ...rest,
-          ...inputs,
-        });
-      },
+      decision: (...args) => this.#log.decision(...args),
+      finished: (...args) => this.#log.finished(...args),
     };
   }
 
-  #line(service: string): WaitingLine {
-    let line = this.#lines.get(service);
-    if (!line) {
-      line = new WaitingLine();
-      this.#lines.set(service, line);
-    }
-    return line;
-  }
-
-  #budget(service: string): SharedRetryBudget {
-    let budget = this.#budgets.get(service);
-    if (!budget) {
-      const { retryRatio, retryWindowMs, retryFreeCount } = this.#settings;
-      budget = new SharedRetryBudget({
-        ratio: retryRatio,
-        windowMs: retryWindowMs,
-        freeCount: retryFreeCount,
-      });
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  #awaited(): string[] {
-    return [...new Set([...this.#lines.values()].flatMap(({ models }) => models))];
-  }
-
   #noteAdapter(endpoint: string, item: string): void {
     const used = this.#usedAdapters.get(endpoint) ?? new Set();
     used.add(item);
@@ -451,7 +414,7 @@
       configVersion: this.#config.version,
       outstanding: Object.fromEntries(busy.map(({ id, ownCount }) => [id, ownCount])),
       demand: this.#fleet.ownDemand(),
-      awaited: this.#awaited(),
+      awaited: this.#services.awaitedModels,
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
       shares: this.#isStopping ? [] : this.#member.shares,
@@ -465,8 +428,7 @@
 
   async #writeMetrics(): Promise<string> {
     const nowMs = Gateway.nowMs();
-    const waiting = [...this.#lines.values()].reduce((sum, { size }) => sum + size, 0);
-    this.#metrics.waiting.set(waiting);
+    this.#metrics.waiting.set(this.#services.waitingCount);
     this.#metrics.instances.set(this.#peers.fresh(nowMs).length + 1);
     this.#metrics.endpoints.set(this.#registry.all.length);
     this.#metrics.listAgeMs.set(this.#list.ageMs(nowMs));
