End the test run when its last test has ended; close all that a stopped gateway has open

Cause: the first full check took 9 min 40 s and was cut off after 180 passing: servers and client pools of the stand-in tests kept the runner alive.

--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -83,6 +83,11 @@
     return news;
   }
 
+  /** Closes the connections to all endpoints. */
+  close(): void {
+    this.#endpoints.forEach((endpoint) => endpoint.close());
+  }
+
   #add(record: EndpointRecord): EndpointNews[] {
     this.#doubted.delete(record.id);
     const known = this.#endpoints.get(record.id);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -251,6 +251,11 @@
     this.#config.stop();
     clearInterval(this.#timer);
     this.#sync.close();
+    [this.#ready, this.#metricsServer].forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+    this.#registry.close();
     this.#logger.info('stopped', 'the instance has stopped', {
       open: this.#ingress.openCount,
       afterMs: Math.round(Gateway.nowMs() - startMs),
