--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -412,7 +412,7 @@
   #explainFailure(reason: string): void {
     const { decision, nowMs } = this.#context;
     decision(this.#head.requestId, 'attempt_failed', reason, {
-      endpoint: this.#endpoint?.id,
+      endpoint: this.#lastEndpoint?.id,
       afterMs: Math.round(nowMs() - this.#sentMs),
       lastEvent: this.#relay.lastEvent,
       mayHaveRun: this.#mayHaveRun,
@@ -488,7 +488,9 @@
         adapter: this.#head.adapter,
         endpoint: this.#lastEndpoint?.id,
         afterMs: Math.round(this.#context.nowMs() - this.#exchange.receivedMs),
-        sentAfterMs: Math.round(this.#sentMs - this.#exchange.receivedMs),
+        ...(this.#offerCount > 0 && {
+          sentAfterMs: Math.round(this.#sentMs - this.#exchange.receivedMs),
+        }),
         ...this.#relay.timing(),
       },
     );
