--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,6 +23,7 @@
 export { instanceOfLife } from './lib/membership/instance-of-life.js';
 export { Membership } from './lib/membership/membership.js';
 export type { Rumor } from './lib/membership/rumor.js';
+export { hashOf } from './lib/ownership/hash-of.js';
 export { weightedRendezvous } from './lib/ownership/weighted-rendezvous.js';
 export { Random } from './lib/random.js';
 export { classifyRequest } from './lib/request/classify-request.js';
--- a/packages/decisions/src/lib/ownership/weighted-rendezvous.ts
+++ b/packages/decisions/src/lib/ownership/weighted-rendezvous.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { hashOf } from './hash-of.js';
 
 /** Something that keys are spread over. */
 interface WeightedNode {
@@ -7,20 +7,8 @@
   readonly size: number;
 }
 
-const CACHE_COUNT_MAX = 100_000;
 const HASH_RANGE = 2 ** 32;
 
-const hashes = new Map<string, number>();
-
-function hashOf(text: string): number {
-  const known = hashes.get(text);
-  if (known !== undefined) return known;
-  if (hashes.size >= CACHE_COUNT_MAX) hashes.clear();
-  const hash = createHash('sha1').update(text).digest().readUInt32BE(0);
-  hashes.set(text, hash);
-  return hash;
-}
-
 // The finalizer of MurmurHash3 mixes two hashes that are computed once for each name: a digest for
 // each pair would cost a hundred times more when a member comes or goes.
 function mix(left: number, right: number): number {
--- a/packages/decisions/src/lib/serving/choose-endpoint.ts
+++ b/packages/decisions/src/lib/serving/choose-endpoint.ts
@@ -12,8 +12,6 @@
   /** Mean pause between events of late, in milliseconds. */
   readonly paceMs: number;
   readonly isLocal: boolean;
-  /** Tokens of the prompt that the endpoint has read of late. */
-  readonly cachedTokenCount: number;
 }
 
 /** Time that a full endpoint costs against an empty one, in milliseconds: all its tokens are slower. */
@@ -30,8 +28,6 @@
 const QUEUED_MS = 30;
 /** Costs this near to the best count as equal, in milliseconds. */
 const TIE_MS = 6;
-/** Time to read a token of a prompt, in milliseconds. */
-const READ_TOKEN_MS = 0.026;
 
 /**
  * @param choice - an endpoint
@@ -48,8 +44,7 @@
     queuedMs +
     FAILURE_MS * failureCount +
     (choice.isPaused ? PAUSED_MS : 0) +
-    (choice.isLocal ? 0 : REMOTE_MS) -
-    READ_TOKEN_MS * choice.cachedTokenCount
+    (choice.isLocal ? 0 : REMOTE_MS)
   );
 }
 
--- a/packages/decisions/src/lib/serving/engine-holding.ts
+++ b/packages/decisions/src/lib/serving/engine-holding.ts
@@ -13,8 +13,6 @@
 interface HeldAdapter {
   /** When a request last used it, in milliseconds. */
   usedMs: number;
-  /** When the order to load it was sent, in milliseconds. */
-  readonly orderedMs: number;
   isInFlight: boolean;
 }
 
@@ -90,11 +88,10 @@
 
   /** Memory that the engine may come to use, whatever still arrives, in megabytes. */
   get memoryMb(): number {
-    const held = [...this.#models].reduce((sum, [name, { adapters }]) => {
+    return [...this.#models].reduce((sum, [name, { adapters }]) => {
       const spec = this.#spec.models.get(name);
       return sum + (spec?.sizeMb ?? 0) + adapters.size * (spec?.adapterMb ?? 0);
     }, 0);
-    return held;
   }
 
   /**
@@ -118,13 +115,13 @@
     report.models.forEach(({ name, adapters }) => {
       const entries = adapters.map((adapter) => {
         const usedMs = known.get(name)?.adapters.get(adapter)?.usedMs ?? nowMs;
-        return [adapter, { usedMs, orderedMs: nowMs, isInFlight: false }] as const;
+        return [adapter, { usedMs, isInFlight: false }] as const;
       });
       this.#models.set(name, { adapters: new Map(entries), state: 'ready' });
     });
     report.pendingAdapters.forEach(({ model, adapter }) => {
       const held = this.#models.get(model);
-      held?.adapters.set(adapter, { usedMs: nowMs, orderedMs: nowMs, isInFlight: true });
+      held?.adapters.set(adapter, { usedMs: nowMs, isInFlight: true });
     });
     doubts.forEach((doubt) => this.#reserve(doubt, nowMs));
     // A busy engine is loading or unloading something that its report does not name.
@@ -279,7 +276,7 @@
       this.#models.set(model, { adapters: new Map(), state: 'loading' });
       return;
     }
-    const fresh = { usedMs: nowMs, orderedMs: nowMs, isInFlight: true };
+    const fresh = { usedMs: nowMs, isInFlight: true };
     held?.adapters.set(adapter, fresh);
   }
 
--- a/packages/decisions/src/lib/serving/ownership-lease.ts
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -71,7 +71,7 @@
    * Lets a share be used sooner, because the owner before has said that it stopped.
    *
    * @param share - a share that this instance owns
-   * @param token - the fencing token that the word was checked against
+   * @param token - the fencing token that the release was checked against
    * @param lastActMs - when the owner before last acted, in milliseconds
    */
   released(share: number, token: number, lastActMs: number): void {
--- a/packages/decisions/src/lib/serving/waiting-line.ts
+++ b/packages/decisions/src/lib/serving/waiting-line.ts
@@ -2,7 +2,6 @@
 export interface Waiter {
   /** Rank of its route, 0 first. */
   readonly priority: number;
-  readonly sinceMs: number;
   /** Model that it needs, if it needs one. */
   readonly model?: string;
   /** When it is no longer worth waiting, in milliseconds. */
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -41,7 +41,6 @@
   latencyMs: 50,
   paceMs: 30,
   isLocal: true,
-  cachedTokenCount: 0,
   ...more,
 });
 
@@ -165,7 +164,6 @@
 describe('WaitingLine', () => {
   const waiter = (priority: number, log: string[], name: string, isServed = false): Waiter => ({
     priority,
-    sinceMs: 0,
     untilMs: 100,
     tryNow: () => {
       log.push(`try ${name}`);
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -1,15 +1,12 @@
-import { chooseEndpoint } from '@chervilseam/decisions';
+import { chooseEndpoint, hashOf } from '@chervilseam/decisions';
 import type { EngineSpec, ModelSpec, ServiceSpec } from '@chervilseam/model';
 import type { Endpoint } from '../feed/endpoint.js';
 import { PickReason } from './pick-reason.js';
 import { loadTimeMs } from '../owner/load-time-ms.js';
-import { shareOf } from '../owner/share-of.js';
 import type { OwnedEngineState } from '../peer/instance-state.js';
 
 /** Requests that a plain service may queue beyond its places; a count. */
 const PLAIN_QUEUE_COUNT = 2;
-/** Ranks are spread over this range. */
-const RANK_RANGE = 2 ** 31;
 /** Part of the longest pause on time that the mean pause may reach before places are withheld. */
 const PACE_SHARE = 0.55;
 /** Least share of its places that a slow engine offers. */
@@ -57,8 +54,7 @@
 const NO_ENDPOINT_RETRY_MS = 1_000;
 
 // The order in which engines are asked for an adapter is the same at every instance.
-const rankOf = (endpoint: string, item: string): number =>
-  shareOf(`${item}@${endpoint}`, RANK_RANGE);
+const rankOf = (endpoint: string, item: string): number => hashOf(`${item}@${endpoint}`);
 
 const nameOf = ({ name }: { readonly name: string }): string => name;
 
@@ -139,7 +135,6 @@
         latencyMs: endpoint.health.latencyMs(nowMs()),
         paceMs: endpoint.health.paceMs(nowMs()),
         isLocal: endpoint.record.failureDomain === failureDomain,
-        cachedTokenCount: 0,
       })),
       randomUnit(),
     );
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -31,6 +31,9 @@
 const OK_MAX = 299;
 const SERVER_ERROR = 500;
 
+// Without its endpoint's signature a success may be anybody's.
+const isSuccess = ({ status, isSigned }: AnswerHead): boolean => isSigned && status <= OK_MAX;
+
 /** One caller's request, through all its attempts. */
 export class RequestRun {
   readonly #context: RunContext;
@@ -163,7 +166,6 @@
     const { line, nowMs } = this.#context;
     const waiter: Waiter = {
       priority: this.#route.priority,
-      sinceMs: nowMs(),
       model: this.#waitReason === PickReason.model ? this.#head.model : undefined,
       untilMs: nowMs() + this.#waitMaxMs(this.#waitReason),
       tryNow: () => {
@@ -269,15 +271,15 @@
     const patienceMs = this.#isFirstByteIn
       ? STALL_MS
       : Math.max(PATIENCE_MIN_MS, this.#route.objectiveMs * PATIENCE_OBJECTIVES);
-    this.#patience = setTimeout(() => this.#loosePatience(), patienceMs);
+    this.#patience = setTimeout(() => this.#abandonAttempt(), patienceMs);
   }
 
-  #loosePatience(): void {
+  #abandonAttempt(): void {
     const attempt = this.#attempt;
     if (!attempt || this.#isOver) return;
     // Without another endpoint that could take it, the request is better off where it is.
     if (this.#pick().kind !== 'send') {
-      this.#patience = setTimeout(() => this.#loosePatience(), STALL_MS);
+      this.#patience = setTimeout(() => this.#abandonAttempt(), STALL_MS);
       return;
     }
     attempt.cancel();
@@ -294,17 +296,15 @@
     }
     this.#answer = answer;
     this.#isFirstByteIn = true;
-    const isGood = answer.status <= OK_MAX && answer.isSigned;
-    if (isGood) this.#endpoint?.health.succeeded(nowMs() - this.#sentMs, nowMs());
-    if (!isGood || !this.#route.isStream) return;
+    if (isSuccess(answer)) this.#endpoint?.health.succeeded(nowMs() - this.#sentMs, nowMs());
+    if (!isSuccess(answer) || !this.#route.isStream) return;
     this.#armPatience();
     this.#relay.open(answer);
   }
 
   #takeData(attempt: EndpointAttempt, chunk: Buffer): boolean {
     if (attempt !== this.#attempt || !this.#answer) return true;
-    const isGood = this.#answer.status <= OK_MAX && this.#answer.isSigned;
-    if (isGood && this.#route.isStream) return this.#pass(chunk);
+    if (isSuccess(this.#answer) && this.#route.isStream) return this.#pass(chunk);
     this.#held.push(chunk);
     this.#heldBytes += chunk.length;
     if (this.#heldBytes <= HELD_BYTES_MAX) return true;
@@ -323,7 +323,7 @@
   #takeEnd(attempt: EndpointAttempt): void {
     if (attempt !== this.#attempt) return;
     const answer = this.#answer as AnswerHead;
-    if (this.#relay.isOpen && answer.status <= OK_MAX && answer.isSigned) {
+    if (this.#relay.isOpen && isSuccess(answer)) {
       if (this.#relay.isWithinEvent) {
         this.#takeFailure(attempt, { wasSent: true, reason: 'ended within an event' });
         return;
@@ -342,9 +342,7 @@
       this.#takeRejection(answer);
       return;
     }
-    const isGenuine = answer.isSigned;
-    const isGood = answer.status <= OK_MAX;
-    if (!isGenuine) {
+    if (!answer.isSigned) {
       this.#takeFailure(attempt, { wasSent: true, reason: `unsigned answer ${answer.status}` });
       return;
     }
@@ -365,7 +363,7 @@
       this.#exchange.cut();
       return;
     }
-    this.#finish(isGood ? 'ran' : 'failed by endpoint', answer.status);
+    this.#finish(isSuccess(answer) ? 'ran' : 'failed by endpoint', answer.status);
     this.#exchange.head(answer.status, answer.headers);
     this.#exchange.end(Buffer.concat(this.#held));
   }
@@ -423,8 +421,7 @@
   #giveUp(reason: string, etaMs?: number): true {
     if (this.#isOver) return true;
     const { randomUnit, retryAfterMinMs } = this.#context;
-    const isRelaying = this.#relay.isOpen;
-    if (isRelaying) {
+    if (this.#relay.isOpen) {
       this.#finish('cut', 0, reason);
       this.#exchange.cut();
       return true;
@@ -450,9 +447,8 @@
       this.#giveUp('deadline passed');
       return;
     }
-    const isRelaying = this.#relay.isOpen;
     this.#finish('timeout', 504, 'deadline passed');
-    if (isRelaying) this.#exchange.cut();
+    if (this.#relay.isOpen) this.#exchange.cut();
     else this.#exchange.refuse(504, 'deadline passed');
   }
 
@@ -471,7 +467,7 @@
     this.#endpoint = undefined;
     if (!endpoint) return;
     endpoint.ended();
-    this.#context.ended(endpoint, this.#context.nowMs() - this.#sentMs);
+    this.#context.ended(this.#context.nowMs() - this.#sentMs);
     this.#lastEndpoint = endpoint;
   }
 
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -33,7 +33,7 @@
   /** A request was sent. */
   readonly sent: (endpoint: Endpoint, head: CallerHead) => void;
   /** A request has left an endpoint after some time, in milliseconds. */
-  readonly ended: (endpoint: Endpoint, holdMs: number) => void;
+  readonly ended: (holdMs: number) => void;
   /** An endpoint said that it lacks what was asked of it, or that it is another one. */
   readonly denied: (endpoint: Endpoint, answer: AnswerHead, head: CallerHead) => void;
   /** Explains a decision on a request. */
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -92,7 +92,7 @@
     this.#doubted.delete(record.id);
     const known = this.#endpoints.get(record.id);
     const { id, service } = record;
-    // A word of an earlier incarnation that arrives late says nothing of this one.
+    // A record of an earlier incarnation that arrives late says nothing of this one.
     if (known && record.bornMs < known.record.bornMs) return [];
     const isSame =
       known?.record.bornMs === record.bornMs &&
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -60,9 +60,9 @@
     return this.#leftMs;
   }
 
-  /** @param record - a newer word of the same incarnation */
+  /** @param record - a newer record of the same incarnation */
   update(record: EndpointRecord): void {
-    // Leaving is for good: an older word that arrives late must not bring the endpoint back.
+    // Leaving is for good: an older record that arrives late must not bring the endpoint back.
     const isDraining = record.isDraining || this.#record.isDraining;
     this.#record = { ...record, isDraining };
     this.#leftMs = undefined;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -156,7 +156,6 @@
       member: this.#member,
       sync: this.#sync,
       config: () => this.#config.config,
-      instanceCount: () => this.#instanceCount,
       awaited: () => this.#services.awaitedModels,
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
     });
@@ -357,7 +356,7 @@
         this.#metrics.dispatches.inc();
         if (adapter !== undefined) this.#noteAdapter(endpoint.id, `${model}/${adapter}`);
       },
-      ended: (_, holdMs) => {
+      ended: (holdMs) => {
         this.#metrics.observe('endpoint_hold', holdMs);
         this.#schedulePump();
       },
--- a/packages/gateway/src/lib/owner/demand-meter.ts
+++ b/packages/gateway/src/lib/owner/demand-meter.ts
@@ -5,7 +5,7 @@
 const OUTPUT_TOKEN_WORK = 7;
 /** Output tokens of a request that gives no hint, at the most; a count. */
 const OUTPUT_TOKENS_UNHINTED = 300;
-/** Demand below this is not worth a word to the others, in tokens a second. */
+/** Demand below this is not sent to the others, in tokens a second. */
 const DEMAND_MIN = 20;
 const MS_PER_SECOND = 1_000;
 /** A model's demand rises within a second and falls within a few. */
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -32,7 +32,6 @@
   readonly member: GroupMember;
   readonly sync: PeerSync;
   readonly config: () => ServingConfig | undefined;
-  readonly instanceCount: () => number;
   /** Models that requests of this instance wait for. */
   readonly awaited: () => readonly string[];
   readonly onOrder: (outcome: OrderOutcome) => void;
@@ -65,7 +64,7 @@
       endpoint: (id) => registry.get(id),
       engineState: (id) => this.stateOf(id),
       begin: (id, move) => this.#beginThroughOwner(id, move),
-      demand: () => this.#demandOfAll(),
+      demand: () => context.peers.demandWith(this.demand.demand(), nowMs()),
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
       loadWindowMs: settings.loadWindowMs,
       loadSlackRatio: settings.loadSlackRatio,
@@ -124,7 +123,7 @@
     return Object.fromEntries(this.demand.demand());
   }
 
-  /** @param state - the word of an instance: the adapters that its requests used */
+  /** @param state - the state of an instance: the adapters that its requests used */
   hear(state: InstanceState): void {
     const { usedAdapters } = state;
     this.handover.hear(state);
@@ -199,15 +198,6 @@
     });
   }
 
-  #demandOfAll(): ReadonlyMap<string, number> {
-    const { nowMs, peers } = this.#context;
-    const sums = peers.demand(nowMs());
-    this.demand.demand().forEach((value, model) => {
-      sums.set(model, (sums.get(model) ?? 0) + value);
-    });
-    return sums;
-  }
-
   #token(id: string): number | undefined {
     const { member, settings } = this.#context;
     return member.tokenOf(shareOf(id, settings.shareCount));
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -81,7 +81,7 @@
    * Notes that the owner before has stopped.
    *
    * @param share - a share that this instance owns
-   * @param token - the fencing token that the word was checked against
+   * @param token - the fencing token that the release was checked against
    * @param lastActMs - when the owner before last acted, in milliseconds
    */
   released(share: number, token: number, lastActMs: number): void {
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -8,7 +8,7 @@
   readonly generation: number;
 }
 
-/** Tells from the others' words when a share that was theirs is free to be used. */
+/** Tells from the others' states when a share that was theirs is free to be used. */
 export class Handover {
   readonly #self: string;
   /** The other instance that last said that it owns a share, by share. */
@@ -31,7 +31,7 @@
     return Object.fromEntries(recent.map(([share, atMs]) => [share, Math.ceil(nowMs - atMs)]));
   }
 
-  /** @param state - the word of an instance */
+  /** @param state - the state of an instance */
   hear({ instance, generation, shares }: InstanceState): void {
     if (instance === this.#self) return;
     shares.forEach((share) => {
@@ -45,7 +45,7 @@
   /**
    * @param share - a share that this instance has won
    * @param token - the generation at which it won it
-   * @param states - the latest words of the instances that are heard
+   * @param states - the latest states of the instances that are heard
    * @param nowMs - a clock that only goes forward, in milliseconds
    * @returns when the owner before last gave an order, in milliseconds; `undefined` while that owner
    *   is not known, or has not said that it heard of the change
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -125,10 +125,8 @@
     const state = this.#context.engineState(endpoint.id);
     const pending = this.#pendingOf(endpoint.id);
     const listed = state?.models ?? endpoint.record.models.map(({ name }) => name);
-    const loading = [
-      ...(state?.loading.map(({ model }) => model) ?? []),
-      pending?.load ?? [],
-    ].flat();
+    const loading = state?.loading.map(({ model }) => model) ?? [];
+    if (pending) loading.push(pending.load);
     const leaving = new Set([...(state?.leaving ?? []), ...(pending?.unload ?? [])]);
     const models = [...new Set([...listed, ...loading])].filter((model) => !leaving.has(model));
     const isFixed = this.#isFixed(endpoint.id);
--- a/packages/gateway/src/lib/owner/share-of.ts
+++ b/packages/gateway/src/lib/owner/share-of.ts
@@ -1,7 +1,4 @@
-import { createHash } from 'node:crypto';
-
-const cache = new Map<string, number>();
-const CACHE_COUNT_MAX = 10_000;
+import { hashOf } from '@chervilseam/decisions';
 
 /**
  * @param endpoint - identity of an endpoint
@@ -9,10 +6,5 @@
  * @returns the share that the endpoint belongs to
  */
 export function shareOf(endpoint: string, shareCount: number): number {
-  const known = cache.get(endpoint);
-  if (known !== undefined) return known % shareCount;
-  if (cache.size >= CACHE_COUNT_MAX) cache.clear();
-  const hash = createHash('sha1').update(endpoint).digest().readUInt32BE(0);
-  cache.set(endpoint, hash);
-  return hash % shareCount;
+  return hashOf(endpoint) % shareCount;
 }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -6,11 +6,11 @@
 import type { InstanceState } from './instance-state.js';
 import type { PeerTable } from './peer-table.js';
 
-/** Time between two words to the same instance while there are few, in milliseconds. */
+/** Time between two states sent to the same instance while there are few, in milliseconds. */
 const PERIOD_MS = 100;
-/** Words a second that an instance sends at most, to all others together. */
-const WORDS_PER_SECOND = 60;
-/** A word without an answer for this long is lost, and its connection is made anew, in milliseconds. */
+/** States a second that an instance sends at most, to all others together. */
+const STATES_PER_SECOND = 60;
+/** A state without an answer for this long is lost, and its connection is made anew, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 700;
 /** An instance that does not answer is tried again after this, in milliseconds. */
 const RETRY_MS = 1_000;
@@ -97,11 +97,6 @@
     this.#server = new PeerServer({ instance, secret, handlers });
   }
 
-  /** Instances that answered a moment ago; a count. */
-  get lineCount(): number {
-    return this.#lines.size;
-  }
-
   /** Addresses of instances that answer. */
   get addresses(): readonly string[] {
     const { nowMs } = this.#context;
@@ -128,10 +123,10 @@
     this.#lines.set(key, { address, nextMs: nowMs, answeredMs: nowMs, isCalling: false });
   }
 
-  /** Sends a word to each instance whose turn it is. */
+  /** Sends the state to each instance whose turn it is. */
   tick(): void {
     const nowMs = this.#context.nowMs();
-    const periodMs = Math.max(PERIOD_MS, (1_000 * this.#lines.size) / WORDS_PER_SECOND);
+    const periodMs = Math.max(PERIOD_MS, (1_000 * this.#lines.size) / STATES_PER_SECOND);
     const due = [...this.#lines.values()].filter((line) => !line.isCalling && nowMs >= line.nextMs);
     if (due.length === 0) return;
     const state = this.#context.state();
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -15,7 +15,15 @@
   next.startedMs > known.startedMs ||
   (next.startedMs === known.startedMs && next.sequence > known.sequence);
 
-/** The latest word of every other instance. */
+const sumOf = (parts: readonly Iterable<readonly [string, number]>[]): Map<string, number> => {
+  const sums = new Map<string, number>();
+  parts
+    .flatMap((part) => [...part])
+    .forEach(([key, value]) => sums.set(key, (sums.get(key) ?? 0) + value));
+  return sums;
+};
+
+/** The latest state of every other instance. */
 export class PeerTable {
   readonly #entries = new Map<string, PeerEntry>();
 
@@ -25,9 +33,9 @@
   }
 
   /**
-   * Takes an instance's word, unless a newer one is known.
+   * Takes an instance's state, unless a newer one is known.
    *
-   * @param state - the word
+   * @param state - the state
    * @param nowMs - a clock that only goes forward, in milliseconds
    */
   update(state: InstanceState, nowMs: number): void {
@@ -51,24 +59,16 @@
 
   /** @returns requests of the other instances that are under way, by endpoint */
   outstanding(nowMs: number): Map<string, number> {
-    const sums = new Map<string, number>();
-    this.fresh(nowMs).forEach(({ outstanding }) => {
-      Object.entries(outstanding).forEach(([id, count]) => {
-        sums.set(id, (sums.get(id) ?? 0) + count);
-      });
-    });
-    return sums;
+    return sumOf(this.fresh(nowMs).map(({ outstanding }) => Object.entries(outstanding)));
   }
 
-  /** @returns demand of the other instances by model */
-  demand(nowMs: number): Map<string, number> {
-    const sums = new Map<string, number>();
-    this.fresh(nowMs).forEach(({ demand }) => {
-      Object.entries(demand).forEach(([model, value]) => {
-        sums.set(model, (sums.get(model) ?? 0) + value);
-      });
-    });
-    return sums;
+  /**
+   * @param own - demand of this instance by model
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns demand of all instances by model
+   */
+  demandWith(own: ReadonlyMap<string, number>, nowMs: number): Map<string, number> {
+    return sumOf([own, ...this.fresh(nowMs).map(({ demand }) => Object.entries(demand))]);
   }
 
   /** @returns models that requests of other instances wait for */
@@ -76,7 +76,7 @@
     return new Set(this.fresh(nowMs).flatMap(({ awaited }) => awaited));
   }
 
-  /** @returns the instance that owns a share by the newest word, if any is heard */
+  /** @returns the instance that owns a share by the newest state, if any is heard */
   ownerOf(share: number, nowMs: number): InstanceState | undefined {
     return this.fresh(nowMs)
       .filter(({ shares }) => shares.includes(share))
--- a/packages/gateway/src/lib/ports/answer-head.ts
+++ b/packages/gateway/src/lib/ports/answer-head.ts
@@ -15,8 +15,6 @@
   readonly endpointId: string | undefined;
   /** How the end of the body is known. */
   readonly framing: AnswerFraming;
-  /** Whether the endpoint closes the connection: it may be leaving. */
-  readonly isClosing: boolean;
   /** Headers for the caller: names and values in turn. */
   readonly headers: readonly string[];
 }
