Prepare engines for models that callers begin to ask for, and find the planner again when its owner is cut off

Ruled out: engines full by tokens (60 streams an engine keep a pace of 56 ms against 300 allowed). Changed: forecast for models in a hurry; loads counted by all from what owners tell; refused callers count half; a token's work follows the engine's places; last replicas yield only if their callers can wait; a lapsed lease is told.

--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -7,8 +7,12 @@
   readonly isLabelled: boolean;
   /** Whether requests wait for it: it gets a place although nothing is gained by it. */
   readonly isAwaited?: boolean;
+  /** Whether those who ask for it can wait for a load; unknown for a model that nobody asks for. */
+  readonly isPatient?: boolean;
   /** Wanted tokens a second. */
   readonly demand: number;
+  /** Tokens a second to prepare for; the demand when left out. */
+  readonly forecast?: number;
 }
 
 /** An engine as placement sees it. */
@@ -37,4 +41,6 @@
   readonly lossShareMax?: number;
   /** Share of an engine's tokens that a move must win; a hundredth when left out. */
   readonly gainShareMin?: number;
+  /** Share of an engine's tokens that the last replica of a model is worth, asked for or not. */
+  readonly lastReplicaShare?: number;
 }
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -1,3 +1,4 @@
+import { MoveReason } from './move-reason.js';
 import { PlacementFlow } from './placement-flow.js';
 import type { PlacementInput } from './placement-input.js';
 import type { PlacementMove } from './placement-move.js';
@@ -21,6 +22,8 @@
   readonly gain: number;
 }
 
+const forecastOf = ({ demand, forecast = demand }: Model): number => forecast;
+
 // A copy near the engine serves seconds sooner than the weight store.
 const scoreOf = ({ engine, gain }: Option, { name }: Model): number => {
   const loadMs = engine.loadMsByModel?.get(name) ?? 0;
@@ -37,14 +40,20 @@
   readonly #ready = new Map<string, Set<string>>();
   readonly #gainShareMin: number;
   readonly #lossShareMax: number;
+  readonly #lastReplicaShare: number;
+  /** How today's demand spreads. */
   #flow: PlacementFlow;
+  /** How the demand to prepare for spreads. */
+  #outlook: PlacementFlow;
 
   constructor({
     models,
     engines,
     gainShareMin = GAIN_SHARE_MIN,
     lossShareMax = Infinity,
+    lastReplicaShare = 0,
   }: PlacementInput) {
+    this.#lastReplicaShare = lastReplicaShare;
     this.#gainShareMin = gainShareMin;
     this.#lossShareMax = lossShareMax;
     this.#models = new Map(models.map((model) => [model.name, model]));
@@ -63,7 +72,8 @@
       engine.models.forEach((model) => this.#replicas.get(model)?.add(engine.name));
       engine.ready.forEach((model) => this.#ready.get(model)?.add(engine.name));
     });
-    this.#flow = this.#measure();
+    this.#flow = this.#measure(({ demand }) => demand);
+    this.#outlook = this.#measure(forecastOf);
   }
 
   get unserved(): number {
@@ -87,17 +97,18 @@
   }
 
   /** Models that want more than their engines make by more than `restMin`, the largest rest first. */
-  hungry(restMin: number): Model[] {
-    const rest = ({ name }: Model): number => this.#flow.unservedByModel.get(name) ?? 0;
+  hungry(restMin: number, isForecast: boolean): Model[] {
+    const flow = this.#flowOf(isForecast);
+    const rest = ({ name }: Model): number => flow.unservedByModel.get(name) ?? 0;
     return [...this.#models.values()]
       .filter((model) => rest(model) > restMin)
       .sort((left, right) => rest(right) - rest(left));
   }
 
   /** Weighs all engines for a further replica of a model, the best first. */
-  options(model: Model, mustServe: boolean): Option[] {
+  options(model: Model, reason: MoveReason): Option[] {
     return [...this.#engines.values()]
-      .flatMap((engine) => this.#option(model, engine, mustServe) ?? [])
+      .flatMap((engine) => this.#option(model, engine, reason) ?? [])
       .sort(
         (left, right) =>
           scoreOf(right, model) - scoreOf(left, model) ||
@@ -114,53 +125,67 @@
     });
     this.#held.get(engine.name)?.add(model);
     this.#replicas.get(model)?.add(engine.name);
-    this.#flow = this.#measure();
+    this.#flow = this.#measure(({ demand }) => demand);
+    this.#outlook = this.#measure(forecastOf);
   }
 
   /** Bytes that are short on the engine that comes nearest to holding a model. */
   shortfall({ bytes }: Model): number {
     const frees = [...this.#engines.values()].map((engine) => {
-      const evictable = this.#evictable(engine).reduce((sum, other) => sum + other.bytes, 0);
+      const evictable = this.#evictable(engine, MoveReason.reach).reduce(
+        (sum, other) => sum + other.bytes,
+        0,
+      );
       return this.#freeBytes(engine) + evictable;
     });
     return Math.max(0, bytes - Math.max(0, ...frees));
   }
 
-  #measure(): PlacementFlow {
-    return new PlacementFlow([...this.#models.values()], this.#engines, this.#replicas);
+  #measure(demandOf: (model: Model) => number): PlacementFlow {
+    const models = [...this.#models.values()];
+    const wanted = models.map((model) => ({ ...model, demand: demandOf(model) }));
+    return new PlacementFlow(wanted, this.#engines, this.#replicas);
+  }
+
+  #flowOf(isForecast: boolean): PlacementFlow {
+    return isForecast ? this.#outlook : this.#flow;
   }
 
-  #option(model: Model, engine: Engine, mustServe: boolean): Option | undefined {
+  #option(model: Model, engine: Engine, reason: MoveReason): Option | undefined {
     if (this.#held.get(engine.name)?.has(model.name)) return undefined;
-    const victims = this.#victims(model, engine);
+    const victims = this.#victims(model, engine, reason);
     if (!victims) return undefined;
-    const rest = this.#flow.unservedByModel.get(model.name) ?? 0;
+    const flow = this.#flowOf(reason === MoveReason.forecast);
+    const rest = flow.unservedByModel.get(model.name) ?? 0;
     const lost = victims.reduce((sum, victim) => sum + this.#worth(victim, engine), 0);
-    const room = this.#flow.room(engine);
-    const gain = Math.min(rest, room) - lost;
+    const gain = Math.min(rest, flow.room(engine)) - lost;
     const isWorth = gain >= this.#gainShareMin * engine.tokensPerSecond;
-    if (!mustServe && !isWorth) return undefined;
+    if (reason !== MoveReason.reach && !isWorth) return undefined;
     if (lost > this.#lossShareMax * engine.tokensPerSecond) return undefined;
     return { engine, unload: victims.map(({ name }) => name), gain };
   }
 
-  // What a replica is worth to its model: what the model's other engines have no room for.
-  #worth({ name, demand }: Model, engine: Engine): number {
+  // What a replica is worth to its model: what the model's other engines have no room for. The last
+  // one is worth something even while nobody asks for the model: its callers may be in a hurry.
+  #worth(model: Model, engine: Engine): number {
+    const { name } = model;
     const others = [...(this.#replicas.get(name) ?? [])].filter((other) => other !== engine.name);
     const room = others.reduce((sum, other) => {
       const found = this.#engines.get(other);
-      return sum + (found ? this.#flow.room(found) : 0);
+      return sum + (found ? this.#outlook.room(found) : 0);
     }, 0);
-    const share = demand / (others.length + 1);
-    return Math.max(0, share - room);
+    const share = forecastOf(model) / (others.length + 1);
+    const isKept = others.length === 0 && model.isPatient !== true;
+    const keep = isKept ? this.#lastReplicaShare * engine.tokensPerSecond : 0;
+    return Math.max(0, share - room) + keep;
   }
 
-  #victims({ bytes }: Model, engine: Engine): Model[] | undefined {
+  #victims({ bytes }: Model, engine: Engine, reason: MoveReason): Model[] | undefined {
     let missing = bytes - this.#freeBytes(engine);
     if (missing <= 0) return [];
     // Among equals the one with the most other replicas goes.
     const replicaCount = ({ name }: Model): number => this.#replicas.get(name)?.size ?? 0;
-    const candidates = this.#evictable(engine).sort(
+    const candidates = this.#evictable(engine, reason).sort(
       (left, right) =>
         this.#worth(left, engine) - this.#worth(right, engine) ||
         replicaCount(right) - replicaCount(left),
@@ -175,13 +200,16 @@
   }
 
   // A labelled model's last ready replica stays, whatever else would like its place; and what is
-  // only being loaded is not taken away again before it has served.
-  #evictable(engine: Engine): Model[] {
+  // only being loaded is not taken away again before it has served. A model whose callers can wait
+  // for a load makes room for one that wants more than its engines make.
+  #evictable(engine: Engine, reason: MoveReason): Model[] {
     return [...(this.#held.get(engine.name) ?? [])]
       .flatMap((name) => this.#models.get(name) ?? [])
-      .filter(({ name, isLabelled, isAwaited }) => {
+      .filter(({ name, isLabelled, isAwaited, isPatient }) => {
         const ready = this.#ready.get(name);
-        return ready?.has(engine.name) && ((!isLabelled && !isAwaited) || ready.size > 1);
+        const mayYield = isPatient === true && reason !== MoveReason.reach;
+        const isBound = isLabelled || (isAwaited === true && !mayYield);
+        return ready?.has(engine.name) && (!isBound || ready.size > 1);
       });
   }
 
@@ -198,7 +226,7 @@
   }
 }
 
-const toMove = (model: string, reason: string, options: readonly Option[]): PlacementMove => ({
+const toMove = (model: string, reason: MoveReason, options: readonly Option[]): PlacementMove => ({
   engine: options[0].engine.name,
   load: model,
   unload: options[0].unload,
@@ -221,36 +249,38 @@
   const round = new PlacementRound(input);
   const moves: PlacementMove[] = [];
   const shortfalls: { model: string; bytes: number }[] = [];
-  const skipped = new Set<string>();
   // Adds replicas of the models that lack most, as long as each wins enough.
-  const feed = (restMin: number, countMax: number): void => {
+  const feed = (reason: MoveReason, restMin: number, countMax: number): void => {
+    const skipped = new Set<string>();
+    const isForecast = reason === MoveReason.forecast;
     const end = Math.min(input.moveBudget, moves.length + countMax);
     while (moves.length < end) {
-      const model = round.hungry(restMin).find(({ name }) => !skipped.has(name));
+      const model = round.hungry(restMin, isForecast).find(({ name }) => !skipped.has(name));
       if (!model) return;
-      const options = round.options(model, false);
+      const options = round.options(model, reason);
       if (options.length === 0) {
         skipped.add(model.name);
       } else {
-        moves.push(toMove(model.name, 'more is wanted than its engines make', options));
+        moves.push(toMove(model.name, reason, options));
         round.apply(model.name, options[0]);
       }
     }
   };
   // A model that lacks more than an engine makes keeps more callers waiting than one that is asked
   // for now and then: half of the moves are for such models first.
-  feed(round.largestEngine, Math.floor(input.moveBudget / 2));
+  feed(MoveReason.capacity, round.largestEngine, Math.floor(input.moveBudget / 2));
   round.unreachable().forEach((model) => {
-    const options = round.options(model, true);
+    const options = round.options(model, MoveReason.reach);
     if (options.length === 0) {
       shortfalls.push({ model: model.name, bytes: round.shortfall(model) });
       return;
     }
     if (moves.length >= input.moveBudget) return;
-    moves.push(toMove(model.name, 'no replica can be reached', options));
+    moves.push(toMove(model.name, MoveReason.reach, options));
     round.apply(model.name, options[0]);
   });
-  feed(0, input.moveBudget);
+  feed(MoveReason.capacity, 0, input.moveBudget);
+  feed(MoveReason.forecast, 0, input.moveBudget);
   const wanted = input.models.reduce((sum, { demand }) => sum + demand, 0);
   const servedShare = wanted === 0 ? 1 : 1 - round.unserved / wanted;
   return { moves, shortfalls, servedShare };
--- a/packages/decisions/src/lib/serving/ownership-lease.ts
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -40,6 +40,11 @@
     return [...this.#shares.keys()];
   }
 
+  /** @returns whether the lease has lapsed: nothing may be done until it has been renewed */
+  hasLapsed(nowMs: number): boolean {
+    return nowMs >= this.#heldUntilMs;
+  }
+
   /**
    * Takes the store's answer to a renewal.
    *
@@ -55,7 +60,7 @@
     const { generation, shares } = answer;
     const { ttlMs, handoverMs } = this.#times;
     // While the lease had lapsed another instance may have won a share and lost it again.
-    const isContinuous = generation === this.#generation || nowMs < this.#heldUntilMs;
+    const isContinuous = generation === this.#generation || !this.hasLapsed(nowMs);
     const next = new Map<number, Share>();
     shares.forEach((share) => {
       const known = isContinuous ? this.#shares.get(share) : undefined;
@@ -103,7 +108,7 @@
    */
   tokenOf(share: number, nowMs: number): number | undefined {
     const known = this.#shares.get(share);
-    if (!known || nowMs >= this.#heldUntilMs || nowMs < known.usableFromMs) return undefined;
+    if (!known || this.hasLapsed(nowMs) || nowMs < known.usableFromMs) return undefined;
     return known.token;
   }
 }
--- a/packages/decisions/src/test/serving/placement-loads_test.ts
+++ b/packages/decisions/src/test/serving/placement-loads_test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { planPlacement } from '@chervilseam/decisions';
+import { forecastDemand, MoveReason, planPlacement } from '@chervilseam/decisions';
 
 const TOKENS = 1_000;
 
@@ -70,3 +70,78 @@
     expect(moves[0].unload).to.deep.equal(['many']);
   });
 });
+
+describe('A model that callers begin to ask for before it is the busiest (forecastDemand)', () => {
+  const wish = (name: string, demand: number, isUrgent = true) => ({ name, demand, isUrgent });
+
+  it('prepares for a rising model what the busiest one needs', () => {
+    const forecast = forecastDemand([wish('busy', 1_000), wish('rising', 100)], 10_000);
+    expect(forecast.get('busy')).to.equal(1_000);
+    expect(forecast.get('rising')).to.be.within(600, 1_000);
+  });
+
+  it('prepares nothing for stray requests or for callers that can wait for a load', () => {
+    const models = [wish('busy', 1_000), wish('stray', 5), wish('patient', 100, false)];
+    const forecast = forecastDemand(models, 10_000);
+    expect(forecast.get('stray')).to.equal(5);
+    expect(forecast.get('patient')).to.equal(100);
+  });
+
+  it('takes only what the demand of today leaves idle', () => {
+    const models = [wish('busy', 1_000), wish('second', 500), wish('third', 500)];
+    const forecast = forecastDemand(models, 2_600);
+    const total = [...forecast.values()].reduce((sum, value) => sum + value, 0);
+    expect(total).to.be.within(2_000, 2_600);
+  });
+
+  it('adds replicas for it without taking a busy one away', () => {
+    const models = [
+      { ...model('busy', 1_500), forecast: 1_500 },
+      { ...model('rising', 100), forecast: 1_000 },
+    ];
+    const { moves } = planPlacement({
+      models,
+      engines: [
+        engine('a', ['busy'], { capacityBytes: 1 }),
+        engine('b', ['busy'], { capacityBytes: 1 }),
+        engine('c', ['rising'], { capacityBytes: 1 }),
+        engine('d', []),
+      ],
+      moveBudget: 4,
+      gainShareMin: 0.05,
+    });
+    const [move] = moves;
+    expect(moves).to.have.lengthOf(1);
+    expect([move.engine, move.load, move.reason]).to.deep.equal([
+      'd',
+      'rising',
+      MoveReason.forecast,
+    ]);
+  });
+
+  it('does not give the place of a model that is about to rise to a rare one', () => {
+    const rising = { ...model('rising', 100), forecast: 1_000 };
+    const input = {
+      models: [rising, model('rare', 10, true)],
+      engines: [engine('a', ['rising'], { capacityBytes: 1 })],
+      moveBudget: 1,
+      lossShareMax: 0.35,
+    };
+    expect(planPlacement(input).moves).to.deep.equal([]);
+  });
+
+  it('gives it the place of a model whose callers can wait, not of one that nobody asked for yet', () => {
+    const { moves } = planPlacement({
+      models: [
+        model('hot', 900),
+        model('unknown', 0),
+        { ...model('patient', 10, true), isPatient: true },
+      ],
+      engines: [engine('a', ['unknown', 'patient'], { capacityBytes: 2 })],
+      moveBudget: 1,
+      gainShareMin: 0.1,
+      lastReplicaShare: 0.1,
+    });
+    expect(moves[0].unload).to.deep.equal(['patient']);
+  });
+});
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -4,11 +4,11 @@
   chooseTarget,
   EndpointHealth,
   EventSplitter,
+  LoadLedger,
   RouteIndex,
   SharedRetryBudget,
   waitLimitMs,
   WaitingLine,
-  WindowLimit,
 } from '@chervilseam/decisions';
 import type { EndpointChoice, Waiter } from '@chervilseam/decisions';
 import type { RouteSpec } from '@chervilseam/model';
@@ -195,13 +195,22 @@
   });
 });
 
-describe('WindowLimit', () => {
-  it('lets so many begin in any window', () => {
-    const limit = new WindowLimit(1_000);
-    expect([0, 1, 2].map((atMs) => limit.take(2, atMs))).to.deep.equal([true, true, false]);
-    expect(limit.take(2, 1_001)).to.equal(true);
-    expect(limit.take(2, 1_001)).to.equal(true);
-    expect(limit.take(2, 1_001)).to.equal(false);
+describe('Loads that several planners begin one after the other (LoadLedger)', () => {
+  it('counts loads of a window, whoever began them, and each only once', () => {
+    const ledger = new LoadLedger(1_000);
+    ledger.note('a', 'm', 0);
+    ledger.note('a', 'm', 400);
+    ledger.note('b', 'm', 100);
+    expect(ledger.count(900)).to.equal(2);
+    expect(ledger.count(1_100)).to.equal(1);
+    expect(ledger.count(1_400)).to.equal(0);
+  });
+
+  it('does not move a load back when an older word of it arrives late', () => {
+    const ledger = new LoadLedger(1_000);
+    ledger.note('a', 'm', 500);
+    ledger.note('a', 'm', 100);
+    expect(ledger.count(1_400)).to.equal(1);
   });
 });
 
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -10,6 +10,7 @@
 import type { Pick } from './pick.js';
 import { PickReason } from './pick-reason.js';
 import type { RunContext } from './run-context.js';
+import type { RunTarget } from './run-target.js';
 import { StreamRelay } from './stream-relay.js';
 
 /** Less time than this is not enough for an answer, in milliseconds. */
@@ -66,7 +67,7 @@
   constructor(
     context: RunContext,
     exchange: CallerExchange,
-    target: { readonly route: RouteSpec; readonly service: ServiceSpec },
+    target: RunTarget,
     head: CallerHead,
     body: Buffer,
   ) {
@@ -89,7 +90,7 @@
 
   /** Looks for an endpoint. */
   start(): void {
-    if (this.#head.model !== undefined) this.#context.asked(this.#head);
+    this.#context.asked(this.#head, { route: this.#route, service: this.#service });
     this.#context.budget(this.#service.name).earn(this.#context.nowMs());
     this.#next();
   }
@@ -433,6 +434,7 @@
     }
     const spreadMs = randomUnit() * RETRY_AFTER_SPREAD_MS;
     const retryAfterMs = Math.max(retryAfterMinMs, (etaMs ?? RETRY_AFTER_MS) + spreadMs);
+    this.#context.refused(this.#head, { route: this.#route, service: this.#service });
     this.#finish('refused', 503, reason);
     this.#exchange.refuse(503, reason, retryAfterMs);
     return true;
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -5,6 +5,7 @@
 import type { EndpointCodec } from '../ports/endpoint-codec.js';
 import type { EndpointPicker } from './endpoint-picker.js';
 import type { RunEnd } from './run-end.js';
+import type { RunTarget } from './run-target.js';
 
 /** What a request needs around it. */
 export interface RunContext {
@@ -21,7 +22,9 @@
   /** Loads an adapter on an engine through its owner. */
   readonly prepare: (endpoint: Endpoint, model: string, adapter: string) => Promise<boolean>;
   /** A request asks for a model. */
-  readonly asked: (head: CallerHead) => void;
+  readonly asked: (head: CallerHead, target: RunTarget) => void;
+  /** A request is refused; its caller may come back. */
+  readonly refused: (head: CallerHead, target: RunTarget) => void;
   /** A request was sent. */
   readonly sent: (endpoint: Endpoint, head: CallerHead) => void;
   /** A request has left an endpoint after some time, in milliseconds. */
--- /dev/null
+++ b/packages/gateway/src/lib/dispatch/run-target.ts
@@ -0,0 +1,7 @@
+import type { RouteSpec, ServiceSpec } from '@chervilseam/model';
+
+/** Where a request is to go. */
+export interface RunTarget {
+  readonly route: RouteSpec;
+  readonly service: ServiceSpec;
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -340,7 +340,8 @@
       budget: (service) => this.#services.budget(service),
       prepare: (endpoint, model, adapter) =>
         this.#fleet.prepareThroughOwner(endpoint, model, adapter),
-      asked: (head) => this.#fleet.demand.asked(head),
+      asked: (head, target) => this.#fleet.asked(head, target),
+      refused: (head, target) => this.#fleet.refused(head, target),
       sent: (endpoint, { model, adapter }) => {
         this.#metrics.dispatches.inc();
         if (adapter !== undefined) this.#noteAdapter(endpoint.id, `${model}/${adapter}`);
@@ -407,10 +408,12 @@
       configVersion: this.#config.version,
       outstanding: Object.fromEntries(busy.map(({ id, ownCount }) => [id, ownCount])),
       demand: this.#fleet.ownDemand(),
+      urgentModels: this.#fleet.demand.urgentModels(Gateway.nowMs()),
       awaited: this.#services.awaitedModels,
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
-      shares: this.#isStopping ? [] : this.#member.shares,
+      hasLapsed: this.#member.hasLapsed,
+      shares: this.#member.hasLapsed ? [] : this.#member.shares,
       orderAgesMs: this.#fleet.handover.orderAgesMs(Gateway.nowMs()),
       engines: this.#fleet.ownStates(),
       peers: this.#sync.addresses,
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -9,6 +9,8 @@
 import type { AdapterWish } from '../peer/adapter-wish.js';
 import type { PeerSync } from '../peer/peer-sync.js';
 import type { PeerTable } from '../peer/peer-table.js';
+import type { CallerHead } from '../ports/caller-head.js';
+import type { RunTarget } from '../dispatch/run-target.js';
 import type { EngineCalls } from '../ports/engine-calls.js';
 import { DemandMeter } from './demand-meter.js';
 import type { EngineMove } from './engine-move.js';
@@ -23,6 +25,9 @@
 /** States of others are looked up again after this, in milliseconds. */
 const STATES_MS = 20;
 
+/** An answer wanted within this part of a load's time would be late by far after a load. */
+const URGENT_SHARE = 0.5;
+
 /** What the fleet needs around it. */
 interface FleetContext {
   readonly settings: GatewaySettings;
@@ -67,6 +72,8 @@
       engineState: (id) => this.stateOf(id),
       begin: (id, move) => this.#beginThroughOwner(id, move),
       demand: () => context.peers.demandWith(this.demand.demand(), nowMs()),
+      urgentModels: () =>
+        new Set([...context.peers.urgentModels(nowMs()), ...this.demand.urgentModels(nowMs())]),
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
       loadWindowMs: settings.loadWindowMs,
       loadSlackRatio: settings.loadSlackRatio,
@@ -99,7 +106,32 @@
   /** Plans placement, if that falls to this instance. */
   plan(): void {
     const config = this.#context.config();
-    if (config && this.#isPlanner()) this.#placement.tick(config);
+    if (!config) return;
+    this.#placement.observe(config);
+    if (this.#isPlanner()) this.#placement.tick(config);
+  }
+
+  /**
+   * Counts a request for a model.
+   *
+   * @param head - what the caller asks for
+   * @param target - its route and service
+   */
+  asked(head: CallerHead, { route, service }: RunTarget): void {
+    const { engine } = service;
+    if (!engine) return;
+    const loadMs = engine.models.get(head.model ?? '')?.storeLoadMs ?? 0;
+    this.demand.asked(head, engine.slotCount, route.objectiveMs < URGENT_SHARE * loadMs);
+  }
+
+  /**
+   * Takes back a part of what a request that is refused was counted for.
+   *
+   * @param head - what the caller asked for
+   * @param target - its route and service
+   */
+  refused(head: CallerHead, { service }: RunTarget): void {
+    if (service.engine) this.demand.refused(head, service.engine.slotCount);
   }
 
   /** @returns what the owner of an engine tells of it, this instance or another */
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -21,6 +21,8 @@
 const LEAVING_NOTICE_MS = 130;
 /** Time that an unload is expected to take: requests in progress end first; in milliseconds. */
 const UNLOAD_MS = 1_500;
+/** Loads from the weight store are told this long, in milliseconds: longer than any window of its limit. */
+const STORE_LOAD_MEMORY_MS = 10_000;
 /** Time between two reports while a change is awaited, in milliseconds. */
 const REPORT_PAUSE_MS = 200;
 
@@ -48,6 +50,7 @@
   #move: EngineMove | undefined;
   readonly #leaving = new Map<string, number>();
   readonly #loadDoneMs = new Map<string, number>();
+  readonly #storeLoadsMs = new Map<string, number>();
 
   /**
    * @param context - what is needed around it
@@ -75,7 +78,24 @@
     const leaving = [...new Set([...this.#leaving.keys(), ...this.#holding.modelsIn('leaving')])];
     const adapters = this.#holding.readyAdapters;
     const models = this.#holding.modelsIn('ready').filter((model) => !this.#leaving.has(model));
-    return { models, adapters, isBusy: this.#holding.isBusy, leaving, loading };
+    const storeLoadAgesMs = this.#storeLoadAgesMs(nowMs);
+    const { isBusy } = this.#holding;
+    return { models, adapters, isBusy, leaving, storeLoadAgesMs, loading };
+  }
+
+  #storeLoadAgesMs(nowMs: number): Record<string, number> {
+    this.#storeLoadsMs.forEach((startMs, model) => {
+      if (nowMs > startMs + STORE_LOAD_MEMORY_MS) this.#storeLoadsMs.delete(model);
+    });
+    const started = [...this.#storeLoadsMs].map(([model, startMs]) => [model, nowMs - startMs]);
+    const next = this.#move?.load;
+    const isToCome = next !== undefined && this.#isFromStore(next);
+    return { ...(isToCome && { [next]: 0 }), ...Object.fromEntries(started) };
+  }
+
+  #isFromStore(model: string): boolean {
+    const { hostModels, diskModels } = this.#endpoint.record;
+    return !hostModels.includes(model) && !diskModels.includes(model);
   }
 
   /** Whether the engine's models are being changed. */
@@ -171,6 +191,7 @@
 
   async #load(model: string): Promise<void> {
     const loadMs = this.#loadMs(model);
+    if (this.#isFromStore(model)) this.#storeLoadsMs.set(model, this.#context.nowMs());
     const outcome = await this.#order({ action: 'load', model });
     if (outcome === OrderOutcome.accepted) {
       this.#loadDoneMs.set(model, this.#context.nowMs() + loadMs);
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -58,6 +58,11 @@
     return this.#lease.generation;
   }
 
+  /** Whether this instance may give no orders until it has renewed its lease. */
+  get hasLapsed(): boolean {
+    return this.#isStopped || this.#lease.hasLapsed(this.#context.nowMs());
+  }
+
   /** Shares that this instance owns, usable or not yet. */
   get shares(): readonly number[] {
     return this.#lease.shares;
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -48,7 +48,7 @@
    * @param states - the latest states of the instances that are heard
    * @param nowMs - a clock that only goes forward, in milliseconds
    * @returns when the owner before last gave an order, in milliseconds; `undefined` while that owner
-   *   is not known, or has not said that it heard of the change
+   *   is not known, or has neither heard of the change nor lost its lease
    */
   lastActMs(
     share: number,
@@ -58,7 +58,9 @@
   ): number | undefined {
     const before = this.#owners.get(share);
     const state = states.find(({ instance }) => instance === before?.instance);
-    if (!state || state.generation < token || state.shares.includes(share)) return undefined;
+    if (!state || state.shares.includes(share)) return undefined;
+    // One whose lease has lapsed can act again only after a renewal, which tells it of the change.
+    if (state.generation < token && !state.hasLapsed) return undefined;
     const ages = states.flatMap(({ orderAgesMs }) => orderAgesMs[share] ?? []);
     return nowMs - Math.min(ORDER_MEMORY_MS, ...ages);
   }
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -1,4 +1,4 @@
-import { planPlacement, WindowLimit } from '@chervilseam/decisions';
+import { forecastDemand, LoadLedger, MoveReason, planPlacement } from '@chervilseam/decisions';
 import type { EngineSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
@@ -20,10 +20,20 @@
 const AWAITED_DEMAND = 200;
 /** Share of an engine's tokens that a move must win to be worth its load. */
 const GAIN_SHARE_MIN = 0.12;
+/** Share of an engine's tokens that the last replica of a model is worth, asked for or not. */
+const LAST_REPLICA_SHARE = 0.1;
 /** Moves of one round, over all engines; a count. */
 const MOVE_MAX = 6;
-/** Part of the weight store's limit that one planner uses: another may take its place meanwhile. */
-const LOAD_SHARE = 0.5;
+/** Part of the weight store's limit that is used: what an owner that died began last is not known. */
+const LOAD_SHARE = 0.8;
+/** Part of that which is kept for models that want more than their engines make. */
+const LOAD_RESERVE_SHARE = 0.4;
+/** Share of the engines that may change at a time, by what for: a changing engine can load nothing else. */
+const changingShareMax: Readonly<Record<MoveReason, number>> = {
+  [MoveReason.capacity]: 1,
+  [MoveReason.forecast]: 0.75,
+  [MoveReason.reach]: 0.34,
+};
 /** Time until the owner of an engine tells of a move, in milliseconds. */
 const PENDING_MS = 1_200;
 /** Bounds of an engine's speed against the usual one; a ratio. */
@@ -47,6 +57,8 @@
   readonly begin: (endpoint: string, move: EngineMove) => void;
   /** Demand of all instances by model. */
   readonly demand: () => ReadonlyMap<string, number>;
+  /** Models that callers of any instance want an answer of sooner than a load takes. */
+  readonly urgentModels: () => ReadonlySet<string>;
   /** Models that requests of any instance wait for. */
   readonly awaited: () => ReadonlySet<string>;
   readonly loadWindowMs: number;
@@ -62,13 +74,30 @@
   /** When each replica was first seen, by engine and model. */
   #seenMs = new Map<string, number>();
   #stillSeenMs = new Map<string, number>();
-  readonly #loads: WindowLimit;
+  readonly #loads: LoadLedger;
   readonly #pending = new Map<string, EngineMove & { readonly untilMs: number }>();
 
   /** @param context - what placement needs around it */
   constructor(context: PlacementContext) {
     this.#context = context;
-    this.#loads = new WindowLimit(context.loadWindowMs);
+    this.#loads = new LoadLedger(context.loadWindowMs);
+  }
+
+  /**
+   * Notes the loads that the owners tell of; whoever plans next goes on from there.
+   *
+   * @param config - the configuration in force
+   */
+  observe({ services }: ServingConfig): void {
+    const { nowMs, endpointsOf, engineState } = this.#context;
+    services.forEach(({ name, engine }) => {
+      if (!engine) return;
+      endpointsOf(name).forEach(({ id }) => {
+        Object.entries(engineState(id)?.storeLoadAgesMs ?? {}).forEach(([model, ageMs]) =>
+          this.#loads.note(id, model, nowMs() - ageMs),
+        );
+      });
+    });
   }
 
   /** @param config - the configuration in force */
@@ -86,27 +115,26 @@
     const endpoints = endpointsOf(service).filter(
       ({ isLeaving, health }) => !isLeaving && !health.isUnreachable(nowMs()),
     );
-    const awaited = this.#context.awaited();
     const usualPaceMs = median(
       endpoints.map(({ health }) => health.paceMs(nowMs())).filter(Boolean),
     );
+    const engines = endpoints
+      .map((endpoint) => this.#engine(endpoint, spec, usualPaceMs))
+      .sort((left, right) => (left.name < right.name ? -1 : 1));
+    const models = this.#models(spec, demand, engines);
     const plan = planPlacement({
-      models: [...spec.models.values()].map(({ name, sizeMb }) => ({
-        name,
-        bytes: sizeMb * BYTES_PER_MB,
-        isLabelled: false,
-        isAwaited: awaited.has(name) || (demand.get(name) ?? 0) > AWAITED_DEMAND,
-        demand: demand.get(name) ?? 0,
-      })),
-      engines: endpoints
-        .map((endpoint) => this.#engine(endpoint, spec, usualPaceMs))
-        .sort((left, right) => (left.name < right.name ? -1 : 1)),
+      models,
+      engines,
       moveBudget: MOVE_MAX,
       gainShareMin: GAIN_SHARE_MIN,
       lossShareMax: LOSS_SHARE_MAX,
+      lastReplicaShare: LAST_REPLICA_SHARE,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
-      if (this.#isFixed(engine) || !this.#mayLoad(engine, load, spec)) return;
+      const changingCount = endpoints.filter(({ id }) => this.#isFixed(id)).length;
+      if (changingCount >= changingShareMax[reason] * endpoints.length) return;
+      const isRare = reason === MoveReason.reach;
+      if (this.#isFixed(engine) || !this.#mayLoad(engine, load, spec, isRare)) return;
       this.#pending.set(engine, { load, unload, untilMs: nowMs() + PENDING_MS });
       begin(engine, { load, unload });
       logger.info('move', reason, {
@@ -120,6 +148,27 @@
     });
   }
 
+  #models(
+    spec: EngineSpec,
+    demand: ReadonlyMap<string, number>,
+    engines: readonly { readonly tokensPerSecond: number }[],
+  ) {
+    const awaited = this.#context.awaited();
+    const urgent = this.#context.urgentModels();
+    const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
+    const models = [...spec.models.values()].map(({ name, sizeMb }) => ({
+      name,
+      bytes: sizeMb * BYTES_PER_MB,
+      isLabelled: false,
+      isAwaited: awaited.has(name) || (demand.get(name) ?? 0) > AWAITED_DEMAND,
+      isUrgent: urgent.has(name),
+      isPatient: !urgent.has(name) && (demand.get(name) ?? 0) > 0,
+      demand: demand.get(name) ?? 0,
+    }));
+    const forecast = forecastDemand(models, tokensPerSecond);
+    return models.map((model) => ({ ...model, forecast: forecast.get(model.name) }));
+  }
+
   // An engine that nobody may give orders to, or that is being changed, stays as it is in the plan.
   #engine(endpoint: Endpoint, spec: EngineSpec, usualPaceMs: number) {
     const state = this.#context.engineState(endpoint.id);
@@ -179,12 +228,15 @@
   }
 
   // Loads from the engine's own disk or memory do not touch the weight store.
-  #mayLoad(engine: string, model: string, spec: EngineSpec): boolean {
+  #mayLoad(engine: string, model: string, spec: EngineSpec, isRare: boolean): boolean {
     const { endpoint, nowMs, loadWindowMs, loadSlackRatio } = this.#context;
     const record = endpoint(engine)?.record;
     if (record?.hostModels.includes(model) || record?.diskModels.includes(model)) return true;
     const regular = (spec.storeLoadsPerSecond * loadWindowMs * loadSlackRatio) / MS_PER_SECOND;
-    const allowed = regular + LOAD_FREE_COUNT;
-    return this.#loads.take(Math.max(1, Math.floor(allowed * LOAD_SHARE)), nowMs());
+    const allowed = Math.floor((regular + LOAD_FREE_COUNT) * LOAD_SHARE);
+    const usable = isRare ? Math.ceil(allowed * (1 - LOAD_RESERVE_SHARE)) : allowed;
+    if (this.#loads.count(nowMs()) >= Math.max(1, usable)) return false;
+    this.#loads.note(engine, model, nowMs());
+    return true;
   }
 }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -16,13 +16,17 @@
   readonly outstanding: Readonly<Record<string, number>>;
   /** Requests a second by model, in places of an engine that they keep busy. */
   readonly demand: Readonly<Record<string, number>>;
+  /** Models that callers want an answer of sooner than they could be loaded. */
+  readonly urgentModels: readonly string[];
   /** Models that requests wait for. */
   readonly awaited: readonly string[];
   /** Adapters used since the last state, by endpoint. */
   readonly usedAdapters: Readonly<Record<string, readonly string[]>>;
   /** Generation of the group that the shares belong to. */
   readonly generation: number;
-  /** Shares of the endpoints that this instance owns. */
+  /** Whether it may give no orders until it has renewed its lease. */
+  readonly hasLapsed: boolean;
+  /** Shares of the endpoints that this instance owns; none once its lease has lapsed. */
   readonly shares: readonly number[];
   /** Time since this instance last gave an order in a share, in milliseconds; old ones left out. */
   readonly orderAgesMs: Readonly<Record<number, number>>;
--- a/packages/gateway/src/lib/peer/owned-engine-state.ts
+++ b/packages/gateway/src/lib/peer/owned-engine-state.ts
@@ -8,6 +8,8 @@
   readonly isBusy: boolean;
   /** Models that take no new requests. */
   readonly leaving: readonly string[];
+  /** Time since loads from the weight store began, by model, in milliseconds; 0 for one to come. */
+  readonly storeLoadAgesMs: Readonly<Record<string, number>>;
   /** Models that are being loaded, and the time until they serve, in milliseconds. */
   readonly loading: readonly { readonly model: string; readonly remainingMs: number }[];
 }
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -72,6 +72,11 @@
     return sumOf([own, ...this.fresh(nowMs).map(({ demand }) => Object.entries(demand))]);
   }
 
+  /** @returns models that callers of other instances want an answer of sooner than a load takes */
+  urgentModels(nowMs: number): Set<string> {
+    return new Set(this.fresh(nowMs).flatMap(({ urgentModels }) => urgentModels));
+  }
+
   /** @returns models that requests of other instances wait for */
   awaited(nowMs: number): Set<string> {
     return new Set(this.fresh(nowMs).flatMap(({ awaited }) => awaited));
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -13,9 +13,11 @@
   configVersion: 1,
   outstanding: {},
   demand: {},
+  urgentModels: [],
   awaited: [],
   usedAdapters: {},
   generation: 4,
+  hasLapsed: false,
   shares: [],
   orderAgesMs: {},
   engines: {},
@@ -31,6 +33,11 @@
     handover.hear(state({ generation: 3, shares: [1] }));
   });
 
+  it('believes an owner before that is cut off from the store once its lease has lapsed', () => {
+    const cutOff = state({ generation: 3, hasLapsed: true, orderAgesMs: { 1: 900 } });
+    expect(handover.lastActMs(1, 4, [cutOff], 10_000)).to.equal(9_100);
+  });
+
   it('believes the owner before once it has heard of the change', () => {
     const unaware = state({ generation: 3, shares: [1] });
     expect(handover.lastActMs(1, 4, [unaware], 10_000)).to.equal(undefined);
