--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -61,6 +61,7 @@
 export { EventSplitter } from './lib/serving/event-splitter.js';
 export { OrderOutcome } from './lib/serving/order-outcome.js';
 export { OwnershipLease } from './lib/serving/ownership-lease.js';
+export { ReadSpeed } from './lib/serving/read-speed.js';
 export { RouteIndex } from './lib/serving/route-index.js';
 export { SharedRetryBudget } from './lib/serving/shared-retry-budget.js';
 export { WaitingLine } from './lib/serving/waiting-line.js';
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -8,6 +8,8 @@
 const TARGET_SHARE = 0.9;
 /** A move must win this share of the engine's tokens a second to be worth its load time. */
 const GAIN_SHARE_MIN = 0.01;
+/** A gain this many times the least one goes before what is only expected. */
+const LARGE_GAIN_FACTOR = 3;
 const ALTERNATIVE_COUNT = 4;
 /** Share of an engine's tokens that a second of loading costs in the choice among engines. */
 const LOAD_SECOND_SHARE = 0.2;
@@ -106,9 +108,9 @@
   }
 
   /** Weighs all engines for a further replica of a model, the best first. */
-  options(model: Model, reason: MoveReason): Option[] {
+  options(model: Model, reason: MoveReason, gainShareMin = this.#gainShareMin): Option[] {
     return [...this.#engines.values()]
-      .flatMap((engine) => this.#option(model, engine, reason) ?? [])
+      .flatMap((engine) => this.#option(model, engine, reason, gainShareMin) ?? [])
       .sort(
         (left, right) =>
           scoreOf(right, model) - scoreOf(left, model) ||
@@ -151,7 +153,12 @@
     return isForecast ? this.#outlook : this.#flow;
   }
 
-  #option(model: Model, engine: Engine, reason: MoveReason): Option | undefined {
+  #option(
+    model: Model,
+    engine: Engine,
+    reason: MoveReason,
+    gainShareMin: number,
+  ): Option | undefined {
     if (this.#held.get(engine.name)?.has(model.name)) return undefined;
     const victims = this.#victims(model, engine, reason);
     if (!victims) return undefined;
@@ -159,7 +166,7 @@
     const rest = flow.unservedByModel.get(model.name) ?? 0;
     const lost = victims.reduce((sum, victim) => sum + this.#worth(victim, engine), 0);
     const gain = Math.min(rest, flow.room(engine)) - lost;
-    const isWorth = gain >= this.#gainShareMin * engine.tokensPerSecond;
+    const isWorth = gain >= gainShareMin * engine.tokensPerSecond;
     if (reason !== MoveReason.reach && !isWorth) return undefined;
     if (lost > this.#lossShareMax * engine.tokensPerSecond) return undefined;
     return { engine, unload: victims.map(({ name }) => name), gain };
@@ -250,14 +257,19 @@
   const moves: PlacementMove[] = [];
   const shortfalls: { model: string; bytes: number }[] = [];
   // Adds replicas of the models that lack most, as long as each wins enough.
-  const feed = (reason: MoveReason, restMin: number, countMax: number): void => {
+  const feed = (
+    reason: MoveReason,
+    restMin: number,
+    countMax: number,
+    gainShareMin?: number,
+  ): void => {
     const skipped = new Set<string>();
     const isForecast = reason === MoveReason.forecast;
     const end = Math.min(input.moveBudget, moves.length + countMax);
     while (moves.length < end) {
       const model = round.hungry(restMin, isForecast).find(({ name }) => !skipped.has(name));
       if (!model) return;
-      const options = round.options(model, reason);
+      const options = round.options(model, reason, gainShareMin);
       if (options.length === 0) {
         skipped.add(model.name);
       } else {
@@ -279,8 +291,11 @@
     moves.push(toMove(model.name, MoveReason.reach, options));
     round.apply(model.name, options[0]);
   });
-  feed(MoveReason.capacity, 0, input.moveBudget);
+  // A small gain today must not take an engine that is needed in a few seconds.
+  const largeShare = LARGE_GAIN_FACTOR * (input.gainShareMin ?? GAIN_SHARE_MIN);
+  feed(MoveReason.capacity, 0, input.moveBudget, largeShare);
   feed(MoveReason.forecast, 0, input.moveBudget);
+  feed(MoveReason.capacity, 0, input.moveBudget);
   const wanted = input.models.reduce((sum, { demand }) => sum + demand, 0);
   const servedShare = wanted === 0 ? 1 : 1 - round.unserved / wanted;
   return { moves, shortfalls, servedShare };
--- a/packages/decisions/src/lib/serving/choose-endpoint.ts
+++ b/packages/decisions/src/lib/serving/choose-endpoint.ts
@@ -7,6 +7,8 @@
   readonly isPaused: boolean;
   /** Recent failures, the older the fewer. */
   readonly failureCount: number;
+  /** Time to read the prompts that wait there and the request's own, in milliseconds. */
+  readonly readMs: number;
   /** Mean time to answer of late, in milliseconds. */
   readonly latencyMs: number;
   /** Mean pause between events of late, in milliseconds. */
@@ -39,6 +41,7 @@
   const queuedMs = QUEUED_MS * Math.max(0, outstandingCount + 1 - slotCount);
   return (
     latencyMs * (1 + occupancy) +
+    choice.readMs +
     FELT_EVENT_COUNT * choice.paceMs +
     OCCUPANCY_MS * occupancy +
     queuedMs +
--- a/packages/decisions/src/lib/serving/endpoint-health.ts
+++ b/packages/decisions/src/lib/serving/endpoint-health.ts
@@ -5,6 +5,8 @@
 /** First and longest time that an endpoint which did not answer is left alone, in milliseconds. */
 const PAUSE_MIN_MS = 250;
 const PAUSE_MAX_MS = 2_000;
+/** An endpoint that takes no connections counts as down this long, unless it answers, in milliseconds. */
+const DOWN_MS = 4_000;
 /** Weight of the newest answer in the mean time to answer. */
 const LATENCY_WEIGHT = 0.25;
 /** Weight of the newest pause in the mean pause: events are many. */
@@ -22,6 +24,7 @@
   #silentCount = 0;
   #pausedUntilMs = 0;
   #unreachableUntilMs = 0;
+  #downUntilMs = 0;
   #latencyMs = 0;
   #latencyAtMs = 0;
   #paceMs = 0;
@@ -39,6 +42,7 @@
     this.#silentCount = 0;
     this.#pausedUntilMs = 0;
     this.#unreachableUntilMs = 0;
+    this.#downUntilMs = 0;
     const isKnown = this.#latencyAtMs > 0;
     this.#latencyMs += (isKnown ? LATENCY_WEIGHT : 1) * (latencyMs - this.#latencyMs);
     this.#latencyAtMs = nowMs;
@@ -93,6 +97,12 @@
   wasUnreachable(nowMs: number): void {
     this.wasSilent(nowMs);
     this.#unreachableUntilMs = Math.max(this.#pausedUntilMs, nowMs + PAUSE_MIN_MS);
+    this.#downUntilMs = nowMs + DOWN_MS;
+  }
+
+  /** @returns whether connections failed of late and no answer has come since */
+  isDown(nowMs: number): boolean {
+    return nowMs < this.#downUntilMs;
   }
 
   /** @returns whether connections to the endpoint failed a moment ago */
--- a/packages/decisions/src/lib/serving/load-ledger.ts
+++ b/packages/decisions/src/lib/serving/load-ledger.ts
@@ -25,12 +25,13 @@
 
   /**
    * @param nowMs - a clock that only goes forward, in milliseconds
-   * @returns loads that began within the window or are about to; a count
+   * @param spanMs - time to look back, in milliseconds; the window when left out
+   * @returns loads that began within that time or are about to; a count
    */
-  count(nowMs: number): number {
+  count(nowMs: number, spanMs = this.#windowMs): number {
     this.#startsMs.forEach((startMs, key) => {
       if (startMs <= nowMs - this.#windowMs) this.#startsMs.delete(key);
     });
-    return this.#startsMs.size;
+    return [...this.#startsMs.values()].filter((startMs) => startMs > nowMs - spanMs).length;
   }
 }
--- a/packages/decisions/src/test/serving/placement-loads_test.ts
+++ b/packages/decisions/src/test/serving/placement-loads_test.ts
@@ -144,4 +144,21 @@
     });
     expect(moves[0].unload).to.deep.equal(['patient']);
   });
+
+  it('prepares for it before a busy model takes its engine for a small gain', () => {
+    const { moves } = planPlacement({
+      models: [
+        { ...model('busy', 1_100), forecast: 1_100 },
+        { ...model('rising', 200), forecast: 1_500 },
+      ],
+      engines: [
+        engine('a', ['busy'], { capacityBytes: 1 }),
+        engine('b', ['rising'], { capacityBytes: 1 }),
+        engine('c', [], { capacityBytes: 1 }),
+      ],
+      moveBudget: 1,
+      gainShareMin: 0.12,
+    });
+    expect(moves.map(({ load }) => load)).to.deep.equal(['rising']);
+  });
 });
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -5,6 +5,7 @@
   EndpointHealth,
   EventSplitter,
   LoadLedger,
+  ReadSpeed,
   RouteIndex,
   SharedRetryBudget,
   waitLimitMs,
@@ -38,6 +39,7 @@
   slotCount: 10,
   isPaused: false,
   failureCount: 0,
+  readMs: 0,
   latencyMs: 50,
   paceMs: 30,
   isLocal: true,
@@ -195,6 +197,28 @@
   });
 });
 
+describe('A crowd of prompts that arrive at once (ReadSpeed)', () => {
+  it('learns how long the prompts ahead take', () => {
+    const speed = new ReadSpeed();
+    const beforeMs = speed.timeMs(5_000);
+    for (let at = 0; at < 40; at += 1) speed.took(5_000, 400);
+    expect(beforeMs).to.be.within(150, 300);
+    expect(speed.timeMs(5_000)).to.be.within(380, 400);
+  });
+
+  it('learns nothing from a short prompt, whose time is mostly not reading', () => {
+    const speed = new ReadSpeed();
+    const beforeMs = speed.timeMs(5_000);
+    speed.took(200, 100);
+    expect(speed.timeMs(5_000)).to.equal(beforeMs);
+  });
+
+  it('sends the request where fewer prompts wait', () => {
+    const crowded = endpoint('crowded', { readMs: 200 });
+    expect(chooseEndpoint([crowded, endpoint('idle')], 0)?.id).to.equal('idle');
+  });
+});
+
 describe('Loads that several planners begin one after the other (LoadLedger)', () => {
   it('counts loads of a window, whoever began them, and each only once', () => {
     const ledger = new LoadLedger(1_000);
@@ -206,6 +230,13 @@
     expect(ledger.count(1_400)).to.equal(0);
   });
 
+  it('tells how many run at a time', () => {
+    const ledger = new LoadLedger(1_000);
+    ledger.note('a', 'm', 0);
+    ledger.note('b', 'm', 800);
+    expect(ledger.count(900, 200)).to.equal(1);
+  });
+
   it('does not move a load back when an older word of it arrives late', () => {
     const ledger = new LoadLedger(1_000);
     ledger.note('a', 'm', 500);
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -5,6 +5,7 @@
 import { PickReason } from './pick-reason.js';
 import type { Pick } from './pick.js';
 import { loadTimeMs } from '../owner/load-time-ms.js';
+import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
 
 /** Requests that a plain service may queue beyond its places; a count. */
@@ -13,6 +14,8 @@
 const PACE_SHARE = 0.55;
 /** Least share of its places that a slow engine offers. */
 const SLOT_SHARE_MIN = 0.15;
+/** Part of its objective that the prompts ahead of a request and its own may take to be read. */
+const READ_SHARE = 0.8;
 /** Part of an endpoint's connections that instances divide among themselves. */
 const CONNECTION_SHARE = 0.9;
 /** Time that a busy engine needs before it begins another load, in milliseconds. */
@@ -25,8 +28,8 @@
   /** @returns a random number from 0 up to 1 */
   readonly randomUnit: () => number;
   readonly endpointsOf: (service: string) => readonly Endpoint[];
-  /** Requests of other instances under way at an endpoint; a count. */
-  readonly othersCount: (endpoint: string) => number;
+  /** What other instances have under way at an endpoint. */
+  readonly othersLoad: (endpoint: string) => EndpointLoad;
   readonly engineState: (endpoint: string) => OwnedEngineState | undefined;
   /** Instances that share the endpoints' connections; a count. */
   readonly instanceCount: () => number;
@@ -114,6 +117,7 @@
         slotCount: endpoint.record.slotCount,
         isPaused: endpoint.health.isPaused(nowMs()),
         failureCount: endpoint.health.failureCount(nowMs()),
+        readMs: endpoint.readSpeed.timeMs(this.readTokenCount(endpoint, need)),
         latencyMs: endpoint.health.latencyMs(nowMs()),
         paceMs: endpoint.health.paceMs(nowMs()),
         isLocal: endpoint.record.failureDomain === failureDomain,
@@ -121,13 +125,30 @@
       randomUnit(),
     );
     const endpoint = choice && open.find(({ id }) => id === choice.id);
-    if (endpoint) return { kind: 'send', endpoint, candidateCount: open.length };
+    if (endpoint) {
+      const readTokenCount = this.readTokenCount(endpoint, need);
+      return { kind: 'send', endpoint, candidateCount: open.length, readTokenCount };
+    }
     const reason = fresh.length === 0 ? PickReason.tried : PickReason.full;
     return { kind: 'wait', reason, etaMs: 0 };
   }
 
+  /** @returns prompt tokens that an endpoint reads up to the first event of a request; a count */
+  readTokenCount(endpoint: Endpoint, { promptTokenCount }: PickNeed): number {
+    const { unreadTokenCount } = this.#context.othersLoad(endpoint.id);
+    return endpoint.unreadTokenCount + unreadTokenCount + promptTokenCount;
+  }
+
+  // Prompts that arrive at once are read one after the other, and until then every stream of the
+  // engine stands nearly still: no more are sent than can be read while an answer is on time.
+  #isReadInTime(endpoint: Endpoint, need: PickNeed): boolean {
+    const tokenCount = this.readTokenCount(endpoint, need);
+    if (tokenCount === need.promptTokenCount) return true;
+    return endpoint.readSpeed.timeMs(tokenCount) <= READ_SHARE * need.objectiveMs;
+  }
+
   #outstanding(endpoint: Endpoint): number {
-    return endpoint.ownCount + this.#context.othersCount(endpoint.id);
+    return endpoint.ownCount + this.#context.othersLoad(endpoint.id).count;
   }
 
   // An engine whose streams have become slow takes fewer at a time.
@@ -136,7 +157,9 @@
     return Math.max(SLOT_SHARE_MIN, Math.min(1, (PACE_SHARE * paceMaxMs) / Math.max(1, paceMs)));
   }
 
-  #hasPlace(endpoint: Endpoint, { service, paceMaxMs }: PickNeed): boolean {
+  #hasPlace(endpoint: Endpoint, need: PickNeed): boolean {
+    const { service, paceMaxMs } = need;
+    if (service.engine && !this.#isReadInTime(endpoint, need)) return false;
     const queueCount = service.engine ? 0 : PLAIN_QUEUE_COUNT;
     const connections = CONNECTION_SHARE * service.connectionCountMax;
     const ownMax = Math.max(1, Math.floor(connections / this.#context.instanceCount()));
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -7,6 +7,7 @@
 import type { CallerHead } from '../ports/caller-head.js';
 import type { AttemptFailure } from './attempt-failure.js';
 import { EndpointAttempt } from './endpoint-attempt.js';
+import type { PickNeed } from './pick-need.js';
 import type { Pick } from './pick.js';
 import { PickReason } from './pick-reason.js';
 import type { RunContext } from './run-context.js';
@@ -56,6 +57,8 @@
   #isFirstByteIn = false;
   #hasStartedOver = false;
   #waitReason: PickReason = PickReason.full;
+  /** Prompt tokens that the endpoint reads up to the first event; 0 once it has come. */
+  #readTokenCount = 0;
   #runCount = 0;
   #offerCount = 0;
   #mayHaveRun = false;
@@ -134,13 +137,19 @@
   }
 
   #pick(): Pick {
-    return this.#context.picker.pick({
+    return this.#context.picker.pick(this.#need);
+  }
+
+  get #need(): PickNeed {
+    return {
       service: this.#service,
       model: this.#head.model,
       adapter: this.#head.adapter,
       paceMaxMs: this.#route.paceMaxMs,
+      promptTokenCount: this.#head.promptTokenCount,
+      objectiveMs: this.#route.objectiveMs,
       tried: this.#tried,
-    });
+    };
   }
 
   // The only endpoint that has the model may be asked again by a request that may run twice.
@@ -184,7 +193,7 @@
   }
 
   async #prepare(endpoints: readonly Endpoint[]): Promise<void> {
-    const { prepare, nowMs, decision } = this.#context;
+    const { picker, prepare, nowMs, decision } = this.#context;
     const { model = '', adapter = '' } = this.#head;
     const item = `${model}/${adapter}`;
     for (let at = 0; at < Math.min(PREPARE_COUNT, endpoints.length); at += 1) {
@@ -195,7 +204,9 @@
       if (isReady) {
         endpoint.gained(item);
         endpoint.gained(`load ${item}`);
-        this.#send({ kind: 'send', endpoint, candidateCount: endpoints.length });
+        const readTokenCount = picker.readTokenCount(endpoint, this.#need);
+        const candidateCount = endpoints.length;
+        this.#send({ kind: 'send', endpoint, candidateCount, readTokenCount });
         return;
       }
       endpoint.denied(`load ${item}`, nowMs());
@@ -208,7 +219,8 @@
     this.#wait();
   }
 
-  #send({ endpoint, candidateCount }: Extract<Pick, { kind: 'send' }>): void {
+  #send(pick: Extract<Pick, { kind: 'send' }>): void {
+    const { endpoint, candidateCount, readTokenCount } = pick;
     const { nowMs, codec, budget, decision, instanceCount, sent } = this.#context;
     const remainingMs = Math.floor(this.#deadlineMs - nowMs());
     if (remainingMs < REMAINING_MIN_MS) {
@@ -225,7 +237,8 @@
     this.#endpoint = endpoint;
     this.#sentMs = nowMs();
     this.#isFirstByteIn = false;
-    endpoint.began();
+    this.#readTokenCount = readTokenCount;
+    endpoint.began(this.#head.promptTokenCount);
     sent(endpoint, this.#head);
     decision(this.#head.requestId, 'dispatch', 'sent to an endpoint', {
       endpoint: endpoint.id,
@@ -234,6 +247,7 @@
       own: endpoint.ownCount,
       candidates: candidateCount,
       offer: this.#offerCount,
+      readTokenCount,
       remainingMs,
       lastEvent: this.#relay.lastEvent,
     });
@@ -316,11 +330,21 @@
 
   #pass(chunk: Buffer): boolean {
     this.#patience?.refresh();
+    this.#noteRead();
     const { isWelcome, gapMs } = this.#relay.push(chunk);
     if (gapMs !== undefined) this.#endpoint?.health.paced(gapMs, this.#context.nowMs());
     return isWelcome;
   }
 
+  // The first event shows that the prompt has been read.
+  #noteRead(): void {
+    if (this.#readTokenCount === 0 || !this.#endpoint) return;
+    const elapsedMs = this.#context.nowMs() - this.#sentMs;
+    this.#endpoint.readSpeed.took(this.#readTokenCount, elapsedMs);
+    this.#endpoint.wasRead(this.#head.promptTokenCount);
+    this.#readTokenCount = 0;
+  }
+
   #takeEnd(attempt: EndpointAttempt): void {
     if (attempt !== this.#attempt) return;
     const answer = this.#answer as AnswerHead;
@@ -468,6 +492,8 @@
     this.#attempt = undefined;
     this.#endpoint = undefined;
     if (!endpoint) return;
+    if (this.#readTokenCount > 0) endpoint.wasRead(this.#head.promptTokenCount);
+    this.#readTokenCount = 0;
     endpoint.ended();
     this.#context.ended(this.#context.nowMs() - this.#sentMs);
     this.#lastEndpoint = endpoint;
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -21,7 +21,7 @@
   readonly registry: EndpointRegistry;
   readonly logger: PartLogger;
   readonly nowMs: () => number;
-  /** Place of this instance among those that hear each other, 0 first. */
+  /** Place of this instance among those that read in turn, 0 first. */
   readonly rank: () => number;
   readonly relay: (page: EndpointPage & { readonly fromOffset?: number }) => void;
   readonly onNews: () => void;
@@ -98,8 +98,9 @@
         });
       }
       this.#failureCount = 0;
+      const changes = page.isWhole ? page.changes : registry.alterations(page);
       this.#apply(page, 'store');
-      relay({ ...page, fromOffset });
+      relay({ ...page, changes, fromOffset });
       this.#schedule();
     } catch (error) {
       this.#failureCount += 1;
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import type { EndpointRecord } from '@chervilseam/model';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import { Endpoint } from './endpoint.js';
@@ -59,6 +60,15 @@
     return news;
   }
 
+  /** @returns changes of a read that alter what is known here; most entries are mere heartbeats */
+  alterations({ changes }: EndpointPage): EndpointPage['changes'] {
+    return changes.filter(({ id, record }) => {
+      const known = this.#endpoints.get(id);
+      if (!record) return known !== undefined && known.leftMs === undefined;
+      return !known || known.leftMs !== undefined || !isDeepStrictEqual(known.record, record);
+    });
+  }
+
   /**
    * Lets go of endpoints that stayed away, and of what is kept of those that left.
    *
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -1,4 +1,4 @@
-import { EndpointHealth } from '@chervilseam/decisions';
+import { EndpointHealth, ReadSpeed } from '@chervilseam/decisions';
 import type { EndpointRecord } from '@chervilseam/model';
 import { buildConnector, Pool } from 'undici';
 import { ConnectionEnding } from './connection-ending.js';
@@ -15,9 +15,12 @@
 /** One incarnation of an endpoint, as this instance knows it. */
 export class Endpoint {
   readonly health = new EndpointHealth();
+  readonly readSpeed = new ReadSpeed();
   readonly pool: Pool;
   /** Requests of this instance that are under way there; a count. */
   ownCount = 0;
+  /** Prompt tokens of this instance's requests that have not got their first event yet. */
+  unreadTokenCount = 0;
   #record: EndpointRecord;
   #leftMs: number | undefined;
   #ending: ConnectionEnding = ConnectionEnding.none;
@@ -104,9 +107,23 @@
     });
   }
 
-  /** Notes that a request of this instance went there. */
-  began(): void {
+  /**
+   * Notes that a request of this instance went there.
+   *
+   * @param promptTokenCount - tokens of its prompt
+   */
+  began(promptTokenCount: number): void {
     this.ownCount += 1;
+    this.unreadTokenCount += promptTokenCount;
+  }
+
+  /**
+   * Notes that a prompt has been read, or will not be.
+   *
+   * @param promptTokenCount - its tokens
+   */
+  wasRead(promptTokenCount: number): void {
+    this.unreadTokenCount -= promptTokenCount;
   }
 
   /** Notes that a request of this instance is over there. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -19,6 +19,7 @@
 import { RequestLog } from './observe/request-log.js';
 import { EngineFleet } from './owner/engine-fleet.js';
 import { GroupMember } from './owner/group-member.js';
+import type { EndpointLoad } from './peer/endpoint-load.js';
 import type { InstanceState } from './peer/instance-state.js';
 import { PeerSync } from './peer/peer-sync.js';
 import { PeerTable } from './peer/peer-table.js';
@@ -29,6 +30,7 @@
 const PLAN_MS = 300;
 /** Loads known from the others are summed up again after this, in milliseconds. */
 const OTHERS_MS = 20;
+const NO_LOAD: EndpointLoad = { count: 0, unreadTokenCount: 0 };
 /** Time after which callers come back to an instance that knows nothing yet, in milliseconds. */
 const NOT_READY_RETRY_MS = 500;
 /** Time that the balancer needs to take an instance out of rotation, in milliseconds. */
@@ -65,7 +67,7 @@
   readonly #ready: Server;
   readonly #metricsServer: Server;
   #sequence = 0;
-  #others = new Map<string, number>();
+  #others: Readonly<Record<string, EndpointLoad>> = {};
   #othersMs = -Infinity;
   #plannedMs = 0;
   #timer: NodeJS.Timeout | undefined;
@@ -115,12 +117,16 @@
       table: this.#peers,
       logger: ports.logger('peer'),
       nowMs,
+      failureDomain: settings.failureDomain,
+      isOwner: () => this.#member.shares.length > 0,
+      ownState: () => this.#ownState(),
       state: () => this.#state(),
       prepare: (wish) => this.#fleet.prepare(wish),
       config: () => this.#config.config && packedConfig.pack(this.#config.config),
       begin: (endpoint, move) => this.#fleet.begin(endpoint, move),
       onEndpoints: (page) => this.#list.take(page),
       onState: (state) => this.#hear(state),
+      onAlone: () => this.#member.lookAround(),
     });
     this.#member = new GroupMember({
       store: ports.store,
@@ -132,7 +138,7 @@
       port: settings.peerAddress.port,
       ttlMinMs: settings.leaseTtlMinMs,
       handoverMs: settings.handoverMs,
-      onMembers: (addresses) => addresses.forEach((address) => this.#sync.add(address)),
+      onMembers: (addresses) => addresses.forEach((address) => this.#sync.addOwner(address)),
       onFailure: () => this.#list.storeFailed(),
     });
     this.#fleet = new EngineFleet({
@@ -153,7 +159,7 @@
       nowMs,
       randomUnit: () => this.#random.unit(),
       endpointsOf: (service) => this.#registry.ofService(service),
-      othersCount: (id) => this.#othersCount(id),
+      othersLoad: (id) => this.#othersLoad(id),
       engineState: (id) => this.#fleet.stateOf(id),
       instanceCount: () => this.#instanceCount,
     });
@@ -251,13 +257,13 @@
   }
 
   get #instanceCount(): number {
-    return Math.max(this.#peers.size + 1, this.#instanceCountMax);
+    return Math.max(this.#peers.instanceCount() + 1, this.#instanceCountMax);
   }
 
   #tick(): void {
     const nowMs = Gateway.nowMs();
     this.#peers.settle(nowMs);
-    this.#instanceCountMax = Math.max(this.#instanceCountMax, this.#peers.size + 1);
+    this.#instanceCountMax = this.#instanceCount;
     this.#member.tick();
     this.#list.tick();
     this.#sync.tick();
@@ -367,16 +373,18 @@
     this.#usedAdapters.set(endpoint, used);
   }
 
-  #othersCount(id: string): number {
+  #othersLoad(id: string): EndpointLoad {
     const nowMs = Gateway.nowMs();
     if (nowMs - this.#othersMs > OTHERS_MS) {
-      this.#others = this.#peers.outstanding(nowMs);
+      this.#others = this.#peers.loads(nowMs);
       this.#othersMs = nowMs;
     }
-    return this.#others.get(id) ?? 0;
+    return this.#others[id] ?? NO_LOAD;
   }
 
+  // Owners of shares read the list in turn; the others read only when they hear nothing.
   #rank(): number {
+    if (this.#member.shares.length === 0) return Infinity;
     const names = this.#peers.fresh(Gateway.nowMs()).map(({ instance }) => instance);
     return names.filter((name) => name < this.#settings.instance).length;
   }
@@ -388,16 +396,32 @@
       );
     }
     this.#fleet.hear(state);
+    // The owners of the engines hear of the adapters that this instance's followers use.
+    Object.entries(state.usedAdapters).forEach(([endpoint, items]) => {
+      if (state.shares.length > 0) return;
+      items.forEach((item) => this.#noteAdapter(endpoint, item));
+    });
     this.#schedulePump();
   }
 
+  // What the owners are told: adapters that were used are told once.
   #state(): InstanceState {
+    const nowMs = Gateway.nowMs();
+    const own = this.#ownState();
+    this.#usedAdapters.clear();
+    this.#fleet.hear(own);
+    return { ...own, ...this.#peers.sumsWith(own, nowMs) };
+  }
+
+  #ownState(): InstanceState {
+    const nowMs = Gateway.nowMs();
     const busy = this.#registry.all.filter(({ ownCount }) => ownCount > 0);
     const used = [...this.#usedAdapters].map(([id, items]) => [id, [...items]] as const);
-    this.#usedAdapters.clear();
+    const isOwner = this.#member.shares.length > 0;
+    if (!isOwner) this.#usedAdapters.clear();
     this.#sequence += 1;
     const { instance, failureDomain, peerAddress } = this.#settings;
-    const state: InstanceState = {
+    return {
       instance,
       failureDomain,
       host: peerAddress.host,
@@ -405,27 +429,31 @@
       sequence: this.#sequence,
       startedMs: this.#startedMs,
       isStopping: this.#isStopping,
+      instanceCount: 1,
       configVersion: this.#config.version,
-      outstanding: Object.fromEntries(busy.map(({ id, ownCount }) => [id, ownCount])),
+      loads: Object.fromEntries(
+        busy.map(({ id, ownCount, unreadTokenCount }) => [
+          id,
+          { count: ownCount, unreadTokenCount },
+        ]),
+      ),
       demand: this.#fleet.ownDemand(),
-      urgentModels: this.#fleet.demand.urgentModels(Gateway.nowMs()),
+      urgentModels: this.#fleet.demand.urgentModels(nowMs),
       awaited: this.#services.awaitedModels,
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
       hasLapsed: this.#member.hasLapsed,
-      shares: this.#member.hasLapsed ? [] : this.#member.shares,
-      orderAgesMs: this.#fleet.handover.orderAgesMs(Gateway.nowMs()),
+      shares: this.#member.shares,
+      orderAgesMs: this.#fleet.handover.orderAgesMs(nowMs),
       engines: this.#fleet.ownStates(),
-      peers: this.#sync.addresses,
+      owners: this.#sync.owners,
     };
-    this.#fleet.hear(state);
-    return state;
   }
 
   async #writeMetrics(): Promise<string> {
     const nowMs = Gateway.nowMs();
     this.#metrics.waiting.set(this.#services.waitingCount);
-    this.#metrics.instances.set(this.#peers.fresh(nowMs).length + 1);
+    this.#metrics.instances.set(this.#peers.instanceCount() + 1);
     this.#metrics.endpoints.set(this.#registry.all.length);
     this.#metrics.listAgeMs.set(this.#list.ageMs(nowMs));
     this.#metrics.ownedEngines.set(Object.keys(this.#fleet.ownStates()).length);
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -71,7 +71,7 @@
       endpoint: (id) => registry.get(id),
       engineState: (id) => this.stateOf(id),
       begin: (id, move) => this.#beginThroughOwner(id, move),
-      demand: () => context.peers.demandWith(this.demand.demand(), nowMs()),
+      demand: () => context.peers.demandWith(this.ownDemand(), nowMs()),
       urgentModels: () =>
         new Set([...context.peers.urgentModels(nowMs()), ...this.demand.urgentModels(nowMs())]),
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
@@ -215,9 +215,10 @@
   // The owner of the lowest share plans for all: two planners would answer the same demand twice.
   #isPlanner(): boolean {
     const { nowMs, peers, member } = this.#context;
+    if (member.hasLapsed || member.shares.length === 0) return false;
     const lowest = Math.min(...member.shares);
-    const others = peers.fresh(nowMs()).flatMap(({ shares }) => shares);
-    return member.shares.length > 0 && others.every((share) => share > lowest);
+    const others = peers.fresh(nowMs()).filter(({ hasLapsed }) => !hasLapsed);
+    return others.flatMap(({ shares }) => shares).every((share) => share > lowest);
   }
 
   // Shares are waited for only as long as the owner before may still act.
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -2,8 +2,10 @@
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
 
-/** Time between two renewals, in milliseconds. */
+/** Time between two renewals of a member that owns shares, in milliseconds. */
 const RENEW_MS = 700;
+/** Time between two renewals of a member without shares, in milliseconds: it has nothing to lose. */
+const IDLE_RENEW_MS = 1_400;
 /** Time to live of a member as a multiple of the time between renewals. */
 const TTL_RENEWALS = 3;
 /** Time after a change of the group in which others may still join, in milliseconds. */
@@ -104,6 +106,15 @@
     void this.#list();
   }
 
+  get #renewMs(): number {
+    return this.shares.length > 0 || !this.#hasListed ? RENEW_MS : IDLE_RENEW_MS;
+  }
+
+  /** Reads the members that own shares once more. */
+  lookAround(): void {
+    this.#listDueMs = Math.min(this.#listDueMs, this.#context.nowMs());
+  }
+
   /** Leaves the group, so that others own its shares at once. */
   async leave(): Promise<void> {
     this.#isStopped = true;
@@ -138,14 +149,15 @@
     const sentMs = nowMs();
     const gapMs = this.#clockGapMs;
     const { generation } = this.#lease;
+    const renewMs = this.#renewMs;
     try {
-      const answer = await store.join(this.#member, this.#ttlMs, generation);
+      const answer = await store.join(this.#member, this.#ttlMs * (renewMs / RENEW_MS), generation);
       this.#checkClocks();
       // An answer to a renewal from before a standstill says nothing of what happened since.
       if (Math.abs(this.#clockGapMs - gapMs) < STANDSTILL_MS) {
         this.#lease.renewed(answer, sentMs, nowMs());
       }
-      this.#nextMs = sentMs + RENEW_MS;
+      this.#nextMs = sentMs + this.#renewMs;
       if (this.#failureCount > 0) {
         logger.info('group_regained', 'the group can be joined again', {
           failures: this.#failureCount,
@@ -153,7 +165,9 @@
       }
       this.#failureCount = 0;
       const hasChanged = answer.generation !== generation;
-      if (hasChanged || !this.#hasListed) {
+      // Instances without shares hear of changes from the one that they tell their state.
+      const isConcerned = hasChanged && this.shares.length > 0;
+      if (isConcerned || !this.#hasListed) {
         this.#listDueMs = Math.min(this.#listDueMs, nowMs() + SETTLE_MS);
       }
       if (hasChanged) {
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -32,8 +32,8 @@
   }
 
   /** @param state - the state of an instance */
-  hear({ instance, generation, shares }: InstanceState): void {
-    if (instance === this.#self) return;
+  hear({ instance, generation, shares, hasLapsed }: InstanceState): void {
+    if (instance === this.#self || hasLapsed) return;
     shares.forEach((share) => {
       const known = this.#owners.get(share);
       if (!known || generation >= known.generation) {
@@ -58,9 +58,10 @@
   ): number | undefined {
     const before = this.#owners.get(share);
     const state = states.find(({ instance }) => instance === before?.instance);
-    if (!state || state.shares.includes(share)) return undefined;
+    if (!state) return undefined;
     // One whose lease has lapsed can act again only after a renewal, which tells it of the change.
-    if (state.generation < token && !state.hasLapsed) return undefined;
+    const hasHeard = state.generation >= token && !state.shares.includes(share);
+    if (!hasHeard && !state.hasLapsed) return undefined;
     const ages = states.flatMap(({ orderAgesMs }) => orderAgesMs[share] ?? []);
     return nowMs - Math.min(ORDER_MEMORY_MS, ...ages);
   }
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -113,7 +113,7 @@
   #plan(service: string, spec: EngineSpec, demand: ReadonlyMap<string, number>): void {
     const { nowMs, endpointsOf, begin, logger } = this.#context;
     const endpoints = endpointsOf(service).filter(
-      ({ isLeaving, health }) => !isLeaving && !health.isUnreachable(nowMs()),
+      ({ isLeaving, health }) => !isLeaving && !health.isDown(nowMs()),
     );
     const usualPaceMs = median(
       endpoints.map(({ health }) => health.paceMs(nowMs())).filter(Boolean),
@@ -156,15 +156,20 @@
     const awaited = this.#context.awaited();
     const urgent = this.#context.urgentModels();
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
-    const models = [...spec.models.values()].map(({ name, sizeMb }) => ({
-      name,
-      bytes: sizeMb * BYTES_PER_MB,
-      isLabelled: false,
-      isAwaited: awaited.has(name) || (demand.get(name) ?? 0) > AWAITED_DEMAND,
-      isUrgent: urgent.has(name),
-      isPatient: !urgent.has(name) && (demand.get(name) ?? 0) > 0,
-      demand: demand.get(name) ?? 0,
-    }));
+    const models = [...spec.models.values()].map(({ name, sizeMb }) => {
+      const wanted = demand.get(name) ?? 0;
+      const isPatient = wanted > 0 && !urgent.has(name);
+      return {
+        name,
+        bytes: sizeMb * BYTES_PER_MB,
+        isLabelled: false,
+        // Callers in a hurry are refused while their model is absent, the others wait for it.
+        isAwaited: awaited.has(name) || (!isPatient && wanted > AWAITED_DEMAND),
+        isUrgent: urgent.has(name),
+        isPatient,
+        demand: wanted,
+      };
+    });
     const forecast = forecastDemand(models, tokensPerSecond);
     return models.map((model) => ({ ...model, forecast: forecast.get(model.name) }));
   }
@@ -236,6 +241,10 @@
     const allowed = Math.floor((regular + LOAD_FREE_COUNT) * LOAD_SHARE);
     const usable = isRare ? Math.ceil(allowed * (1 - LOAD_RESERVE_SHARE)) : allowed;
     if (this.#loads.count(nowMs()) >= Math.max(1, usable)) return false;
+    // As many at a time as the store's rate keeps up with: beyond that each takes longer.
+    const loadMs = spec.models.get(model)?.storeLoadMs ?? 0;
+    const atOnce = Math.max(1, Math.round((spec.storeLoadsPerSecond * loadMs) / MS_PER_SECOND));
+    if (this.#loads.count(nowMs(), Math.min(loadMs, loadWindowMs)) >= atOnce) return false;
     this.#loads.note(engine, model, nowMs());
     return true;
   }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -1,6 +1,10 @@
+import type { EndpointLoad } from './endpoint-load.js';
 import type { OwnedEngineState } from './owned-engine-state.js';
 
-/** What an instance tells the others, several times a second. */
+/**
+ * What an instance tells the others, several times a second. Sums include the instances that it
+ * speaks for.
+ */
 export interface InstanceState {
   readonly instance: string;
   readonly failureDomain: string;
@@ -10,11 +14,13 @@
   readonly sequence: number;
   readonly startedMs: number;
   readonly isStopping: boolean;
+  /** Instances that the sums stand for, this one included; a count. */
+  readonly instanceCount: number;
   /** Version of the configuration that is in force there. */
   readonly configVersion: number;
   /** Requests under way by endpoint; endpoints without any are left out. */
-  readonly outstanding: Readonly<Record<string, number>>;
-  /** Requests a second by model, in places of an engine that they keep busy. */
+  readonly loads: Readonly<Record<string, EndpointLoad>>;
+  /** Demand by model, in tokens to read a second. */
   readonly demand: Readonly<Record<string, number>>;
   /** Models that callers want an answer of sooner than they could be loaded. */
   readonly urgentModels: readonly string[];
@@ -26,12 +32,12 @@
   readonly generation: number;
   /** Whether it may give no orders until it has renewed its lease. */
   readonly hasLapsed: boolean;
-  /** Shares of the endpoints that this instance owns; none once its lease has lapsed. */
+  /** Shares of the endpoints that the store last gave to this instance. */
   readonly shares: readonly number[];
   /** Time since this instance last gave an order in a share, in milliseconds; old ones left out. */
   readonly orderAgesMs: Readonly<Record<number, number>>;
   /** Engines that this instance owns, by endpoint. */
   readonly engines: Readonly<Record<string, OwnedEngineState>>;
-  /** Other instances that this one hears, as host and port. */
-  readonly peers: readonly string[];
+  /** Owners of shares that this instance hears, as host and port. */
+  readonly owners: readonly string[];
 }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,3 +1,4 @@
+import { hashOf } from '@chervilseam/decisions';
 import { PeerPool, PeerServer } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
 import type { PackedConfig } from '../feed/packed-config.js';
@@ -5,12 +6,15 @@
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { AdapterWish } from './adapter-wish.js';
 import type { InstanceState } from './instance-state.js';
+import type { Overview } from './overview.js';
 import type { PeerTable } from './peer-table.js';
 
 /** Time between two states sent to the same instance while there are few, in milliseconds. */
 const PERIOD_MS = 100;
-/** States a second that an instance sends at most, to all others together. */
+/** States a second that an owner sends at most, to all other owners together. */
 const STATES_PER_SECOND = 60;
+/** Time between two states that an instance without shares sends to its speaker, in milliseconds. */
+const FOLLOW_PERIOD_MS = 200;
 /** A state without an answer for this long is lost, and its connection is made anew, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 700;
 /** An instance that does not answer is tried again after this, in milliseconds. */
@@ -20,6 +24,8 @@
 /** Time for an owner to prepare an adapter, in milliseconds. */
 const ADAPTER_TIMEOUT_MS = 400;
 
+const MS_PER_SECOND = 1_000;
+
 interface PeerAddress {
   readonly host: string;
   readonly port: number;
@@ -27,6 +33,8 @@
 
 interface PeerLine {
   readonly address: PeerAddress;
+  /** Whether the instance is known to own no shares. */
+  isFollower: boolean;
   nextMs: number;
   answeredMs: number;
   isCalling: boolean;
@@ -35,10 +43,16 @@
 /** What the exchange needs around it. */
 interface PeerSyncContext {
   readonly instance: string;
+  readonly failureDomain: string;
   readonly secret: string;
   readonly table: PeerTable;
   readonly logger: PartLogger;
   readonly nowMs: () => number;
+  /** Whether this instance owns shares. */
+  readonly isOwner: () => boolean;
+  /** The state of this instance alone. */
+  readonly ownState: () => InstanceState;
+  /** The state of this instance and of those that it speaks for. */
   readonly state: () => InstanceState;
   /** Loads an adapter on an engine that this instance owns. */
   readonly prepare: (wish: AdapterWish) => Promise<boolean>;
@@ -47,19 +61,29 @@
   /** The configuration in force here, for an instance that cannot read it. */
   readonly config: () => PackedConfig | undefined;
   /** Takes a read of the endpoints' list that another instance made. */
-  readonly onEndpoints: (page: EndpointPage & { readonly fromOffset?: number }) => void;
+  readonly onEndpoints: (page: ListPage) => void;
   readonly onState: (state: InstanceState) => void;
+  /** No owner of shares answers. */
+  readonly onAlone: () => void;
 }
 
+type ListPage = EndpointPage & { readonly fromOffset?: number };
+
 const keyOf = ({ host, port }: PeerAddress): string => `${host}:${port}`;
 
-/** Exchanges states with the other instances, each pair by its own connection. */
+/**
+ * Exchanges states with the other instances: owners of shares with each other, each pair by its own
+ * connection, and an instance without shares with one owner.
+ */
 export class PeerSync {
   readonly #context: PeerSyncContext;
   readonly #pool: PeerPool;
   readonly #server: PeerServer;
   readonly #lines = new Map<string, PeerLine>();
   #ownKey = '';
+  #speaker: PeerLine | undefined;
+  #ownersVersion: number | undefined;
+  #aloneMs = -Infinity;
 
   /** @param context - what is needed around it */
   constructor(context: PeerSyncContext) {
@@ -68,10 +92,14 @@
     const handlers: ConstructorParameters<typeof PeerServer>[0]['handlers'] = {
       state: (params, stream) => {
         this.#takeState(params as InstanceState);
-        stream.end({});
+        stream.end({ isOwner: context.isOwner() });
+      },
+      follow: (params, stream) => {
+        const { state, version } = params as { state: InstanceState; version?: number };
+        stream.end(this.#takeFollower(state, version));
       },
       endpoints: (params, stream) => {
-        context.onEndpoints(params as EndpointPage);
+        this.#takeEndpoints(params as ListPage);
         stream.end({});
       },
       config: (_, stream) => {
@@ -89,10 +117,10 @@
     this.#server = new PeerServer({ instance, secret, handlers });
   }
 
-  /** Addresses of instances that answer. */
-  get addresses(): readonly string[] {
+  /** Addresses of owners that answer. */
+  get owners(): readonly string[] {
     const { nowMs } = this.#context;
-    return [...this.#lines.values()].flatMap(({ address, answeredMs }) =>
+    return this.#ownerLines.flatMap(({ address, answeredMs }) =>
       nowMs() - answeredMs < 2 * RETRY_MS ? [keyOf(address)] : [],
     );
   }
@@ -112,20 +140,26 @@
     const key = keyOf(address);
     if (key === this.#ownKey || this.#lines.has(key)) return;
     const nowMs = this.#context.nowMs();
-    this.#lines.set(key, { address, nextMs: nowMs, answeredMs: nowMs, isCalling: false });
+    this.#lines.set(key, {
+      address,
+      isFollower: false,
+      nextMs: nowMs,
+      answeredMs: nowMs,
+      isCalling: false,
+    });
+  }
+
+  /** @param address - another instance, which owns shares */
+  addOwner(address: PeerAddress): void {
+    this.add(address);
+    const line = this.#lines.get(keyOf(address));
+    if (line) line.isFollower = false;
   }
 
   /** Sends the state to each instance whose turn it is. */
   tick(): void {
-    const nowMs = this.#context.nowMs();
-    const periodMs = Math.max(PERIOD_MS, (1_000 * this.#lines.size) / STATES_PER_SECOND);
-    const due = [...this.#lines.values()].filter((line) => !line.isCalling && nowMs >= line.nextMs);
-    if (due.length === 0) return;
-    const state = this.#context.state();
-    due.forEach((line) => {
-      this.#lines.get(keyOf(line.address))!.nextMs = nowMs + periodMs;
-      void this.#send(line, state);
-    });
+    if (this.#context.isOwner()) this.#tellOwners();
+    else this.#tellSpeaker();
   }
 
   /**
@@ -133,12 +167,13 @@
    *
    * @param page - what was read, and where the read began
    */
-  relay(page: EndpointPage & { readonly fromOffset?: number }): void {
-    this.#lines.forEach(({ address }) => {
-      this.#pool.call(address, 'endpoints', page, ANSWER_TIMEOUT_MS).catch(() => {
-        // The other side reads for itself when it hears nothing.
-      });
-    });
+  relay(page: ListPage): void {
+    if (!this.#context.isOwner()) return;
+    this.#hand(
+      this.#ownerLines.map(({ address }) => address),
+      page,
+    );
+    this.#hand(this.#context.table.followers, page);
   }
 
   /**
@@ -194,13 +229,121 @@
     this.#pool.close();
   }
 
-  async #send(line: PeerLine, state: InstanceState): Promise<void> {
+  get #ownerLines(): PeerLine[] {
+    return [...this.#lines.values()].filter(({ isFollower }) => !isFollower);
+  }
+
+  #tellOwners(): void {
+    const nowMs = this.#context.nowMs();
+    this.#speaker = undefined;
+    const lines = this.#ownerLines;
+    const periodMs = Math.max(PERIOD_MS, (MS_PER_SECOND * lines.length) / STATES_PER_SECOND);
+    const due = lines.filter((line) => !line.isCalling && nowMs >= line.nextMs);
+    if (due.length === 0) return;
+    const state = this.#context.state();
+    due.forEach((line) => {
+      void this.#call(line, periodMs, 'state', state).then((answer) => {
+        if ((answer as { isOwner?: boolean } | undefined)?.isOwner === false) {
+          this.#markFollower(keyOf(line.address));
+        }
+      });
+    });
+  }
+
+  // One owner at a time, of the own failure domain if there is one; another when it falls silent.
+  #tellSpeaker(): void {
+    const nowMs = this.#context.nowMs();
+    const line = this.#speaker ?? this.#nextSpeaker();
+    if (!line && nowMs > this.#aloneMs + RETRY_MS) {
+      this.#aloneMs = nowMs;
+      this.#context.onAlone();
+    }
+    if (!line || line.isCalling || nowMs < line.nextMs) return;
+    this.#speaker = line;
+    const params = { state: this.#context.ownState(), version: this.#ownersVersion };
+    void this.#call(line, FOLLOW_PERIOD_MS, 'follow', params).then((answer) => {
+      if (answer) this.#takeAnswer(line, answer as Overview | { owners: readonly string[] });
+      else this.#leaveSpeaker();
+    });
+  }
+
+  #nextSpeaker(): PeerLine | undefined {
+    const { instance, table, nowMs, failureDomain } = this.#context;
+    const near = new Set(
+      table
+        .fresh(nowMs())
+        .flatMap((state) => (state.failureDomain === failureDomain ? [keyOf(state)] : [])),
+    );
+    const rankOf = ({ address, answeredMs }: PeerLine): number =>
+      (near.has(keyOf(address)) ? 0 : 1) + (nowMs() - answeredMs > RETRY_MS ? 2 : 0);
+    // Followers spread over the owners by their names.
+    const placeOf = ({ address }: PeerLine): number => hashOf(`${instance}@${keyOf(address)}`);
+    return this.#ownerLines
+      .filter(({ nextMs }) => nowMs() >= nextMs)
+      .sort((left, right) => rankOf(left) - rankOf(right) || placeOf(left) - placeOf(right))
+      .at(0);
+  }
+
+  #leaveSpeaker(): void {
+    this.#speaker = undefined;
+    this.#ownersVersion = undefined;
+  }
+
+  #takeAnswer(line: PeerLine, answer: Overview | { owners: readonly string[] }): void {
+    const { table, nowMs, onState } = this.#context;
+    if (!('summary' in answer)) {
+      // It owns no shares itself, but may know who does.
+      this.#addKeys(answer.owners);
+      this.#markFollower(keyOf(line.address));
+      this.#leaveSpeaker();
+      return;
+    }
+    this.#ownersVersion = answer.version;
+    table.takeOverview(answer, nowMs());
+    [answer.summary, ...(answer.states ?? [])].forEach((state) => {
+      this.add({ host: state.host, port: state.port });
+      this.#lines.get(keyOf(state))!.isFollower = state.shares.length === 0;
+      onState(state);
+    });
+  }
+
+  #takeFollower(state: InstanceState, version?: number): Overview | { owners: readonly string[] } {
+    const { table, nowMs, isOwner, ownState, onState } = this.#context;
+    this.#markFollower(keyOf(state));
+    if (!isOwner()) return { owners: this.owners };
+    table.follow(state, nowMs());
+    onState(state);
+    return table.overviewFor(ownState(), state.instance, version, nowMs());
+  }
+
+  #takeEndpoints(page: ListPage): void {
+    const { table, isOwner, onEndpoints } = this.#context;
+    onEndpoints(page);
+    if (isOwner()) this.#hand(table.followers, page);
+  }
+
+  #hand(addresses: readonly PeerAddress[], page: ListPage): void {
+    addresses.forEach(({ host, port }) => {
+      this.#pool.call({ host, port }, 'endpoints', page, ANSWER_TIMEOUT_MS).catch(() => {
+        // The other side reads for itself when it hears nothing.
+      });
+    });
+  }
+
+  #markFollower(key: string): void {
+    const line = this.#lines.get(key);
+    if (line) line.isFollower = true;
+  }
+
+  async #call(line: PeerLine, periodMs: number, method: string, params: unknown): Promise<unknown> {
     const { nowMs, logger } = this.#context;
     const entry = line;
     entry.isCalling = true;
+    entry.nextMs = nowMs() + periodMs;
     try {
-      await this.#pool.call(line.address, 'state', state, ANSWER_TIMEOUT_MS);
+      const answer = await this.#pool.call(line.address, method, params, ANSWER_TIMEOUT_MS);
       entry.answeredMs = nowMs();
+      return answer;
     } catch (error) {
       entry.nextMs = nowMs() + RETRY_MS;
       // A connection may have gone silent for good while new ones work.
@@ -210,6 +353,7 @@
         const fields = { peer: keyOf(line.address), error: (error as Error).message };
         logger.info('peer_lost', 'an instance is no longer called', fields);
       }
+      return undefined;
     } finally {
       entry.isCalling = false;
     }
@@ -219,10 +363,16 @@
     const { table, nowMs, onState } = this.#context;
     table.update(state, nowMs());
     this.add({ host: state.host, port: state.port });
-    state.peers.forEach((key) => {
+    const line = this.#lines.get(keyOf(state));
+    if (line) line.isFollower = state.shares.length === 0;
+    this.#addKeys(state.owners);
+    onState(state);
+  }
+
+  #addKeys(keys: readonly string[]): void {
+    keys.forEach((key) => {
       const [host, port] = key.split(':');
       this.add({ host, port: Number(port) });
     });
-    onState(state);
   }
 }
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -1,5 +1,10 @@
+import { hashOf } from '@chervilseam/decisions';
+import type { EndpointLoad } from './endpoint-load.js';
 import type { InstanceState } from './instance-state.js';
+import type { Overview } from './overview.js';
 import type { OwnedEngineState } from './owned-engine-state.js';
+import { sumStates } from './sum-states.js';
+import type { StateSums } from './sum-states.js';
 
 /** A state older than this says nothing of the load any more, in milliseconds. */
 const FRESH_MS = 2_000;
@@ -8,59 +13,159 @@
 
 interface PeerEntry {
   readonly state: InstanceState;
-  readonly heardMs: number;
+  heardMs: number;
 }
 
+const noSums: StateSums = {
+  instanceCount: 0,
+  loads: {},
+  demand: {},
+  urgentModels: [],
+  awaited: [],
+};
+
 const isNewer = (next: InstanceState, known: InstanceState | undefined): boolean =>
   !known ||
   next.startedMs > known.startedMs ||
   (next.startedMs === known.startedMs && next.sequence > known.sequence);
 
-const sumOf = (parts: readonly Iterable<readonly [string, number]>[]): Map<string, number> => {
-  const sums = new Map<string, number>();
-  parts
-    .flatMap((part) => [...part])
-    .forEach(([key, value]) => sums.set(key, (sums.get(key) ?? 0) + value));
-  return sums;
-};
+// What owners tell of themselves changes seldom, but for times that count down by themselves.
+const outlineOf = ({
+  instance,
+  generation,
+  hasLapsed,
+  shares,
+  engines,
+}: InstanceState): unknown => [
+  instance,
+  generation,
+  hasLapsed,
+  shares,
+  Object.entries(engines).map(([id, { models, adapters, isBusy, leaving, loading }]) => [
+    id,
+    models,
+    adapters,
+    isBusy,
+    leaving,
+    loading.map(({ model }) => model),
+  ]),
+];
 
-/** The latest state of every other instance. */
+/**
+ * The latest word of every other instance. Owners of shares tell each other everything; an instance
+ * without shares tells one of them, its speaker, and hears from it what all others have told.
+ */
 export class PeerTable {
+  /** Owners of shares, and instances that are not known to have none. */
   readonly #entries = new Map<string, PeerEntry>();
-
-  /** Instances heard of lately, this one left out; a count. */
-  get size(): number {
-    return this.#entries.size;
-  }
+  /** Instances that this one speaks for. */
+  readonly #followers = new Map<string, PeerEntry>();
 
   /**
-   * Takes an instance's state, unless a newer one is known.
+   * Takes an owner's state, unless a newer one is known.
    *
    * @param state - the state
    * @param nowMs - a clock that only goes forward, in milliseconds
    */
   update(state: InstanceState, nowMs: number): void {
     if (!isNewer(state, this.#entries.get(state.instance)?.state)) return;
+    this.#followers.delete(state.instance);
     this.#entries.set(state.instance, { state, heardMs: nowMs });
   }
 
+  /**
+   * Takes the state of an instance without shares that tells only this one.
+   *
+   * @param state - the state
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  follow(state: InstanceState, nowMs: number): void {
+    if (!isNewer(state, this.#followers.get(state.instance)?.state)) return;
+    this.#entries.delete(state.instance);
+    this.#followers.set(state.instance, { state, heardMs: nowMs });
+  }
+
+  /**
+   * Takes what the speaker of this instance answers.
+   *
+   * @param overview - the answer
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  takeOverview({ summary, owners, states }: Overview, nowMs: number): void {
+    // The summary stands for all: what was heard in other ways must not count twice.
+    const heard = new Set([summary.instance, ...owners]);
+    this.#entries.forEach((entry, instance) => {
+      if (!heard.has(instance)) this.#entries.delete(instance);
+      else this.#entries.set(instance, { state: { ...entry.state, ...noSums }, heardMs: nowMs });
+    });
+    states?.forEach((state) => {
+      this.#entries.set(state.instance, { state: { ...state, ...noSums }, heardMs: nowMs });
+    });
+    this.#entries.set(summary.instance, { state: summary, heardMs: nowMs });
+  }
+
+  /**
+   * @param own - the state of this instance alone
+   * @param follower - the instance that is answered
+   * @param knownVersion - version of the owners' states that it has
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns what it is answered
+   */
+  overviewFor(
+    own: InstanceState,
+    follower: string,
+    knownVersion: number | undefined,
+    nowMs: number,
+  ): Overview {
+    const others = this.fresh(nowMs);
+    const followers = this.#freshFollowers(nowMs).filter(({ instance }) => instance !== follower);
+    const version = hashOf(JSON.stringify(others.map(outlineOf)));
+    return {
+      summary: { ...own, ...sumStates([own, ...others, ...followers]), usedAdapters: {} },
+      owners: others.map(({ instance }) => instance),
+      version,
+      ...(version !== knownVersion && {
+        states: others.map((state) => ({ ...state, ...noSums, usedAdapters: {} })),
+      }),
+    };
+  }
+
+  /** @returns sums over the instances that this one speaks for, itself included */
+  sumsWith(own: StateSums, nowMs: number): StateSums {
+    return sumStates([own, ...this.#freshFollowers(nowMs)]);
+  }
+
+  /** Addresses of the instances that this one speaks for. */
+  get followers(): readonly Pick<InstanceState, 'host' | 'port'>[] {
+    return [...this.#followers.values()].map(({ state }) => state);
+  }
+
   /** Forgets instances that have fallen silent. */
   settle(nowMs: number): void {
     this.#entries.forEach(({ heardMs }, instance) => {
       if (nowMs > heardMs + FORGET_MS) this.#entries.delete(instance);
     });
+    this.#followers.forEach(({ heardMs }, instance) => {
+      if (nowMs > heardMs + FRESH_MS) this.#followers.delete(instance);
+    });
+  }
+
+  /** @returns instances that are heard of, this one left out; a count */
+  instanceCount(): number {
+    const entries = [...this.#entries.values(), ...this.#followers.values()];
+    return entries.reduce((sum, { state }) => sum + state.instanceCount, 0);
   }
 
-  /** @returns states of instances that were heard a moment ago */
+  /** @returns states of owners that were heard a moment ago */
   fresh(nowMs: number): InstanceState[] {
     return [...this.#entries.values()].flatMap(({ state, heardMs }) =>
       nowMs <= heardMs + FRESH_MS ? [state] : [],
     );
   }
 
-  /** @returns requests of the other instances that are under way, by endpoint */
-  outstanding(nowMs: number): Map<string, number> {
-    return sumOf(this.fresh(nowMs).map(({ outstanding }) => Object.entries(outstanding)));
+  /** @returns what the other instances have under way, by endpoint */
+  loads(nowMs: number): Readonly<Record<string, EndpointLoad>> {
+    return sumStates(this.#all(nowMs)).loads;
   }
 
   /**
@@ -68,24 +173,25 @@
    * @param nowMs - a clock that only goes forward, in milliseconds
    * @returns demand of all instances by model
    */
-  demandWith(own: ReadonlyMap<string, number>, nowMs: number): Map<string, number> {
-    return sumOf([own, ...this.fresh(nowMs).map(({ demand }) => Object.entries(demand))]);
+  demandWith(own: Readonly<Record<string, number>>, nowMs: number): Map<string, number> {
+    const parts = [{ ...noSums, demand: own }, ...this.#all(nowMs)];
+    return new Map(Object.entries(sumStates(parts).demand));
   }
 
   /** @returns models that callers of other instances want an answer of sooner than a load takes */
-  urgentModels(nowMs: number): Set<string> {
-    return new Set(this.fresh(nowMs).flatMap(({ urgentModels }) => urgentModels));
+  urgentModels(nowMs: number): readonly string[] {
+    return sumStates(this.#all(nowMs)).urgentModels;
   }
 
   /** @returns models that requests of other instances wait for */
-  awaited(nowMs: number): Set<string> {
-    return new Set(this.fresh(nowMs).flatMap(({ awaited }) => awaited));
+  awaited(nowMs: number): readonly string[] {
+    return sumStates(this.#all(nowMs)).awaited;
   }
 
   /** @returns the instance that owns a share by the newest state, if any is heard */
   ownerOf(share: number, nowMs: number): InstanceState | undefined {
     return this.fresh(nowMs)
-      .filter(({ shares }) => shares.includes(share))
+      .filter(({ shares, hasLapsed }) => !hasLapsed && shares.includes(share))
       .sort((left, right) => right.generation - left.generation)
       .at(0);
   }
@@ -95,4 +201,14 @@
     const told = this.fresh(nowMs).sort((left, right) => left.generation - right.generation);
     return new Map(told.flatMap(({ engines }) => Object.entries(engines)));
   }
+
+  #freshFollowers(nowMs: number): InstanceState[] {
+    return [...this.#followers.values()].flatMap(({ state, heardMs }) =>
+      nowMs <= heardMs + FRESH_MS ? [state] : [],
+    );
+  }
+
+  #all(nowMs: number): InstanceState[] {
+    return [...this.fresh(nowMs), ...this.#freshFollowers(nowMs)];
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/peer/sum-states.ts
@@ -0,0 +1,38 @@
+import type { EndpointLoad } from './endpoint-load.js';
+import type { InstanceState } from './instance-state.js';
+
+/** What is summed up over instances. */
+export type StateSums = Pick<
+  InstanceState,
+  'instanceCount' | 'loads' | 'demand' | 'urgentModels' | 'awaited'
+>;
+
+const unionOf = (lists: readonly (readonly string[])[]): string[] => [...new Set(lists.flat())];
+
+/**
+ * @param parts - what instances tell
+ * @returns the sums over all of them
+ */
+export function sumStates(parts: readonly StateSums[]): StateSums {
+  const loads: Record<string, EndpointLoad> = {};
+  const demand: Record<string, number> = {};
+  parts.forEach((part) => {
+    Object.entries(part.loads).forEach(([id, { count, unreadTokenCount }]) => {
+      const known = loads[id] ?? { count: 0, unreadTokenCount: 0 };
+      loads[id] = {
+        count: known.count + count,
+        unreadTokenCount: known.unreadTokenCount + unreadTokenCount,
+      };
+    });
+    Object.entries(part.demand).forEach(([model, value]) => {
+      demand[model] = (demand[model] ?? 0) + value;
+    });
+  });
+  return {
+    instanceCount: parts.reduce((sum, { instanceCount }) => sum + instanceCount, 0),
+    loads,
+    demand,
+    urgentModels: unionOf(parts.map(({ urgentModels }) => urgentModels)),
+    awaited: unionOf(parts.map(({ awaited }) => awaited)),
+  };
+}
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -11,8 +11,9 @@
   startedMs: 1,
   isStopping: false,
   configVersion: 1,
-  outstanding: {},
+  loads: {},
   demand: {},
+  instanceCount: 1,
   urgentModels: [],
   awaited: [],
   usedAdapters: {},
@@ -21,7 +22,7 @@
   shares: [],
   orderAgesMs: {},
   engines: {},
-  peers: [],
+  owners: [],
   ...more,
 });
 
--- /dev/null
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -0,0 +1,141 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { PartLogger } from '@chervilseam/observe';
+import { expect } from 'chai';
+import type { InstanceState } from '../lib/peer/instance-state.js';
+import { PeerSync } from '../lib/peer/peer-sync.js';
+import { PeerTable } from '../lib/peer/peer-table.js';
+import type { EndpointPage } from '../lib/ports/endpoint-page.js';
+
+const TICK_MS = 10;
+/** Long enough for several rounds of states between owners and followers, in milliseconds. */
+const ROUNDS_MS = 1_500;
+const HOST = '127.0.0.1';
+
+class Instance {
+  readonly table = new PeerTable();
+  readonly pages: EndpointPage[] = [];
+  readonly sync: PeerSync;
+  readonly port: number;
+  shares: number[];
+  callCount = 0;
+  aloneCount = 0;
+  #sequence = 0;
+  readonly #name: string;
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(name: string, port: number, shares: number[]) {
+    this.#name = name;
+    this.port = port;
+    this.shares = shares;
+    this.sync = new PeerSync({
+      instance: name,
+      failureDomain: 'a',
+      secret: 'secret',
+      table: this.table,
+      logger: PartLogger.forInstance(name, 'fatal')('peer'),
+      nowMs: () => performance.now(),
+      isOwner: () => this.shares.length > 0,
+      ownState: () => this.#state(),
+      state: () => ({
+        ...this.#state(),
+        ...this.table.sumsWith(this.#state(), performance.now()),
+      }),
+      prepare: () => Promise.resolve(false),
+      begin: () => false,
+      config: () => undefined,
+      onEndpoints: (page) => this.pages.push(page),
+      onState: () => {
+        this.callCount += 1;
+      },
+      onAlone: () => {
+        this.aloneCount += 1;
+      },
+    });
+    this.#timer = setInterval(() => {
+      this.table.settle(performance.now());
+      this.sync.tick();
+    }, TICK_MS);
+  }
+
+  async listen(): Promise<void> {
+    await this.sync.listen({ host: HOST, port: this.port });
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    this.sync.close();
+  }
+
+  get othersCount(): number {
+    return this.table.loads(performance.now()).engine?.count ?? 0;
+  }
+
+  #state(): InstanceState {
+    this.#sequence += 1;
+    return {
+      instance: this.#name,
+      failureDomain: 'a',
+      host: HOST,
+      port: this.port,
+      sequence: this.#sequence,
+      startedMs: 1,
+      isStopping: false,
+      instanceCount: 1,
+      configVersion: 1,
+      loads: { engine: { count: 1, unreadTokenCount: 10 } },
+      demand: { model: 100 },
+      urgentModels: [],
+      awaited: [],
+      usedAdapters: {},
+      generation: 1,
+      hasLapsed: false,
+      shares: this.shares,
+      orderAgesMs: {},
+      engines: {},
+      owners: this.sync.owners,
+    };
+  }
+}
+
+describe('More instances than shares (PeerSync)', () => {
+  let instances: Instance[];
+
+  beforeEach(async () => {
+    const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+    instances = names.map((name, at) => new Instance(name, 23_710 + at, at < 2 ? [at] : []));
+    await Promise.all(instances.map((instance) => instance.listen()));
+    // As with seeds: each knows the first one only.
+    instances.forEach(({ sync }) => sync.add({ host: HOST, port: 23_710 }));
+  });
+
+  afterEach(() => instances.forEach((instance) => instance.close()));
+
+  it('lets every instance know what all others have under way, each counted once', async () => {
+    await sleep(ROUNDS_MS);
+    expect(instances.map(({ othersCount }) => othersCount)).to.deep.equal([5, 5, 5, 5, 5, 5]);
+    expect(instances.map(({ table }) => table.instanceCount())).to.deep.equal([5, 5, 5, 5, 5, 5]);
+  });
+
+  it('tells everyone who owns a share', async () => {
+    await sleep(ROUNDS_MS);
+    const owners = instances.map(({ table }) => table.ownerOf(1, performance.now())?.instance);
+    expect(owners.filter((name) => name === 'b')).to.have.lengthOf(5);
+  });
+
+  it('hands a read of the list to every other instance', async () => {
+    await sleep(ROUNDS_MS);
+    instances[1].sync.relay({ isWhole: false, changes: [], nextOffset: 7 });
+    await sleep(200);
+    const heard = instances.map(({ pages }) => pages.at(-1)?.nextOffset);
+    expect(heard).to.deep.equal([7, undefined, 7, 7, 7, 7]);
+  });
+
+  it('finds another owner when the one that an instance tells its state has gone', async () => {
+    await sleep(ROUNDS_MS);
+    instances[0].close();
+    // The silent one is given up after a time-out, and what it told is forgotten after two seconds.
+    await sleep(3_500);
+    const rest = instances.slice(1);
+    expect(rest.map(({ othersCount }) => othersCount)).to.deep.equal([4, 4, 4, 4, 4]);
+  }).timeout(10_000);
+});
