Keep a lease up while no instance reaches the store; models in a hurry go first

Ruled out: the rate of the weight store (under half used). Changed: an owner goes on while every other instance is heard and none knows of a newer generation; refused callers come back when a load is done, spread over 1.2 s; reach moves take models in a hurry first and leave unknown ones their last replica.

--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -39,6 +39,8 @@
   readonly moveBudget: number;
   /** Share of an engine's tokens that a model without a replica may take from others. */
   readonly lossShareMax?: number;
+  /** The same for a model whose callers can wait; as for the others when left out. */
+  readonly patientLossShareMax?: number;
   /** Share of an engine's tokens that a move must win; a hundredth when left out. */
   readonly gainShareMin?: number;
   /** Share of an engine's tokens that the last replica of a model is worth, asked for or not. */
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -43,6 +43,7 @@
   readonly #gainShareMin: number;
   readonly #lossShareMax: number;
   readonly #lastReplicaShare: number;
+  readonly #patientLossShareMax: number;
   /** How today's demand spreads. */
   #flow: PlacementFlow;
   /** How the demand to prepare for spreads. */
@@ -54,8 +55,10 @@
     gainShareMin = GAIN_SHARE_MIN,
     lossShareMax = Infinity,
     lastReplicaShare = 0,
+    patientLossShareMax = lossShareMax,
   }: PlacementInput) {
     this.#lastReplicaShare = lastReplicaShare;
+    this.#patientLossShareMax = patientLossShareMax;
     this.#gainShareMin = gainShareMin;
     this.#lossShareMax = lossShareMax;
     this.#models = new Map(models.map((model) => [model.name, model]));
@@ -82,12 +85,16 @@
     return this.#flow.unserved;
   }
 
-  /** Models without any replica that must have one, most wanted first. */
+  /** Models without any replica that must have one: callers in a hurry first, then the most wanted. */
   unreachable(): Model[] {
     return [...this.#models.values()]
       .filter(({ isLabelled, isAwaited }) => isLabelled || isAwaited)
       .filter(({ name }) => this.#replicas.get(name)?.size === 0)
-      .sort((left, right) => right.demand - left.demand);
+      .sort(
+        (left, right) =>
+          Number(left.isPatient === true) - Number(right.isPatient === true) ||
+          right.demand - left.demand,
+      );
   }
 
   /** Tokens a second of the fastest engine. */
@@ -168,7 +175,8 @@
     const gain = Math.min(rest, flow.room(engine)) - lost;
     const isWorth = gain >= gainShareMin * engine.tokensPerSecond;
     if (reason !== MoveReason.reach && !isWorth) return undefined;
-    if (lost > this.#lossShareMax * engine.tokensPerSecond) return undefined;
+    const mayLose = model.isPatient === true ? this.#patientLossShareMax : this.#lossShareMax;
+    if (lost > mayLose * engine.tokensPerSecond) return undefined;
     return { engine, unload: victims.map(({ name }) => name), gain };
   }
 
--- a/packages/decisions/src/lib/serving/ownership-lease.ts
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -8,6 +8,8 @@
 
 /** Part of the time to live that an owner does not use: clocks and answers are late. */
 const MARGIN_SHARE = 0.2;
+/** Longest time that a lease is kept up without the store, in milliseconds. */
+const EXTENSION_MAX_MS = 20_000;
 
 interface Share {
   /** Generation at which the share was won: the fencing token. */
@@ -24,6 +26,8 @@
   #shares = new Map<number, Share>();
   #generation = 0;
   #heldUntilMs = -Infinity;
+  /** End of the time that the lease is kept up without the store. */
+  #extendedUntilMs = -Infinity;
 
   /** @param times - times of the lease */
   constructor(times: LeaseTimes) {
@@ -42,7 +46,20 @@
 
   /** @returns whether the lease has lapsed: nothing may be done until it has been renewed */
   hasLapsed(nowMs: number): boolean {
-    return nowMs >= this.#heldUntilMs;
+    return nowMs >= Math.max(this.#heldUntilMs, this.#extendedUntilMs);
+  }
+
+  /**
+   * Keeps the lease up while nobody can renew: shares change hands only by a renewal that the store
+   * answers. Once lapsed it stays so until it has been renewed.
+   *
+   * @param untilMs - how long every other instance is known to have been without the store, in
+   *   milliseconds
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   */
+  extend(untilMs: number, nowMs: number): void {
+    if (this.hasLapsed(nowMs)) return;
+    this.#extendedUntilMs = Math.min(untilMs, this.#heldUntilMs + EXTENSION_MAX_MS);
   }
 
   /**
@@ -60,7 +77,7 @@
     const { generation, shares } = answer;
     const { ttlMs, handoverMs } = this.#times;
     // While the lease had lapsed another instance may have won a share and lost it again.
-    const isContinuous = generation === this.#generation || !this.hasLapsed(nowMs);
+    const isContinuous = generation === this.#generation || nowMs < this.#heldUntilMs;
     const next = new Map<number, Share>();
     shares.forEach((share) => {
       const known = isContinuous ? this.#shares.get(share) : undefined;
@@ -70,6 +87,7 @@
     this.#shares = next;
     this.#generation = generation;
     this.#heldUntilMs = sentMs + ttlMs * (1 - MARGIN_SHARE);
+    this.#extendedUntilMs = -Infinity;
   }
 
   /**
@@ -99,6 +117,7 @@
   /** Gives all shares up until the next renewal: this instance stood still, or is stopping. */
   suspend(): void {
     this.#heldUntilMs = -Infinity;
+    this.#extendedUntilMs = -Infinity;
   }
 
   /**
--- a/packages/decisions/src/test/serving/ownership-lease_test.ts
+++ b/packages/decisions/src/test/serving/ownership-lease_test.ts
@@ -77,4 +77,28 @@
     renew(2, 10_100, 10_100, [5]);
     expect(lease.tokenOf(1, 10_101)).to.equal(undefined);
   });
+
+  it('is kept up while no instance can renew, but never revived', () => {
+    keep(1, 0, 10_000);
+    lease.extend(11_700, 11_500);
+    lease.extend(13_000, 11_690);
+    expect(lease.tokenOf(1, 12_900)).to.equal(1);
+    expect(lease.tokenOf(1, 13_000)).to.equal(undefined);
+    lease.extend(15_000, 13_100);
+    expect(lease.tokenOf(1, 13_200)).to.equal(undefined);
+  });
+
+  it('is not kept up without end', () => {
+    keep(1, 0, 10_000);
+    for (let atMs = 10_500; atMs < 60_000; atMs += 100) lease.extend(atMs + 300, atMs);
+    expect(lease.tokenOf(1, 25_000)).to.equal(1);
+    expect(lease.tokenOf(1, 40_000)).to.equal(undefined);
+  });
+
+  it('waits again after a renewal that brings a new generation, also when it was kept up', () => {
+    keep(1, 0, 10_000);
+    for (let atMs = 10_500; atMs < 14_000; atMs += 100) lease.extend(atMs + 300, atMs);
+    renew(2, 14_000);
+    expect(lease.tokenOf(1, 14_001)).to.equal(undefined);
+  });
 });
--- a/packages/decisions/src/test/serving/placement-loads_test.ts
+++ b/packages/decisions/src/test/serving/placement-loads_test.ts
@@ -161,4 +161,24 @@
     });
     expect(moves.map(({ load }) => load)).to.deep.equal(['rising']);
   });
+
+  it('brings back a model that callers in a hurry ask for before one whose callers can wait', () => {
+    const { moves } = planPlacement({
+      models: [{ ...model('patient', 50, true), isPatient: true }, model('hasty', 20, true)],
+      engines: [engine('a', [])],
+      moveBudget: 1,
+    });
+    expect(moves.map(({ load }) => load)).to.deep.equal(['hasty']);
+  });
+
+  it('takes no last replica of a model that nobody asked for yet for one whose callers can wait', () => {
+    const input = {
+      models: [{ ...model('patient', 50, true), isPatient: true }, model('unknown', 0)],
+      engines: [engine('a', ['unknown'], { capacityBytes: 1 })],
+      moveBudget: 1,
+      lossShareMax: 0.35,
+      lastReplicaShare: 0.3,
+    };
+    expect(planPlacement({ ...input, patientLossShareMax: 0.2 }).moves).to.deep.equal([]);
+  });
 });
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -130,7 +130,7 @@
       return { kind: 'send', endpoint, candidateCount: open.length, readTokenCount };
     }
     const reason = fresh.length === 0 ? PickReason.tried : PickReason.full;
-    return { kind: 'wait', reason, etaMs: 0 };
+    return { kind: 'wait', reason, etaMs: 0, reliefMs: this.#reliefMs(need) };
   }
 
   /** @returns prompt tokens that an endpoint reads up to the first event of a request; a count */
@@ -183,6 +183,14 @@
     return held?.adapters.includes(adapter) ?? false;
   }
 
+  #reliefMs({ service, model }: PickNeed): number | undefined {
+    const remaining = this.#context
+      .endpointsOf(service.name)
+      .flatMap(({ id }) => this.#context.engineState(id)?.loading ?? [])
+      .flatMap((one) => (one.model === model ? [one.remainingMs] : []));
+    return remaining.length > 0 ? Math.min(...remaining) : undefined;
+  }
+
   // The soonest that any engine could serve the model: one that loads it already, or the nearest copy.
   #loadEtaMs(live: readonly Endpoint[], model: string, engine: EngineSpec): number {
     const spec = engine.models.get(model) as ModelSpec;
--- a/packages/gateway/src/lib/dispatch/pick.ts
+++ b/packages/gateway/src/lib/dispatch/pick.ts
@@ -12,6 +12,12 @@
     }
   /** The adapter has to be loaded first, on one of these engines, the best first. */
   | { readonly kind: 'prepare'; readonly endpoints: readonly Endpoint[] }
-  /** Places or the model will be there in a while, in milliseconds. */
-  | { readonly kind: 'wait'; readonly reason: PickReason; readonly etaMs: number }
+  | {
+      readonly kind: 'wait';
+      readonly reason: PickReason;
+      /** Time until there is a place or the model, in milliseconds; 0 when it may be at any moment. */
+      readonly etaMs: number;
+      /** Time until more engines have the model, in milliseconds, where one is loading it. */
+      readonly reliefMs?: number;
+    }
   | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -27,7 +27,8 @@
 const STALL_MS = 1_200;
 /** Time to wait while nothing better is known, in milliseconds. */
 const RETRY_AFTER_MS = 600;
-const RETRY_AFTER_SPREAD_MS = 600;
+/** Callers that were refused together come back spread over this time, in milliseconds. */
+const RETRY_AFTER_SPREAD_MS = 1_200;
 /** Engines that are asked to load an adapter before the request waits; a count. */
 const PREPARE_COUNT = 3;
 const OK_MAX = 299;
@@ -57,6 +58,8 @@
   #isFirstByteIn = false;
   #hasStartedOver = false;
   #waitReason: PickReason = PickReason.full;
+  /** Time until more engines have the model, in milliseconds, as of the last look. */
+  #reliefMs: number | undefined;
   /** Prompt tokens that the endpoint reads up to the first event; 0 once it has come. */
   #readTokenCount = 0;
   #runCount = 0;
@@ -121,11 +124,12 @@
         return true;
       },
       wait: () => {
-        const { reason, etaMs } = pick as Extract<Pick, { kind: 'wait' }>;
+        const { reason, etaMs, reliefMs } = pick as Extract<Pick, { kind: 'wait' }>;
         if (reason === PickReason.tried && !this.#mayStartOver()) return this.#giveUp(reason);
         // What cannot be there in time is refused now, not when the time is up.
-        if (etaMs >= this.#waitMaxMs(reason)) return this.#giveUp(reason, etaMs);
+        if (etaMs >= this.#waitMaxMs(reason)) return this.#giveUp(reason, reliefMs ?? etaMs);
         this.#waitReason = reason;
+        this.#reliefMs = reliefMs;
         return false;
       },
       refuse: () => {
@@ -185,7 +189,7 @@
       },
       giveUp: () => {
         this.#waiter = undefined;
-        this.#giveUp(`waited in vain: ${this.#waitReason}`);
+        this.#giveUp(`waited in vain: ${this.#waitReason}`, this.#reliefMs);
       },
     };
     this.#waiter = waiter;
@@ -457,7 +461,8 @@
       return true;
     }
     const spreadMs = randomUnit() * RETRY_AFTER_SPREAD_MS;
-    const retryAfterMs = Math.max(retryAfterMinMs, (etaMs ?? RETRY_AFTER_MS) + spreadMs);
+    const returnMs = etaMs === undefined || etaMs === 0 ? RETRY_AFTER_MS : etaMs;
+    const retryAfterMs = Math.max(retryAfterMinMs, returnMs + spreadMs);
     this.#context.refused(this.#head, { route: this.#route, service: this.#service });
     this.#finish('refused', 503, reason);
     this.#exchange.refuse(503, reason, retryAfterMs);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -265,6 +265,7 @@
     this.#peers.settle(nowMs);
     this.#instanceCountMax = this.#instanceCount;
     this.#member.tick();
+    if (this.#peers.isUnanimous(this.#member.generation, nowMs)) this.#member.keepUp();
     this.#list.tick();
     this.#sync.tick();
     this.#fleet.tick();
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -10,6 +10,8 @@
 const TTL_RENEWALS = 3;
 /** Time after a change of the group in which others may still join, in milliseconds. */
 const SETTLE_MS = 900;
+/** A lease is kept up this long beyond the last look at the others, in milliseconds. */
+const EXTEND_MS = 300;
 /** Clocks that run apart by this much show that the process stood still, in milliseconds. */
 const STANDSTILL_MS = 120;
 
@@ -110,6 +112,13 @@
     return this.shares.length > 0 || !this.#hasListed ? RENEW_MS : IDLE_RENEW_MS;
   }
 
+  /** Keeps the lease up: no instance has reached the store since this one did. */
+  keepUp(): void {
+    if (this.#failureCount === 0 || this.#isStopped) return;
+    const nowMs = this.#context.nowMs();
+    this.#lease.extend(nowMs + EXTEND_MS, nowMs);
+  }
+
   /** Reads the members that own shares once more. */
   lookAround(): void {
     this.#listDueMs = Math.min(this.#listDueMs, this.#context.nowMs());
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -12,6 +12,8 @@
 const UTILIZATION = 0.9;
 /** Share of an engine's tokens that a rare model may take from others. */
 const LOSS_SHARE_MAX = 0.35;
+/** The same for a model whose callers can wait for a load. */
+const PATIENT_LOSS_SHARE_MAX = 0.2;
 /** Loads that the weight store allows in a window beyond its rate; a count. */
 const LOAD_FREE_COUNT = 3;
 /** A replica serves for this long before its place may go to another model, in milliseconds. */
@@ -21,7 +23,7 @@
 /** Share of an engine's tokens that a move must win to be worth its load. */
 const GAIN_SHARE_MIN = 0.12;
 /** Share of an engine's tokens that the last replica of a model is worth, asked for or not. */
-const LAST_REPLICA_SHARE = 0.1;
+const LAST_REPLICA_SHARE = 0.3;
 /** Moves of one round, over all engines; a count. */
 const MOVE_MAX = 6;
 /** Part of the weight store's limit that is used: what an owner that died began last is not known. */
@@ -32,8 +34,10 @@
 const changingShareMax: Readonly<Record<MoveReason, number>> = {
   [MoveReason.capacity]: 1,
   [MoveReason.forecast]: 0.75,
-  [MoveReason.reach]: 0.34,
+  [MoveReason.reach]: 1,
 };
+/** The same for a model that is nowhere and whose callers can wait. */
+const RARE_CHANGING_SHARE_MAX = 0.34;
 /** Time until the owner of an engine tells of a move, in milliseconds. */
 const PENDING_MS = 1_200;
 /** Bounds of an engine's speed against the usual one; a ratio. */
@@ -42,6 +46,8 @@
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
 
+const nameOf = ({ name }: { readonly name: string }): string => name;
+
 const median = (values: readonly number[]): number =>
   [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
 
@@ -122,18 +128,21 @@
       .map((endpoint) => this.#engine(endpoint, spec, usualPaceMs))
       .sort((left, right) => (left.name < right.name ? -1 : 1));
     const models = this.#models(spec, demand, engines);
+    const patient = new Set(models.filter(({ isPatient }) => isPatient).map(nameOf));
     const plan = planPlacement({
       models,
       engines,
       moveBudget: MOVE_MAX,
       gainShareMin: GAIN_SHARE_MIN,
       lossShareMax: LOSS_SHARE_MAX,
+      patientLossShareMax: PATIENT_LOSS_SHARE_MAX,
       lastReplicaShare: LAST_REPLICA_SHARE,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
       const changingCount = endpoints.filter(({ id }) => this.#isFixed(id)).length;
-      if (changingCount >= changingShareMax[reason] * endpoints.length) return;
-      const isRare = reason === MoveReason.reach;
+      const isRare = patient.has(load) && reason === MoveReason.reach;
+      const shareMax = isRare ? RARE_CHANGING_SHARE_MAX : changingShareMax[reason];
+      if (changingCount >= shareMax * endpoints.length) return;
       if (this.#isFixed(engine) || !this.#mayLoad(engine, load, spec, isRare)) return;
       this.#pending.set(engine, { load, unload, untilMs: nowMs() + PENDING_MS });
       begin(engine, { load, unload });
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -8,6 +8,8 @@
 
 /** A state older than this says nothing of the load any more, in milliseconds. */
 const FRESH_MS = 2_000;
+/** An instance that was heard this lately is taken to be in touch now, in milliseconds: a few states. */
+const HEARD_NOW_MS = 500;
 /** An instance that has not been heard of for this long is forgotten, in milliseconds. */
 const FORGET_MS = 12_000;
 
@@ -202,6 +204,22 @@
     return new Map(told.flatMap(({ engines }) => Object.entries(engines)));
   }
 
+  /**
+   * @param generation - generation of the group that this instance last heard of
+   * @param nowMs - a clock that only goes forward, in milliseconds
+   * @returns whether every other instance was heard right now and none knows of a newer generation;
+   *   never so where some speak for others, whose generation is not told, nor when none is known
+   */
+  isUnanimous(generation: number, nowMs: number): boolean {
+    if (this.#followers.size > 0 || this.#entries.size === 0) return false;
+    return [...this.#entries.values()].every(
+      ({ state, heardMs }) =>
+        nowMs <= heardMs + HEARD_NOW_MS &&
+        state.generation <= generation &&
+        state.instanceCount === 1,
+    );
+  }
+
   #freshFollowers(nowMs: number): InstanceState[] {
     return [...this.#followers.values()].flatMap(({ state, heardMs }) =>
       nowMs <= heardMs + FRESH_MS ? [state] : [],
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -97,6 +97,51 @@
   }
 }
 
+const told = (more: Partial<InstanceState>): InstanceState => ({
+  instance: 'other',
+  failureDomain: 'a',
+  host: HOST,
+  port: 1,
+  sequence: 1,
+  startedMs: 1,
+  isStopping: false,
+  instanceCount: 1,
+  configVersion: 1,
+  loads: {},
+  demand: {},
+  urgentModels: [],
+  awaited: [],
+  usedAdapters: {},
+  generation: 4,
+  hasLapsed: false,
+  shares: [1],
+  orderAgesMs: {},
+  engines: {},
+  owners: [],
+  ...more,
+});
+
+describe('The store away for everyone, or only from here (PeerTable)', () => {
+  it('is not unanimous alone', () => {
+    expect(new PeerTable().isUnanimous(4, 0)).to.equal(false);
+  });
+
+  it('is unanimous as long as all are heard and none knows of a newer generation', () => {
+    const table = new PeerTable();
+    table.update(told({}), 1_000);
+    expect(table.isUnanimous(4, 1_200)).to.equal(true);
+    expect(table.isUnanimous(3, 1_200)).to.equal(false);
+  });
+
+  it('is not unanimous once an instance has fallen silent or speaks for others', () => {
+    const table = new PeerTable();
+    table.update(told({}), 1_000);
+    expect(table.isUnanimous(4, 2_000)).to.equal(false);
+    table.update(told({ instance: 'speaker', instanceCount: 2 }), 1_000);
+    expect(table.isUnanimous(4, 1_100)).to.equal(false);
+  });
+});
+
 describe('More instances than shares (PeerSync)', () => {
   let instances: Instance[];
 
