--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -10,7 +10,7 @@
 import type { PeerTable } from './peer-table.js';
 
 /** Time between two states sent to the same instance while there are few, in milliseconds. */
-const PERIOD_MS = 100;
+const PERIOD_MS = 150;
 /** States a second that an owner sends at most, to all other owners together. */
 const STATES_PER_SECOND = 60;
 /** Time between two states that an instance without shares sends to its speaker, in milliseconds. */
