--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -46,6 +46,8 @@
   #clockGapMs: number;
   #listDueMs = Infinity;
   #hasListed = false;
+  #isKeptUp = false;
+  #wasLapsed = true;
 
   /** @param context - what the member needs around it */
   constructor(context: GroupMemberContext) {
@@ -99,6 +101,7 @@
 
   /** Renews when it is time. */
   tick(): void {
+    this.#logLease();
     const { nowMs } = this.#context;
     this.#checkClocks();
     if (this.#isStopped) return;
@@ -115,8 +118,27 @@
   /** Keeps the lease up: no instance has reached the store since this one did. */
   keepUp(): void {
     if (this.#failureCount === 0 || this.#isStopped) return;
-    const nowMs = this.#context.nowMs();
-    this.#lease.extend(nowMs + EXTEND_MS, nowMs);
+    const { nowMs, logger } = this.#context;
+    this.#lease.extend(nowMs() + EXTEND_MS, nowMs());
+    if (this.#isKeptUp || this.hasLapsed) return;
+    this.#isKeptUp = true;
+    logger.info('lease_kept_up', 'no instance reaches the store, so the lease goes on', {
+      generation: this.generation,
+      shares: this.shares,
+    });
+  }
+
+  // Tells once when orders have to stop, and once when they may go on.
+  #logLease(): void {
+    if (this.hasLapsed === this.#wasLapsed) return;
+    this.#wasLapsed = this.hasLapsed;
+    const event = this.#wasLapsed ? 'lease_lapsed' : 'lease_held';
+    const text = this.#wasLapsed ? 'no orders until a renewal' : 'the lease is held';
+    this.#context.logger.info(event, text, {
+      generation: this.generation,
+      shares: this.shares,
+      failures: this.#failureCount,
+    });
   }
 
   /** Reads the members that own shares once more. */
@@ -173,6 +195,7 @@
         });
       }
       this.#failureCount = 0;
+      this.#isKeptUp = false;
       const hasChanged = answer.generation !== generation;
       // Instances without shares hear of changes from the one that they tell their state.
       const isConcerned = hasChanged && this.shares.length > 0;
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -259,11 +259,15 @@
       this.#context.onAlone();
     }
     if (!line || line.isCalling || nowMs < line.nextMs) return;
+    if (this.#speaker !== line) {
+      const fields = { speaker: keyOf(line.address) };
+      this.#context.logger.info('speaker', 'an owner of shares speaks for this instance', fields);
+    }
     this.#speaker = line;
     const params = { state: this.#context.ownState(), version: this.#ownersVersion };
     void this.#call(line, FOLLOW_PERIOD_MS, 'follow', params).then((answer) => {
       if (answer) this.#takeAnswer(line, answer as Overview | { owners: readonly string[] });
-      else this.#leaveSpeaker();
+      else this.#leaveSpeaker('the owner that spoke for this instance does not answer');
     });
   }
 
@@ -284,7 +288,9 @@
       .at(0);
   }
 
-  #leaveSpeaker(): void {
+  #leaveSpeaker(reason: string): void {
+    const speaker = this.#speaker && keyOf(this.#speaker.address);
+    this.#context.logger.info('speaker_lost', reason, { speaker });
     this.#speaker = undefined;
     this.#ownersVersion = undefined;
   }
@@ -295,7 +301,7 @@
       // It owns no shares itself, but may know who does.
       this.#addKeys(answer.owners);
       this.#markFollower(keyOf(line.address));
-      this.#leaveSpeaker();
+      this.#leaveSpeaker('the instance that was asked owns no shares');
       return;
     }
     this.#ownersVersion = answer.version;
