Give orders in a share early only after the owner right before it

Ruled out: the lease that is kept up without the store (the store was there). Changed: released early only if the share's owner at the generation right before is heard and has lapsed or knows of the change, and nobody who is heard may act; an instance keeps its lease up without the store only once it has run five seconds.

--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -10,6 +10,8 @@
 const TTL_RENEWALS = 3;
 /** Time after a change of the group in which others may still join, in milliseconds. */
 const SETTLE_MS = 900;
+/** Time after which an instance has heard of all others, in milliseconds: many rounds of states. */
+const ACQUAINTED_MS = 5_000;
 /** A lease is kept up this long beyond the last look at the others, in milliseconds. */
 const EXTEND_MS = 300;
 /** Clocks that run apart by this much show that the process stood still, in milliseconds. */
@@ -47,6 +49,7 @@
   #listDueMs = Infinity;
   #hasListed = false;
   #isKeptUp = false;
+  readonly #startedMs: number;
   #wasLapsed = true;
 
   /** @param context - what the member needs around it */
@@ -57,6 +60,7 @@
     this.#ttlMs = Math.max(ttlMinMs, RENEW_MS * TTL_RENEWALS);
     this.#lease = new OwnershipLease({ ttlMs: this.#ttlMs, handoverMs });
     this.#clockGapMs = wallMs() - nowMs();
+    this.#startedMs = nowMs();
   }
 
   /** Generation of the group that was last heard of. */
@@ -117,8 +121,10 @@
 
   /** Keeps the lease up: no instance has reached the store since this one did. */
   keepUp(): void {
-    if (this.#failureCount === 0 || this.#isStopped) return;
     const { nowMs, logger } = this.#context;
+    if (this.#failureCount === 0 || this.#isStopped) return;
+    // One that has just started may not know all others yet.
+    if (nowMs() < this.#startedMs + ACQUAINTED_MS) return;
     this.#lease.extend(nowMs() + EXTEND_MS, nowMs());
     if (this.#isKeptUp || this.hasLapsed) return;
     this.#isKeptUp = true;
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -47,8 +47,8 @@
    * @param token - the generation at which it won it
    * @param states - the latest states of the instances that are heard
    * @param nowMs - a clock that only goes forward, in milliseconds
-   * @returns when the owner before last gave an order, in milliseconds; `undefined` while that owner
-   *   is not known, or has neither heard of the change nor lost its lease
+   * @returns when the share's owner before last gave an order, in milliseconds; `undefined` while one
+   *   that is heard may still act, or while it is not certain who that owner was
    */
   lastActMs(
     share: number,
@@ -56,12 +56,14 @@
     states: readonly InstanceState[],
     nowMs: number,
   ): number | undefined {
-    const before = this.#owners.get(share);
-    const state = states.find(({ instance }) => instance === before?.instance);
-    if (!state) return undefined;
     // One whose lease has lapsed can act again only after a renewal, which tells it of the change.
-    const hasHeard = state.generation >= token && !state.shares.includes(share);
-    if (!hasHeard && !state.hasLapsed) return undefined;
+    const mayAct = ({ generation, shares, hasLapsed }: InstanceState): boolean =>
+      !hasLapsed && (generation < token || shares.includes(share));
+    if (states.some(mayAct)) return undefined;
+    // This instance may have stood still, or have started, while the share changed hands.
+    const before = this.#owners.get(share);
+    if (!before || before.generation < token - 1) return undefined;
+    if (!states.some(({ instance }) => instance === before.instance)) return undefined;
     const ages = states.flatMap(({ orderAgesMs }) => orderAgesMs[share] ?? []);
     return nowMs - Math.min(ORDER_MEMORY_MS, ...ages);
   }
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -61,4 +61,16 @@
     expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: 500 });
     expect(handover.orderAgesMs(20_000)).to.deep.equal({});
   });
+
+  it('does not take an owner of long ago for the one before: it stood still meanwhile', () => {
+    const longAgo = state({ generation: 9, shares: [] });
+    const between = state({ instance: 'between', generation: 8, shares: [1] });
+    expect(handover.lastActMs(1, 9, [longAgo, between], 10_000)).to.equal(undefined);
+    expect(handover.lastActMs(1, 9, [longAgo], 10_000)).to.equal(undefined);
+  });
+
+  it('waits when it has just started and nobody has told who the owner before was', () => {
+    const fresh = new Handover('self');
+    expect(fresh.lastActMs(1, 9, [state({ generation: 9 })], 10_000)).to.equal(undefined);
+  });
 });
