--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -1,30 +1,6 @@
 import { expect } from 'chai';
 import { Handover } from '../lib/owner/handover.js';
-import type { InstanceState } from '../lib/peer/instance-state.js';
-
-const state = (more: Partial<InstanceState>): InstanceState => ({
-  instance: 'before',
-  failureDomain: 'a',
-  host: '127.0.0.1',
-  port: 1,
-  sequence: 1,
-  startedMs: 1,
-  isStopping: false,
-  configVersion: 1,
-  loads: {},
-  demand: {},
-  instanceCount: 1,
-  urgentModels: [],
-  awaited: [],
-  usedAdapters: {},
-  generation: 4,
-  hasLapsed: false,
-  shares: [],
-  orderAgesMs: {},
-  engines: {},
-  owners: [],
-  ...more,
-});
+import { instanceStateOf as state } from './instance-state-of.js';
 
 describe('Handover', () => {
   let handover: Handover;
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -4,6 +4,7 @@
 import type { InstanceState } from '../lib/peer/instance-state.js';
 import { PeerSync } from '../lib/peer/peer-sync.js';
 import { PeerTable } from '../lib/peer/peer-table.js';
+import { instanceStateOf } from './instance-state-of.js';
 import type { EndpointPage } from '../lib/ports/endpoint-page.js';
 
 const TICK_MS = 10;
@@ -97,29 +98,8 @@
   }
 }
 
-const told = (more: Partial<InstanceState>): InstanceState => ({
-  instance: 'other',
-  failureDomain: 'a',
-  host: HOST,
-  port: 1,
-  sequence: 1,
-  startedMs: 1,
-  isStopping: false,
-  instanceCount: 1,
-  configVersion: 1,
-  loads: {},
-  demand: {},
-  urgentModels: [],
-  awaited: [],
-  usedAdapters: {},
-  generation: 4,
-  hasLapsed: false,
-  shares: [1],
-  orderAgesMs: {},
-  engines: {},
-  owners: [],
-  ...more,
-});
+const told = (more: Partial<InstanceState>): InstanceState =>
+  instanceStateOf({ instance: 'other', shares: [1], ...more });
 
 describe('The store away for everyone, or only from here (PeerTable)', () => {
   it('is not unanimous alone', () => {
