Mind restarted processes and unused shares when a share changes its owner

Ruled out: late delivery (the killed process had sent 1.4 s before) and a suspended clock (uptime and ages use the monotonic clock). Change: states carry the uptime, which bounds the age of any order of an earlier process, and the wait for an earlier owner is published until it has passed. Tests fail before: 'assumes that a restarted instance gave its last order right before it started', 'passes on the wait for an earlier owner'.

--- a/packages/decisions/src/lib/serving/ownership-lease.ts
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -118,11 +118,12 @@
 
   /**
    * @param nowMs - current time of a monotonic clock, in milliseconds
-   * @returns shares that this instance owns but must not use yet, with their fencing tokens
+   * @returns shares that this instance owns but must not use yet, with their fencing tokens and the
+   *   monotonic times from which it may use them, in milliseconds
    */
-  pendingShares(nowMs: number): { readonly share: number; readonly token: number }[] {
-    return [...this.#shares].flatMap(([share, { token, usableFromMs }]) =>
-      nowMs < usableFromMs ? [{ share, token }] : [],
+  pendingShares(nowMs: number): ({ readonly share: number } & OwnedShare)[] {
+    return [...this.#shares].flatMap(([share, owned]) =>
+      nowMs < owned.usableFromMs ? [{ share, ...owned }] : [],
     );
   }
 
--- a/packages/decisions/src/test/serving/ownership-lease_test.ts
+++ b/packages/decisions/src/test/serving/ownership-lease_test.ts
@@ -60,7 +60,7 @@
 
   it('makes a released share usable once the handover time since the last order has passed', () => {
     renew(4, 0);
-    expect(lease.pendingShares(1)).to.deep.equal([{ share: 1, token: 4 }]);
+    expect(lease.pendingShares(1)).to.deep.equal([{ share: 1, token: 4, usableFromMs: WAIT_MS }]);
     lease.markReleased(1, 4, -2_500);
     expect(lease.tokenOf(1, 499)).to.equal(undefined);
     expect(lease.tokenOf(1, 500)).to.equal(4);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -69,6 +69,7 @@
   /** Adapters used since the last report, each as MODEL/ADAPTER, by endpoint. */
   readonly #usedAdapters = new Map<string, Set<string>>();
   readonly #startedMs = Date.now();
+  readonly #bootMs = Gateway.nowMs();
   readonly #readyServer: Server;
   readonly #metricsServer: Server;
   /** Sequence number of the last state that this instance created. */
@@ -447,6 +448,7 @@
       port: peerAddress.port,
       sequence: this.#sequence,
       startedMs: this.#startedMs,
+      uptimeMs: Math.round(nowMs - this.#bootMs),
       isStopping: this.#isStopping,
       instanceCount: 1,
       configVersion: this.#config.version,
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -242,13 +242,15 @@
 
   // Makes pending shares usable as soon as their previous owners are known to have stopped.
   #activatePendingShares(): void {
-    const { nowMs, peers, member } = this.#context;
+    const { nowMs, peers, member, settings } = this.#context;
     const { pendingShares } = member;
     if (pendingShares.length === 0) return;
     const states = peers.fresh(nowMs());
-    pendingShares.forEach(({ share, token }) => {
+    pendingShares.forEach(({ share, token, usableFromMs }) => {
       const lastOrderMs = this.handover.lastOrderMs(share, token, states, nowMs());
       if (lastOrderMs !== undefined) member.markReleased(share, token, lastOrderMs);
+      const untilMs = usableFromMs - settings.handoverMs;
+      this.handover.recordWait(share, Math.min(untilMs, lastOrderMs ?? untilMs));
     });
   }
 
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -110,7 +110,7 @@
   }
 
   /** Assigned shares that may not be used yet because their previous owner may still act. */
-  get pendingShares(): readonly { readonly share: number; readonly token: number }[] {
+  get pendingShares(): ReturnType<OwnershipLease['pendingShares']> {
     return this.#lease.pendingShares(this.#context.nowMs());
   }
 
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -21,6 +21,8 @@
   readonly #owners = new Map<number, KnownOwner>();
   /** When this instance last gave an order in a share, by share, in milliseconds. */
   readonly #orderedMs = new Map<number, number>();
+  /** Until when an earlier owner of a share may give orders, by share, in milliseconds. */
+  readonly #earlierOwnerUntilMs = new Map<number, number>();
 
   /** @param self - name of this instance */
   constructor(self: string) {
@@ -37,10 +39,29 @@
     this.#orderedMs.set(share, nowMs);
   }
 
-  /** @returns time since this instance last gave an order, by share, in milliseconds */
+  /**
+   * Records how long an earlier owner of a share that was assigned to this instance may give orders.
+   *
+   * @param share - the assigned share
+   * @param untilMs - monotonic time of the earlier owner's last possible order, in milliseconds
+   */
+  recordWait(share: number, untilMs: number): void {
+    this.#earlierOwnerUntilMs.set(share, untilMs);
+  }
+
+  /**
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns time since this instance, or an earlier owner that it waited for, last gave an order, by
+   *   share, in milliseconds
+   */
   orderAgesMs(nowMs: number): Record<number, number> {
-    const recent = [...this.#orderedMs].filter(([, atMs]) => nowMs - atMs < ORDER_RETENTION_MS);
-    return Object.fromEntries(recent.map(([share, atMs]) => [share, Math.ceil(nowMs - atMs)]));
+    const agesMs = new Map<number, number>();
+    [...this.#orderedMs, ...this.#earlierOwnerUntilMs].forEach(([share, atMs]) => {
+      const ageMs = Math.ceil(nowMs - atMs);
+      if (ageMs < ORDER_RETENTION_MS)
+        agesMs.set(share, Math.min(ageMs, agesMs.get(share) ?? ageMs));
+    });
+    return Object.fromEntries(agesMs);
   }
 
   /**
@@ -83,7 +104,9 @@
     const previous = this.#owners.get(share);
     if (!previous || previous.generation < token - 1) return undefined;
     if (!states.some(({ instance }) => instance === previous.instance)) return undefined;
-    const ages = states.flatMap(({ orderAgesMs }) => orderAgesMs[share] ?? []);
-    return nowMs - Math.min(ORDER_RETENTION_MS, ...ages);
+    const agesMs = states.flatMap(({ orderAgesMs }) => orderAgesMs[share] ?? []);
+    // A process knows no order of the one before it, which may have given one until it was killed.
+    const uptimesMs = states.map(({ uptimeMs }) => uptimeMs);
+    return nowMs - Math.min(ORDER_RETENTION_MS, ...agesMs, ...uptimesMs);
   }
 }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -15,6 +15,8 @@
   readonly sequence: number;
   /** Wall-clock time at which the process started, in milliseconds. */
   readonly startedMs: number;
+  /** Time since the process started on its monotonic clock, in milliseconds. */
+  readonly uptimeMs: number;
   readonly isStopping: boolean;
   /** Number of instances that the sums cover, including this one. */
   readonly instanceCount: number;
@@ -36,7 +38,11 @@
   readonly hasLapsed: boolean;
   /** Shares (partitions of the endpoints) that the store last assigned to the instance. */
   readonly shares: readonly number[];
-  /** Time since the instance last gave an order in a share, in milliseconds; old ones are left out. */
+  /**
+   * Time since the instance last gave an order in a share, in milliseconds; old ones are left out. For a
+   * share that the instance was assigned but could not use yet, time since the latest moment at which an
+   * earlier owner may have given an order; negative when that moment is still to come.
+   */
   readonly orderAgesMs: Readonly<Record<number, number>>;
   /** States of the engines that the instance owns, by endpoint. */
   readonly engines: Readonly<Record<string, OwnedEngineState>>;
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -32,6 +32,25 @@
     expect(handover.lastOrderMs(1, 4, states, 10_000)).to.equal(9_800);
   });
 
+  // Around a hand-over two owners gave orders 1,385 ms apart: the previous owner was killed within the
+  // hand-over time, and its new process, which knows no order of the old one, answered in its place.
+  it('assumes that a restarted instance gave its last order right before it started', () => {
+    const restarted = state({ startedMs: 2, uptimeMs: 600 });
+    expect(handover.lastOrderMs(1, 4, [restarted], 10_000)).to.equal(9_400);
+    const other = state({ instance: 'other', uptimeMs: 400 });
+    expect(handover.lastOrderMs(1, 4, [state({}), other], 10_000)).to.equal(9_600);
+  });
+
+  // An instance that loses a share before it may use it cannot tell when the owner before it stopped.
+  it('passes on the wait for an earlier owner when it loses a share that it could not use yet', () => {
+    handover.recordWait(5, 4_000);
+    expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: -2_500 });
+    handover.recordWait(5, 1_200);
+    expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: 300 });
+    const waiting = state({ orderAgesMs: { 1: -2_500 } });
+    expect(handover.lastOrderMs(1, 4, [waiting], 10_000)).to.equal(12_500);
+  });
+
   it('reports its own orders until they are too old to matter', () => {
     handover.recordOrder(5, 1_000);
     expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: 500 });
--- a/packages/gateway/src/test/instance-state-of.ts
+++ b/packages/gateway/src/test/instance-state-of.ts
@@ -11,6 +11,7 @@
   port: 1,
   sequence: 1,
   startedMs: 1,
+  uptimeMs: 60_000,
   isStopping: false,
   configVersion: 1,
   loads: {},
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -81,6 +81,7 @@
       port: this.port,
       sequence: this.#sequence,
       startedMs: 1,
+      uptimeMs: 60_000,
       isStopping: false,
       instanceCount: 1,
       configVersion: 1,
