Send states between instances as changes to what the receiver has

Change: states and overviews are sent as JSON merge patches against the version that the receiver acknowledged, whole after a loss; published demand has two significant digits; times in overviews are rounded.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -69,7 +69,6 @@
   /** Adapters used since the last report, each as MODEL/ADAPTER, by endpoint. */
   readonly #usedAdapters = new Map<string, Set<string>>();
   readonly #startedMs = Date.now();
-  readonly #bootMs = Gateway.nowMs();
   readonly #readyServer: Server;
   readonly #metricsServer: Server;
   /** Sequence number of the last state that this instance created. */
@@ -448,7 +447,7 @@
       port: peerAddress.port,
       sequence: this.#sequence,
       startedMs: this.#startedMs,
-      uptimeMs: Math.round(nowMs - this.#bootMs),
+      uptimeMs: this.#fleet.handover.uptimeMs(nowMs),
       isStopping: this.#isStopping,
       instanceCount: 1,
       configVersion: this.#config.version,
--- a/packages/gateway/src/lib/owner/demand-meter.ts
+++ b/packages/gateway/src/lib/owner/demand-meter.ts
@@ -15,6 +15,8 @@
 const OUTPUT_TOKENS_UNHINTED = 300;
 /** Demand below this is not published, in prompt-token equivalents per second. */
 const DEMAND_MIN = 20;
+/** Number of significant digits of published demand. */
+const DEMAND_DIGITS = 2;
 const MS_PER_SECOND = 1_000;
 /**
  * How long a model counts as latency-critical after a latency-critical request for it, in
@@ -91,9 +93,16 @@
     return [...this.#urgentMs.keys()];
   }
 
-  /** @returns demand by model, without models whose demand is negligible */
+  /**
+   * @returns demand by model, rounded so that it is published anew only when it has changed noticeably,
+   *   without models whose demand is negligible
+   */
   demand(): Map<string, number> {
-    return new Map([...this.#estimate.byModel].filter(([, value]) => value >= DEMAND_MIN));
+    return new Map(
+      [...this.#estimate.byModel].flatMap(([model, value]) =>
+        value >= DEMAND_MIN ? [[model, Number(value.toPrecision(DEMAND_DIGITS))] as const] : [],
+      ),
+    );
   }
 
   #add(model: string, work: number): void {
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -71,7 +71,7 @@
     this.#context = context;
     const { logger, nowMs, registry, settings } = context;
     this.demand = new DemandMeter(nowMs());
-    this.handover = new Handover(settings.instance);
+    this.handover = new Handover(settings.instance, nowMs());
     this.#placement = new PlacementLoop({
       logger,
       nowMs,
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -17,6 +17,7 @@
  */
 export class Handover {
   readonly #self: string;
+  readonly #startMs: number;
   /** The other instance that last reported to own a share, by share. */
   readonly #owners = new Map<number, KnownOwner>();
   /** When this instance last gave an order in a share, by share, in milliseconds. */
@@ -24,9 +25,21 @@
   /** Until when an earlier owner of a share may give orders, by share, in milliseconds. */
   readonly #earlierOwnerUntilMs = new Map<number, number>();
 
-  /** @param self - name of this instance */
-  constructor(self: string) {
+  /**
+   * @param self - name of this instance
+   * @param startMs - start of this process on the monotonic clock, in milliseconds
+   */
+  constructor(self: string, startMs: number) {
     this.#self = self;
+    this.#startMs = startMs;
+  }
+
+  /**
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns age of this process in milliseconds, at most that of the oldest published order
+   */
+  uptimeMs(nowMs: number): number {
+    return Math.min(ORDER_RETENTION_MS, Math.round(nowMs - this.#startMs));
   }
 
   /**
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -15,7 +15,7 @@
   readonly sequence: number;
   /** Wall-clock time at which the process started, in milliseconds. */
   readonly startedMs: number;
-  /** Time since the process started on its monotonic clock, in milliseconds. */
+  /** Age of the process in milliseconds, up to the age at which its orders are no longer published. */
   readonly uptimeMs: number;
   readonly isStopping: boolean;
   /** Number of instances that the sums cover, including this one. */
--- a/packages/gateway/src/lib/peer/overview.ts
+++ b/packages/gateway/src/lib/peer/overview.ts
@@ -7,10 +7,9 @@
 export interface Overview {
   /** State of the answering owner, with sums over all instances except the follower. */
   readonly summary: InstanceState;
-  /** Names of the other owners that the answering one recently received states from. */
-  readonly owners: readonly string[];
-  /** Hash of the parts of the other owners' states that change seldom. */
-  readonly version: number;
-  /** States of the other owners without their sums; left out when the follower has this version. */
-  readonly states?: readonly InstanceState[];
+  /**
+   * States of the other owners by their names, without sums, used adapters and loads from the weight
+   * store; times are rounded.
+   */
+  readonly states: Readonly<Record<string, InstanceState>>;
 }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -8,6 +8,9 @@
 import type { InstanceState } from './instance-state.js';
 import type { Overview } from './overview.js';
 import type { PeerTable } from './peer-table.js';
+import { StateReceiver } from './state-receiver.js';
+import { StateSender } from './state-sender.js';
+import type { StateUpdate } from './state-update.js';
 
 /** Shortest time between two states that an owner sends to the same owner, in milliseconds. */
 const STATE_INTERVAL_MS = 150;
@@ -47,6 +50,30 @@
   /** When the instance last answered, or was added, in milliseconds. */
   answeredMs: number;
   isCalling: boolean;
+  /** Sends this instance's states to the other one. */
+  readonly sender: StateSender<InstanceState>;
+  /** Version of this instance's state that the other one has acknowledged on the current connection. */
+  acknowledged?: number;
+}
+
+/** What this instance has received from another one that called it, and answered to it. */
+interface PeerCaller {
+  readonly receiver: StateReceiver<InstanceState>;
+  readonly sender: StateSender<Overview>;
+  /** When the other instance last called, in milliseconds. */
+  calledMs: number;
+}
+
+/** Answer to the state of another instance. */
+interface StateAnswer {
+  /** Version of the state that the answering instance has now; left out when it needs a whole one. */
+  readonly acknowledged?: number;
+  /** Whether the answering instance owns shares. */
+  readonly isOwner: boolean;
+  /** For a follower of the answering instance, the overview of all others. */
+  readonly overview?: StateUpdate<Overview>;
+  /** For an instance that tried to follow one without shares: addresses of owners that it knows. */
+  readonly owners?: readonly string[];
 }
 
 /** Dependencies of the state exchange. */
@@ -96,8 +123,10 @@
   #ownKey = '';
   /** The owner that this instance follows. */
   #aggregator: PeerLink | undefined;
-  /** Version of the owners' states in the latest overview. */
-  #ownersVersion: number | undefined;
+  /** Restores the overviews of the current aggregator. */
+  #overviews = new StateReceiver<Overview>();
+  /** The instances that call this one, by name. */
+  readonly #callers = new Map<string, PeerCaller>();
   /** When this instance last reported that it can reach no owner, in milliseconds. */
   #noOwnerMs = -Infinity;
 
@@ -106,13 +135,12 @@
     this.#context = context;
     const { instance, secret } = context;
     const handlers: ConstructorParameters<typeof PeerServer>[0]['handlers'] = {
-      state: (params, stream) => {
-        this.#receiveState(params as InstanceState);
-        stream.end({ isOwner: context.isOwner() });
+      state: (params, stream, from) => {
+        stream.end(this.#receiveState(from, params as StateUpdate<InstanceState>));
       },
-      follow: (params, stream) => {
-        const { state, version } = params as { state: InstanceState; version?: number };
-        stream.end(this.#receiveFollowerState(state, version));
+      follow: (params, stream, from) => {
+        const { state, known } = params as { state: StateUpdate<InstanceState>; known?: number };
+        stream.end(this.#receiveFollowerState(from, state, known));
       },
       endpoints: (params, stream) => {
         this.#receiveEndpoints(params as ListPage);
@@ -168,6 +196,7 @@
       nextMs: nowMs,
       answeredMs: nowMs,
       isCalling: false,
+      sender: new StateSender(),
     });
   }
 
@@ -277,10 +306,9 @@
     if (due.length === 0) return;
     const state = this.#context.state();
     due.forEach((link) => {
-      void this.#call(link, intervalMs, 'state', state).then((answer) => {
-        if ((answer as { isOwner?: boolean } | undefined)?.isOwner === false) {
-          this.#markFollower(keyOf(link.address));
-        }
+      const update = link.sender.next(state, link.acknowledged);
+      void this.#call(link, intervalMs, 'state', update).then((answer) => {
+        if (answer?.isOwner === false) this.#markFollower(keyOf(link.address));
       });
     });
   }
@@ -303,9 +331,10 @@
       );
     }
     this.#aggregator = link;
-    const params = { state: this.#context.ownState(), version: this.#ownersVersion };
+    const state = link.sender.next(this.#context.ownState(), link.acknowledged);
+    const params = { state, known: this.#overviews.version };
     void this.#call(link, FOLLOWER_INTERVAL_MS, 'follow', params).then((answer) => {
-      if (answer) this.#receiveOverview(link, answer as Overview | { owners: readonly string[] });
+      if (answer) this.#receiveOverview(link, answer);
       else this.#dropAggregator('the aggregator of this instance does not answer');
     });
   }
@@ -332,21 +361,22 @@
     const speaker = this.#aggregator && keyOf(this.#aggregator.address);
     this.#context.logger.info('speaker_lost', reason, { speaker });
     this.#aggregator = undefined;
-    this.#ownersVersion = undefined;
+    this.#overviews = new StateReceiver();
   }
 
-  #receiveOverview(link: PeerLink, answer: Overview | { owners: readonly string[] }): void {
+  #receiveOverview(link: PeerLink, { overview, owners, isOwner }: StateAnswer): void {
     const { table, nowMs, onState } = this.#context;
-    if (!('summary' in answer)) {
+    if (!isOwner) {
       // The instance owns no shares, but may know instances that do.
-      this.#addAddresses(answer.owners);
+      this.#addAddresses(owners ?? []);
       this.#markFollower(keyOf(link.address));
       this.#dropAggregator('the chosen aggregator owns no shares');
       return;
     }
-    this.#ownersVersion = answer.version;
-    table.applyOverview(answer, nowMs());
-    [answer.summary, ...(answer.states ?? [])].forEach((state) => {
+    const restored = overview && this.#overviews.apply(overview);
+    if (!restored) return;
+    table.applyOverview(restored, nowMs());
+    [restored.summary, ...Object.values(restored.states)].forEach((state) => {
       this.add({ host: state.host, port: state.port });
       this.#links.get(keyOf(state))!.isFollower = state.shares.length === 0;
       onState(state);
@@ -354,15 +384,40 @@
   }
 
   #receiveFollowerState(
-    state: InstanceState,
-    version?: number,
-  ): Overview | { owners: readonly string[] } {
+    from: string,
+    update: StateUpdate<InstanceState>,
+    known: number | undefined,
+  ): StateAnswer {
     const { table, nowMs, isOwner, ownState, onState } = this.#context;
+    const caller = this.#caller(from);
+    const state = caller.receiver.apply(update);
+    const acknowledged = caller.receiver.version;
+    if (!isOwner()) return { acknowledged, isOwner: false, owners: this.owners };
+    if (!state) return { acknowledged, isOwner: true };
     this.#markFollower(keyOf(state));
-    if (!isOwner()) return { owners: this.owners };
     table.updateFollower(state, nowMs());
     onState(state);
-    return table.overviewFor(ownState(), state.instance, version, nowMs());
+    const overview = table.overviewFor(ownState(), state.instance, nowMs());
+    return { acknowledged, isOwner: true, overview: caller.sender.next(overview, known) };
+  }
+
+  #caller(instance: string): PeerCaller {
+    const nowMs = this.#context.nowMs();
+    const known = this.#callers.get(instance);
+    if (known) {
+      known.calledMs = nowMs;
+      return known;
+    }
+    this.#callers.forEach(({ calledMs }, name) => {
+      if (nowMs - calledMs > REMOVAL_TIMEOUT_MS) this.#callers.delete(name);
+    });
+    const caller: PeerCaller = {
+      receiver: new StateReceiver(),
+      sender: new StateSender(),
+      calledMs: nowMs,
+    };
+    this.#callers.set(instance, caller);
+    return caller;
   }
 
   #receiveEndpoints(page: ListPage): void {
@@ -387,9 +442,9 @@
   async #call(
     link: PeerLink,
     intervalMs: number,
-    method: string,
+    method: 'state' | 'follow',
     params: unknown,
-  ): Promise<unknown> {
+  ): Promise<StateAnswer | undefined> {
     const { nowMs, logger } = this.#context;
     const entry = link;
     entry.isCalling = true;
@@ -397,8 +452,11 @@
     try {
       const answer = await this.#pool.call(link.address, method, params, CALL_TIMEOUT_MS);
       entry.answeredMs = nowMs();
-      return answer;
+      const { acknowledged } = answer as StateAnswer;
+      entry.acknowledged = acknowledged;
+      return answer as StateAnswer;
     } catch (error) {
+      entry.acknowledged = undefined;
       entry.nextMs = nowMs() + RETRY_DELAY_MS;
       // The connection may be dead without an error while a new one would work.
       this.#pool.drop(link.address);
@@ -413,14 +471,19 @@
     }
   }
 
-  #receiveState(state: InstanceState): void {
-    const { table, nowMs, onState } = this.#context;
-    table.updateOwner(state, nowMs());
-    this.add({ host: state.host, port: state.port });
-    const link = this.#links.get(keyOf(state));
-    if (link) link.isFollower = state.shares.length === 0;
-    this.#addAddresses(state.owners);
-    onState(state);
+  #receiveState(from: string, update: StateUpdate<InstanceState>): StateAnswer {
+    const { table, nowMs, onState, isOwner } = this.#context;
+    const { receiver } = this.#caller(from);
+    const state = receiver.apply(update);
+    if (state) {
+      table.updateOwner(state, nowMs());
+      this.add({ host: state.host, port: state.port });
+      const link = this.#links.get(keyOf(state));
+      if (link) link.isFollower = state.shares.length === 0;
+      this.#addAddresses(state.owners);
+      onState(state);
+    }
+    return { acknowledged: receiver.version, isOwner: isOwner() };
   }
 
   #addAddresses(keys: readonly string[]): void {
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -1,4 +1,3 @@
-import { hashOf } from '@chervilseam/decisions';
 import type { EndpointLoad } from './endpoint-load.js';
 import type { InstanceState } from './instance-state.js';
 import type { Overview } from './overview.js';
@@ -15,6 +14,10 @@
 const REACHABLE_MS = 500;
 /** An instance is removed when no state of it was received for this long, in milliseconds. */
 const RETENTION_MS = 12_000;
+/** Precision of the remaining time of a load in overviews, in milliseconds. */
+const REMAINING_STEP_MS = 250;
+/** Precision of the ages of orders in overviews, in milliseconds. */
+const ORDER_AGE_STEP_MS = 1_000;
 
 interface PeerEntry {
   readonly state: InstanceState;
@@ -34,28 +37,33 @@
   next.startedMs > known.startedMs ||
   (next.startedMs === known.startedMs && next.sequence > known.sequence);
 
-// The parts of an owner's state that the version of an overview covers. Ages and remaining times are
-// left out, since they change with every state.
-const versionedPartsOf = ({
-  instance,
-  generation,
-  hasLapsed,
-  shares,
-  engines,
-}: InstanceState): unknown => [
-  instance,
-  generation,
-  hasLapsed,
-  shares,
-  Object.entries(engines).map(([id, { models, adapters, isBusy, leaving, loading }]) => [
-    id,
-    models,
-    adapters,
-    isBusy,
-    leaving,
-    loading.map(({ model }) => model),
-  ]),
-];
+const overviewEngineOf = (engine: OwnedEngineState): OwnedEngineState => ({
+  ...engine,
+  storeLoadAgesMs: {},
+  loading: engine.loading.map(({ model, remainingMs }) => ({
+    model,
+    remainingMs: Math.ceil(remainingMs / REMAINING_STEP_MS) * REMAINING_STEP_MS,
+  })),
+});
+
+// What followers need of an owner's state. Parts that change with every state are left out, so that an
+// overview changes only when a request may be dispatched differently.
+const overviewStateOf = (state: InstanceState): InstanceState => ({
+  ...state,
+  ...noSums,
+  sequence: 0,
+  usedAdapters: {},
+  // Rounded down: an order that is taken for a later one only prolongs a hand-over.
+  orderAgesMs: Object.fromEntries(
+    Object.entries(state.orderAgesMs).map(([share, ageMs]) => [
+      share,
+      Math.floor(ageMs / ORDER_AGE_STEP_MS) * ORDER_AGE_STEP_MS,
+    ]),
+  ),
+  engines: Object.fromEntries(
+    Object.entries(state.engines).map(([id, engine]) => [id, overviewEngineOf(engine)]),
+  ),
+});
 
 /**
  * The latest state of every other instance. Owners of shares send each other their states. An instance
@@ -99,42 +107,26 @@
    * @param overview - the answer
    * @param nowMs - monotonic clock, in milliseconds
    */
-  applyOverview({ summary, owners, states }: Overview, nowMs: number): void {
-    // The summary includes the sums of all instances, so no other entry may add its own sums.
-    const reported = new Set([summary.instance, ...owners]);
-    this.#entries.forEach((entry, instance) => {
-      if (!reported.has(instance)) this.#entries.delete(instance);
-      else this.#entries.set(instance, { state: { ...entry.state, ...noSums }, lastSeenMs: nowMs });
-    });
-    states?.forEach((state) => {
-      this.#entries.set(state.instance, { state: { ...state, ...noSums }, lastSeenMs: nowMs });
-    });
+  applyOverview({ summary, states }: Overview, nowMs: number): void {
+    this.#entries.clear();
+    Object.values(states).forEach((state) =>
+      this.#entries.set(state.instance, { state, lastSeenMs: nowMs }),
+    );
     this.#entries.set(summary.instance, { state: summary, lastSeenMs: nowMs });
   }
 
   /**
    * @param own - the state of this instance alone
    * @param follower - the follower that is answered
-   * @param knownVersion - version of the owners' states that the follower has
    * @param nowMs - monotonic clock, in milliseconds
    * @returns the overview for the follower
    */
-  overviewFor(
-    own: InstanceState,
-    follower: string,
-    knownVersion: number | undefined,
-    nowMs: number,
-  ): Overview {
+  overviewFor(own: InstanceState, follower: string, nowMs: number): Overview {
     const others = this.fresh(nowMs);
     const followers = this.#freshFollowers(nowMs).filter(({ instance }) => instance !== follower);
-    const version = hashOf(JSON.stringify(others.map(versionedPartsOf)));
     return {
       summary: { ...own, ...sumStates([own, ...others, ...followers]), usedAdapters: {} },
-      owners: others.map(({ instance }) => instance),
-      version,
-      ...(version !== knownVersion && {
-        states: others.map((state) => ({ ...state, ...noSums, usedAdapters: {} })),
-      }),
+      states: Object.fromEntries(others.map((state) => [state.instance, overviewStateOf(state)])),
     };
   }
 
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -6,7 +6,7 @@
   let handover: Handover;
 
   beforeEach(() => {
-    handover = new Handover('self');
+    handover = new Handover('self', 0);
     handover.receiveState(state({ generation: 3, shares: [1] }));
   });
 
@@ -65,7 +65,7 @@
   });
 
   it('waits after its start until it knows the previous owner', () => {
-    const fresh = new Handover('self');
+    const fresh = new Handover('self', 0);
     expect(fresh.lastOrderMs(1, 9, [state({ generation: 9 })], 10_000)).to.equal(undefined);
   });
 });
