--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -8,7 +8,9 @@
  * Longest time that the store holds a read until the configuration changes (long poll), in
  * milliseconds. If a read misses a newer version, the instance learns of it from the states of peers.
  */
-const LONG_POLL_MS = 12_000;
+const LONG_POLL_MS = 28_000;
+/** Time between two checks whether another instance still reports the version in force, in milliseconds. */
+const INFORMED_CHECK_MS = 250;
 /** Shortest time between two reads of the configuration from peers, in milliseconds. */
 const PEER_READ_PERIOD_MS = 300;
 /**
@@ -24,6 +26,11 @@
   readonly store: StateStore;
   readonly logger: PartLogger;
   readonly nowMs: () => number;
+  /**
+   * Whether another instance reports each new version to this one. The store is not read meanwhile, so
+   * that the number of readers does not grow with the number of instances.
+   */
+  readonly isInformed: () => boolean;
   /** Called when a newer configuration is in force. */
   readonly onChange: (config: ServingConfig) => void;
 }
@@ -108,7 +115,8 @@
 
   /** @returns time to wait before the next read, in milliseconds */
   async #readNext(): Promise<number> {
-    const { store, logger } = this.#context;
+    const { store, logger, isInformed } = this.#context;
+    if (this.#config && isInformed()) return INFORMED_CHECK_MS;
     try {
       const page = await store.readConfig(
         this.#offset,
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -22,6 +22,8 @@
   readonly leaseTtlMinMs: number;
   /** Time that must pass between the last order of an owner and the first of the next, in milliseconds. */
   readonly handoverMs: number;
+  /** Time within which no request may reach an endpoint that leaves, in milliseconds. */
+  readonly leaveBoundMs: number;
   /** Grace period: time from SIGTERM until the process is killed, in milliseconds. */
   readonly graceMs: number;
   /** Retry budget: number of retries allowed for each request in the window; a fraction. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -105,6 +105,7 @@
       registry: this.#registry,
       logger: ports.logger('list'),
       nowMs,
+      leaveBoundMs: settings.leaveBoundMs,
       rank: () => this.#readRank(),
       relay: (page) => this.#peerSync.relay(page),
       onTransitions: () => this.#scheduleDispatch(),
@@ -113,6 +114,7 @@
       store: ports.store,
       logger: ports.logger('config'),
       nowMs,
+      isInformed: () => this.#member.shares.length === 0 && this.#peerSync.isFollowing,
       onChange: ({ limits, version }) => {
         this.#ingress.apply(limits);
         this.#metrics.configVersion.set(version);
@@ -146,6 +148,7 @@
       port: settings.peerAddress.port,
       ttlMinMs: settings.leaseTtlMinMs,
       handoverMs: settings.handoverMs,
+      knowsOwners: () => this.#knowsOwners(),
       onMembers: (addresses) => addresses.forEach((address) => this.#peerSync.addOwner(address)),
       onFailure: () => this.#endpointFeed.noteStoreFailure(),
     });
@@ -405,6 +408,14 @@
     return names.filter((name) => name < this.#settings.instance).length;
   }
 
+  #knowsOwners(): boolean {
+    const nowMs = Gateway.nowMs();
+    const { shares } = this.#member;
+    const isKnown = (share: number): boolean =>
+      shares.includes(share) || this.#peers.ownerOf(share, nowMs) !== undefined;
+    return Array.from({ length: this.#settings.shareCount }, (_, share) => share).every(isKnown);
+  }
+
   #onPeerState(state: InstanceState): void {
     if (state.instance !== this.#settings.instance) {
       this.#config.onPeerVersion(state.configVersion, async () =>
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -41,6 +41,8 @@
   readonly port: number;
   readonly ttlMinMs: number;
   readonly handoverMs: number;
+  /** Whether the owner of every share is known and reachable. */
+  readonly knowsOwners: () => boolean;
   /** Receives the addresses of the instances that own shares. */
   readonly onMembers: (addresses: readonly { host: string; port: number }[]) => void;
   /** Called after each failed renewal. */
@@ -134,6 +136,8 @@
     if (!this.#isRenewing && nowMs() >= this.#nextRenewalMs) void this.#renew();
     if (nowMs() < this.#membersDueMs) return;
     this.#membersDueMs = Infinity;
+    // Owners report their shares to each other; the store is asked only for those that no one reports.
+    if (this.#hasReadMembers && this.#context.knowsOwners()) return;
     void this.#readMembers();
   }
 
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -163,6 +163,12 @@
     this.#server = new PeerServer({ instance, secret, handlers });
   }
 
+  /** Whether an owner of shares has recently answered this instance as its aggregator. */
+  get isFollowing(): boolean {
+    const answeredMs = this.#aggregator?.answeredMs ?? -Infinity;
+    return this.#context.nowMs() - answeredMs < CALL_TIMEOUT_MS;
+  }
+
   /** Addresses of owners that have answered recently, each as `host:port`. */
   get owners(): readonly string[] {
     const { nowMs } = this.#context;
