--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -54,4 +54,9 @@
    * share of the engine's tokens per second; 0 by default.
    */
   readonly lastReplicaShare?: number;
+  /**
+   * The same for a model without demand when it would make room for one that has no replica and that
+   * requests wait for; `lastReplicaShare` by default.
+   */
+  readonly idleReplicaShare?: number;
 }
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -58,6 +58,7 @@
   readonly #gainShareMin: number;
   readonly #lossShareMax: number;
   readonly #lastReplicaShare: number;
+  readonly #idleReplicaShare: number;
   readonly #latencyTolerantLossShareMax: number;
   /** Allocation of the present demand. */
   #demandAllocation: DemandAllocation;
@@ -70,9 +71,11 @@
     gainShareMin = GAIN_SHARE_MIN,
     lossShareMax = Infinity,
     lastReplicaShare = 0,
+    idleReplicaShare = lastReplicaShare,
     latencyTolerantLossShareMax = lossShareMax,
   }: PlacementInput) {
     this.#lastReplicaShare = lastReplicaShare;
+    this.#idleReplicaShare = idleReplicaShare;
     this.#latencyTolerantLossShareMax = latencyTolerantLossShareMax;
     this.#gainShareMin = gainShareMin;
     this.#lossShareMax = lossShareMax;
@@ -191,7 +194,10 @@
     if (!victims) return undefined;
     const allocation = this.#allocationOf(reason === MoveReason.forecast);
     const unserved = allocation.unservedByModel.get(model.name) ?? 0;
-    const lost = victims.reduce((sum, victim) => sum + this.#replicaValue(victim, engine), 0);
+    const lost = victims.reduce(
+      (sum, victim) => sum + this.#replicaValue(victim, engine, reason),
+      0,
+    );
     const gain = Math.min(unserved, allocation.spare(engine)) - lost;
     const isGainEnough = gain >= gainShareMin * engine.tokensPerSecond;
     if (reason !== MoveReason.reach && !isGainEnough) return undefined;
@@ -203,8 +209,9 @@
 
   // Value of a replica in tokens per second: its part of the model's demand, less what the model's
   // other engines could take over. The last replica has a value even without demand, since the
-  // model's callers may turn out to be latency-critical.
-  #replicaValue(model: Model, engine: Engine): number {
+  // model's callers may turn out to be latency-critical. Requests that wait for another model outweigh
+  // most of that: they are certain.
+  #replicaValue(model: Model, engine: Engine, reason: MoveReason): number {
     const { name } = model;
     const others = [...(this.#replicasByModel.get(name) ?? [])].filter(
       (other) => other !== engine.name,
@@ -214,8 +221,10 @@
       return sum + (found ? this.#forecastAllocation.spare(found) : 0);
     }, 0);
     const demandPerReplica = forecastOf(model) / (others.length + 1);
+    const isIdle = reason === MoveReason.reach && forecastOf(model) === 0;
+    const lastReplicaShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
     const isLastToKeep = others.length === 0 && model.isLatencyTolerant !== true;
-    const lastReplicaValue = isLastToKeep ? this.#lastReplicaShare * engine.tokensPerSecond : 0;
+    const lastReplicaValue = isLastToKeep ? lastReplicaShare * engine.tokensPerSecond : 0;
     return Math.max(0, demandPerReplica - spare) + lastReplicaValue;
   }
 
@@ -228,7 +237,7 @@
     const replicaCount = ({ name }: Model): number => this.#replicasByModel.get(name)?.size ?? 0;
     const candidates = this.#evictable(engine, reason).sort(
       (left, right) =>
-        this.#replicaValue(left, engine) - this.#replicaValue(right, engine) ||
+        this.#replicaValue(left, engine, reason) - this.#replicaValue(right, engine, reason) ||
         replicaCount(right) - replicaCount(left),
     );
     const victims: Model[] = [];
--- a/packages/decisions/src/test/placement/plan-placement_test.ts
+++ b/packages/decisions/src/test/placement/plan-placement_test.ts
@@ -73,6 +73,35 @@
     expect(planPlacement(input)).to.deep.equal({ moves: [], shortfalls: [], servedShare: 1 });
   });
 
+  // Rare models of a large fleet: there are more models than places, so nearly every replica is the last
+  // one of its model, and requests whose callers could wait for a load were refused.
+  it('gives the place of an idle last replica to a latency-tolerant model that requests wait for', () => {
+    const input: PlacementInput = {
+      models: [
+        model('busy', { mustStayResident: false, demand: 600 }),
+        model('idle', { mustStayResident: false }),
+        model('wanted', {
+          mustStayResident: false,
+          hasWaitingRequests: true,
+          isLatencyTolerant: true,
+          demand: 50,
+        }),
+      ],
+      engines: [engine('e1', ['busy', 'idle'])],
+      moveBudget: 1,
+      lossShareMax: 0.35,
+      latencyTolerantLossShareMax: 0.2,
+      lastReplicaShare: 0.3,
+      idleReplicaShare: 0.1,
+    };
+    expect(planPlacement(input).moves).to.have.lengthOf(1);
+    expect(planPlacement(input).moves[0]).to.include({ engine: 'e1', load: 'wanted' });
+    expect(planPlacement(input).moves[0].unload).to.deep.equal(['idle']);
+    const [busy, idle, wanted] = input.models;
+    const models = [busy, { ...idle, demand: 30 }, wanted];
+    expect(planPlacement({ ...input, models }).moves).to.deep.equal([]);
+  });
+
   it('never unloads the last ready replica or exceeds memory or the move budget', () => {
     fc.assert(
       fc.property(arbitraryInput, (input) => {
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -36,6 +36,11 @@
  * rate.
  */
 const LAST_REPLICA_SHARE = 0.3;
+/**
+ * The same for a model without demand, when requests wait for another model that has no replica. Below
+ * `TOLERANT_LOSS_SHARE_MAX`, so that a latency-tolerant model can take its place.
+ */
+const IDLE_REPLICA_SHARE = 0.1;
 /** Greatest number of moves in one round, over all engines of a service. */
 const MOVE_MAX = 6;
 /**
@@ -173,6 +178,7 @@
       lossShareMax: LOSS_SHARE_MAX,
       latencyTolerantLossShareMax: TOLERANT_LOSS_SHARE_MAX,
       lastReplicaShare: LAST_REPLICA_SHARE,
+      idleReplicaShare: IDLE_REPLICA_SHARE,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
       const changingCount = endpoints.filter(({ id }) => this.#isFixed(id)).length;
