Bound the prompts queued at an engine by the pause that its running streams allow

Ruled out: preemption, loads and adapters (none in these windows), step times (pauses of 12 to 44 ms otherwise). Change: the bound is the smaller of 0.8 of the objective and 0.8 of the allowed pause; what exceeds it waits in the instance, up to 0.4 of its objective, since a queue of prompts shrinks at a known rate. The longest pauses stay at 0.6 s where several instances send in the same 150 ms.

--- a/packages/decisions/src/lib/serving/wait-limit-ms.ts
+++ b/packages/decisions/src/lib/serving/wait-limit-ms.ts
@@ -5,10 +5,13 @@
 /** Share of the time after which callers disconnect that a request may wait for a model. */
 const MODEL_WAIT_SHARE = 0.7;
 
+/** Share of its latency objective that a request may wait until an engine has read the prompts ahead. */
+const PREFILL_WAIT_SHARE = 0.4;
+
 /** A request that cannot be sent now. */
 interface WaitCase {
-  /** Whether it waits for a slot; otherwise it waits for a model or adapter to be loaded. */
-  readonly isForSlot: boolean;
+  /** What it waits for: a slot, the prefill of prompts ahead, or a model or adapter to be loaded. */
+  readonly waitsFor: 'slot' | 'prefill' | 'model';
   /** Whether the caller has received a part of the answer already. */
   readonly hasPartialAnswer: boolean;
   /** Time since the request was received, in milliseconds. */
@@ -21,20 +24,25 @@
   readonly callerPatienceMs: number;
 }
 
+/** Longest wait without any answer, in milliseconds, by what a request waits for. */
+const waitMaxMsOf: Readonly<Record<WaitCase['waitsFor'], (request: WaitCase) => number>> = {
+  slot: ({ objectiveMs }) => SLOT_WAIT_SHARE * objectiveMs,
+  prefill: ({ objectiveMs }) => PREFILL_WAIT_SHARE * objectiveMs,
+  model: ({ callerPatienceMs }) => MODEL_WAIT_SHARE * callerPatienceMs,
+};
+
 /**
  * Limits how long a request may wait when all slots are taken or no engine holds its model. For a
- * slot it waits only a small part of its objective, since further requests arrive meanwhile. For a
- * model that is being loaded it may wait longer, but a caller without any answer disconnects long
+ * slot it waits only a small part of its objective, since further requests arrive meanwhile; a queue of
+ * prompts shrinks at a known rate and is worth a longer wait. For a model that is being loaded it may wait longer, but a caller without any answer disconnects long
  * before its deadline.
  *
  * @param request - the request
  * @returns longest wait from now, in milliseconds; 0 or less when the request must not wait
  */
 export function waitLimitMs(request: WaitCase): number {
-  const { isForSlot, hasPartialAnswer, elapsedMs, remainingMs, objectiveMs, callerPatienceMs } =
-    request;
+  const { waitsFor, hasPartialAnswer, elapsedMs, remainingMs } = request;
   const byDeadlineMs = DEADLINE_SHARE * remainingMs;
   if (hasPartialAnswer) return byDeadlineMs;
-  const waitMaxMs = isForSlot ? SLOT_WAIT_SHARE * objectiveMs : MODEL_WAIT_SHARE * callerPatienceMs;
-  return Math.min(byDeadlineMs, waitMaxMs - elapsedMs);
+  return Math.min(byDeadlineMs, waitMaxMsOf[waitsFor](request) - elapsedMs);
 }
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -247,7 +247,7 @@
 
 describe('waitLimitMs with all slots taken or a model not loaded', () => {
   const request = {
-    isForSlot: true,
+    waitsFor: 'slot' as const,
     hasPartialAnswer: false,
     elapsedMs: 0,
     remainingMs: 12_000,
@@ -261,9 +261,9 @@
   });
 
   it('allows a wait for a model until the caller disconnects, not until the deadline', () => {
-    const limitMs = waitLimitMs({ ...request, isForSlot: false });
+    const limitMs = waitLimitMs({ ...request, waitsFor: 'model' });
     expect(limitMs).to.be.within(1_200, 2_400);
-    expect(waitLimitMs({ ...request, isForSlot: false, remainingMs: 1_000 })).to.be.lessThan(600);
+    expect(waitLimitMs({ ...request, waitsFor: 'model', remainingMs: 1_000 })).to.be.lessThan(600);
   });
 
   it('allows a started stream to wait as long as it can still end before its deadline', () => {
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -1,4 +1,4 @@
-import { chooseEndpoint, hashOf } from '@chervilseam/decisions';
+import { chooseEndpoint, hashOf, prefillLimitMs } from '@chervilseam/decisions';
 import type { EngineSpec, ModelSpec } from '@chervilseam/model';
 import type { Endpoint } from '../feed/endpoint.js';
 import { PickReason } from './pick-reason.js';
@@ -17,8 +17,6 @@
 const INTER_EVENT_RATIO = 0.55;
 /** Smallest fraction of a slow endpoint's slots that is used. */
 const SLOT_RATIO_MIN = 0.15;
-/** Fraction of a request's latency objective that the prefill of its prompt and those ahead may take. */
-const PREFILL_RATIO = 0.8;
 /** Fraction of an endpoint's connection limit that is divided evenly between the instances. */
 const CONNECTION_RATIO = 0.9;
 /**
@@ -117,7 +115,7 @@
       .filter((endpoint) => !ready.includes(endpoint) && !requirements.tried.has(endpoint.id))
       .filter(
         (endpoint) =>
-          !endpoint.health.isPaused(nowMs()) && this.#hasFreeSlot(endpoint, requirements),
+          !endpoint.health.isPaused(nowMs()) && this.#isAvailable(endpoint, requirements),
       )
       .filter((endpoint) => this.#mayLoadAdapter(endpoint, item))
       .sort((left, right) => rankOf(left.id, item) - rankOf(right.id, item));
@@ -129,7 +127,7 @@
   #choose(candidates: readonly Endpoint[], requirements: PickRequirements): PickResult {
     const { nowMs, randomUnit, failureDomain } = this.#context;
     const untried = candidates.filter(({ id }) => !requirements.tried.has(id));
-    const available = untried.filter((endpoint) => this.#hasFreeSlot(endpoint, requirements));
+    const available = untried.filter((endpoint) => this.#isAvailable(endpoint, requirements));
     const choice = chooseEndpoint(
       available.map((endpoint) => ({
         id: endpoint.id,
@@ -149,8 +147,12 @@
       const readTokenCount = this.readTokenCount(endpoint, requirements);
       return { kind: 'send', endpoint, candidateCount: available.length, readTokenCount };
     }
-    const reason = untried.length === 0 ? PickReason.tried : PickReason.full;
-    return { kind: 'wait', reason, etaMs: 0, nextReplicaMs: this.#nextReplicaMs(requirements) };
+    return {
+      kind: 'wait',
+      reason: this.#waitReason(untried, requirements),
+      etaMs: 0,
+      nextReplicaMs: this.#nextReplicaMs(requirements),
+    };
   }
 
   /** @returns number of prompt tokens that an endpoint prefills before a request's first event */
@@ -159,13 +161,11 @@
     return endpoint.unreadTokenCount + unreadTokenCount + promptTokenCount;
   }
 
-  // An engine prefills prompts one after the other, and its running streams nearly stop meanwhile. No
-  // more prompts are sent to it than it can prefill in time for the request's objective; a prompt with
-  // no other ahead of it is always sent.
+  // A prompt with no other ahead of it is always sent.
   #isPrefillInTime(endpoint: Endpoint, requirements: PickRequirements): boolean {
     const tokenCount = this.readTokenCount(endpoint, requirements);
     if (tokenCount === requirements.promptTokenCount) return true;
-    return endpoint.prefillSpeed.prefillMs(tokenCount) <= PREFILL_RATIO * requirements.objectiveMs;
+    return endpoint.prefillSpeed.prefillMs(tokenCount) <= prefillLimitMs(requirements);
   }
 
   #outstandingCount(endpoint: Endpoint): number {
@@ -181,9 +181,19 @@
     );
   }
 
+  #waitReason(untried: readonly Endpoint[], requirements: PickRequirements): PickReason {
+    if (untried.length === 0) return PickReason.tried;
+    const hasSlot = untried.some((endpoint) => this.#hasFreeSlot(endpoint, requirements));
+    return hasSlot ? PickReason.prefill : PickReason.full;
+  }
+
+  #isAvailable(endpoint: Endpoint, requirements: PickRequirements): boolean {
+    if (!this.#hasFreeSlot(endpoint, requirements)) return false;
+    return !requirements.service.engine || this.#isPrefillInTime(endpoint, requirements);
+  }
+
   #hasFreeSlot(endpoint: Endpoint, requirements: PickRequirements): boolean {
     const { service, paceMaxMs } = requirements;
-    if (service.engine && !this.#isPrefillInTime(endpoint, requirements)) return false;
     const queueMax = service.engine ? 0 : PLAIN_QUEUE_MAX;
     const connections = CONNECTION_RATIO * service.connectionCountMax;
     const inFlightMax = Math.max(1, Math.floor(connections / this.#context.instanceCount()));
--- a/packages/gateway/src/lib/dispatch/pick-reason.ts
+++ b/packages/gateway/src/lib/dispatch/pick-reason.ts
@@ -1,6 +1,7 @@
 /** Why no endpoint can take a request now; part of the reason that callers get. */
 export const PickReason = {
   full: 'all places taken',
+  prefill: 'too many prompts queued',
   tried: 'every endpoint tried',
   model: 'model absent',
   adapter: 'adapter absent',
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -41,6 +41,15 @@
 const OK_MAX = 299;
 const SERVER_ERROR = 500;
 
+/** What a request waits for, by the reason why no endpoint can take it now. */
+const waitKindOf = {
+  [PickReason.full]: 'slot',
+  [PickReason.prefill]: 'prefill',
+  [PickReason.tried]: 'model',
+  [PickReason.model]: 'model',
+  [PickReason.adapter]: 'model',
+} as const;
+
 // A success status without the endpoint's signature may come from another server at its address.
 const isSuccess = ({ status, isSigned }: AnswerHead): boolean => isSigned && status <= OK_MAX;
 
@@ -184,7 +193,7 @@
   #waitMaxMs(reason: PickReason): number {
     const nowMs = this.#context.nowMs();
     return waitLimitMs({
-      isForSlot: reason === PickReason.full,
+      waitsFor: waitKindOf[reason],
       hasPartialAnswer: this.#relay.isOpen,
       elapsedMs: nowMs - this.#exchange.receivedMs,
       remainingMs: this.#deadlineMs - nowMs,
