Send a state soon after a dispatch and seldom without one

Cause: in a burst all instances sent prompts to the same engine within one interval of the state exchange (150 ms), each unaware of the others'.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -366,6 +366,7 @@
       onRefused: (head, target) => this.#fleet.recordRefusal(head, target),
       onSent: (endpoint, { model, adapter }) => {
         this.#metrics.dispatches.inc();
+        this.#peerSync.noteDispatch();
         if (adapter !== undefined) this.#recordAdapterUse(endpoint.id, `${model}/${adapter}`);
       },
       onReleased: (holdMs) => {
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -12,13 +12,15 @@
 import { StateSender } from './state-sender.js';
 import type { StateUpdate } from './state-update.js';
 
-/** Shortest time between two states that an owner sends to the same owner, in milliseconds. */
-const STATE_INTERVAL_MS = 150;
+/** Time between two states that an owner sends to the same owner, in milliseconds. */
+const STATE_INTERVAL_MS = 300;
+/** The same when a request was dispatched since the last state, which other instances have to know of. */
+const CHANGED_INTERVAL_MS = 40;
 /**
  * Greatest number of states that an owner sends per second, to all other owners together. With many
- * owners, the interval grows beyond `STATE_INTERVAL_MS`.
+ * owners, the interval grows beyond these.
  */
-const STATES_PER_SECOND_MAX = 60;
+const STATES_PER_SECOND_MAX = 100;
 /** Time between two states that a follower sends to its aggregator, in milliseconds. */
 const FOLLOWER_INTERVAL_MS = 200;
 /**
@@ -47,6 +49,8 @@
   isFollower: boolean;
   /** When the next state is due, in milliseconds. */
   nextMs: number;
+  /** When the next state may be sent if a request was dispatched meanwhile, in milliseconds. */
+  nextChangedMs: number;
   /** When the instance last answered, or was added, in milliseconds. */
   answeredMs: number;
   isCalling: boolean;
@@ -123,6 +127,7 @@
   #ownKey = '';
   /** The owner that this instance follows. */
   #aggregator: PeerLink | undefined;
+  #hasDispatched = false;
   /** Restores the overviews of the current aggregator. */
   #overviews = new StateReceiver<Overview>();
   /** The instances that call this one, by name. */
@@ -200,6 +205,7 @@
       address,
       isFollower: false,
       nextMs: nowMs,
+      nextChangedMs: nowMs,
       answeredMs: nowMs,
       isCalling: false,
       sender: new StateSender(),
@@ -217,6 +223,11 @@
     if (link) link.isFollower = false;
   }
 
+  /** Records that a request was dispatched, so that the next state is sent sooner. */
+  noteDispatch(): void {
+    this.#hasDispatched = true;
+  }
+
   /** Sends this instance's state to each instance that it is due for. */
   tick(): void {
     if (this.#context.isOwner()) this.#sendToOwners();
@@ -304,15 +315,18 @@
     const nowMs = this.#context.nowMs();
     this.#aggregator = undefined;
     const links = this.#ownerLinks;
-    const intervalMs = Math.max(
-      STATE_INTERVAL_MS,
-      (MS_PER_SECOND * links.length) / STATES_PER_SECOND_MAX,
-    );
-    const due = links.filter((link) => !link.isCalling && nowMs >= link.nextMs);
+    const intervalMinMs = (MS_PER_SECOND * links.length) / STATES_PER_SECOND_MAX;
+    const intervalMs = Math.max(STATE_INTERVAL_MS, intervalMinMs);
+    const changedIntervalMs = Math.max(CHANGED_INTERVAL_MS, intervalMinMs);
+    const isDue = ({ isCalling, nextMs, nextChangedMs }: PeerLink): boolean =>
+      !isCalling && nowMs >= (this.#hasDispatched ? nextChangedMs : nextMs);
+    const due = links.filter(isDue);
     if (due.length === 0) return;
+    this.#hasDispatched = false;
     const state = this.#context.state();
     due.forEach((link) => {
       const update = link.sender.next(state, link.acknowledged);
+      Object.assign(link, { nextChangedMs: nowMs + changedIntervalMs });
       void this.#call(link, intervalMs, 'state', update).then((answer) => {
         if (answer?.isOwner === false) this.#markFollower(keyOf(link.address));
       });
@@ -464,6 +478,7 @@
     } catch (error) {
       entry.acknowledged = undefined;
       entry.nextMs = nowMs() + RETRY_DELAY_MS;
+      entry.nextChangedMs = entry.nextMs;
       // The connection may be dead without an error while a new one would work.
       this.#pool.drop(link.address);
       if (nowMs() - entry.answeredMs > REMOVAL_TIMEOUT_MS) {
