Load models without demand into free memory

Change: after all moves that demand calls for, a model without a replica is loaded where it fits without an unload, on engines at most half used, within the low-priority share of the weight store.

--- a/packages/decisions/src/lib/placement/move-reason.ts
+++ b/packages/decisions/src/lib/placement/move-reason.ts
@@ -6,6 +6,8 @@
   capacity: 'more is wanted than its engines make',
   /** The forecast demand exceeds what the model's engines can serve. */
   forecast: 'more is expected than its engines make',
+  /** The model has no replica, and an engine that is not busy has free memory for it. */
+  residence: 'free memory holds a model without a replica',
 } as const;
 
 export type MoveReason = (typeof MoveReason)[keyof typeof MoveReason];
--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -25,6 +25,11 @@
  * per second.
  */
 const LOAD_SECOND_SHARE = 0.2;
+/**
+ * Share of an engine's tokens per second up to which it takes a model without demand: while it loads
+ * one it cannot load anything else.
+ */
+const RESIDENCE_LOAD_SHARE_MAX = 0.5;
 const MS_PER_SECOND = 1_000;
 
 type Engine = PlacementInput['engines'][number];
@@ -118,6 +123,23 @@
       );
   }
 
+  /** Models without any replica, those with the highest demand first. */
+  absent(): Model[] {
+    return [...this.#models.values()]
+      .filter(({ name }) => this.#replicasByModel.get(name)?.size === 0)
+      .sort((left, right) => right.demand - left.demand);
+  }
+
+  /** Engines that are not busy and have free memory for a replica of a model, the best first. */
+  vacancies(model: Model): Option[] {
+    return this.options(model, MoveReason.reach).filter(
+      ({ engine, unload }) =>
+        unload.length === 0 &&
+        (this.#demandAllocation.loadByEngine.get(engine.name) ?? 0) <=
+          RESIDENCE_LOAD_SHARE_MAX * engine.tokensPerSecond,
+    );
+  }
+
   /** Tokens per second of the fastest engine, after the reserve for swings. */
   get fastestTokensPerSecond(): number {
     return Math.max(
@@ -345,6 +367,12 @@
   addReplicas(MoveReason.capacity, 0, input.moveBudget, largeGainShareMin);
   addReplicas(MoveReason.forecast, 0, input.moveBudget);
   addReplicas(MoveReason.capacity, 0, input.moveBudget);
+  round.absent().forEach((model) => {
+    const options = round.vacancies(model);
+    if (options.length === 0 || moves.length >= input.moveBudget) return;
+    moves.push(toMove(model.name, MoveReason.residence, options));
+    round.apply(model.name, options[0]);
+  });
   const totalDemand = input.models.reduce((sum, { demand }) => sum + demand, 0);
   const servedShare = totalDemand === 0 ? 1 : 1 - round.unserved / totalDemand;
   return { moves, shortfalls, servedShare };
--- a/packages/decisions/src/test/placement/plan-placement_test.ts
+++ b/packages/decisions/src/test/placement/plan-placement_test.ts
@@ -102,6 +102,23 @@
     expect(planPlacement({ ...input, models }).moves).to.deep.equal([]);
   });
 
+  // A fleet started with free memory and models that no engine held; the first requests for each of them
+  // were refused or waited for the load.
+  it('loads models without demand into free memory, but unloads nothing for them', () => {
+    const input: PlacementInput = {
+      models: ['held', 'absent', 'excess'].map((name) => model(name, { mustStayResident: false })),
+      engines: [engine('e1', ['held'])],
+      moveBudget: 2,
+      lastReplicaShare: 0.3,
+    };
+    const { moves, shortfalls } = planPlacement(input);
+    expect(moves.map(({ load, unload }) => [load, ...unload])).to.deep.equal([['absent']]);
+    expect(shortfalls).to.deep.equal([]);
+    const [held, absent, excess] = input.models;
+    const underLoad = [{ ...held, demand: 700 }, absent, excess];
+    expect(planPlacement({ ...input, models: underLoad }).moves).to.deep.equal([]);
+  });
+
   it('never unloads the last ready replica or exceeds memory or the move budget', () => {
     fc.assert(
       fc.property(arbitraryInput, (input) => {
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -62,9 +62,10 @@
   [MoveReason.capacity]: 1,
   [MoveReason.forecast]: 0.75,
   [MoveReason.reach]: 1,
+  [MoveReason.residence]: 0.34,
 };
-/** The same for low-priority moves. */
-const LOW_PRIORITY_CHANGING_SHARE_MAX = 0.34;
+/** The same for moves for reach that load a latency-tolerant model. */
+const TOLERANT_CHANGING_SHARE_MAX = 0.34;
 /**
  * Time that a requested move counts as pending, in milliseconds: by then the state that the engine's
  * owner publishes shows it.
@@ -182,8 +183,9 @@
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
       const changingCount = endpoints.filter(({ id }) => this.#isFixed(id)).length;
-      const isLowPriority = latencyTolerant.has(load) && reason === MoveReason.reach;
-      const shareMax = isLowPriority ? LOW_PRIORITY_CHANGING_SHARE_MAX : changingShareMax[reason];
+      const isTolerantReach = latencyTolerant.has(load) && reason === MoveReason.reach;
+      const isLowPriority = isTolerantReach || reason === MoveReason.residence;
+      const shareMax = isTolerantReach ? TOLERANT_CHANGING_SHARE_MAX : changingShareMax[reason];
       if (changingCount >= shareMax * endpoints.length) return;
       if (this.#isFixed(engine) || !this.#admitLoad(engine, load, spec, isLowPriority)) return;
       this.#pending.set(engine, { load, unload, untilMs: nowMs() + PENDING_MS });
