Divide the state exchange between near and far instances, and tick half as often

Change: up to 60 states a second within the failure domain and 40 outside it, a dispatch counts for each link by itself; followers send every 300 ms; periodic work runs every 50 ms, requests are still dispatched on events.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -25,7 +25,7 @@
 import { PeerTable } from './peer/peer-table.js';
 
 /** Time between two runs of the periodic work, in milliseconds. */
-const TICK_MS = 25;
+const TICK_MS = 50;
 /** Time between two rounds of placement planning, in milliseconds. */
 const PLAN_PERIOD_MS = 300;
 /** Time for which the sums of other instances' loads are cached, in milliseconds. */
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -17,12 +17,13 @@
 /** The same when a request was dispatched since the last state, which other instances have to know of. */
 const CHANGED_INTERVAL_MS = 40;
 /**
- * Greatest number of states that an owner sends per second, to all other owners together. With many
- * owners, the interval grows beyond these.
+ * Greatest numbers of states that an owner sends per second to all other owners in its failure domain,
+ * and to all outside it. With many owners, the intervals grow beyond these.
  */
-const STATES_PER_SECOND_MAX = 100;
+const LOCAL_STATES_PER_SECOND_MAX = 60;
+const REMOTE_STATES_PER_SECOND_MAX = 40;
 /** Time between two states that a follower sends to its aggregator, in milliseconds. */
-const FOLLOWER_INTERVAL_MS = 200;
+const FOLLOWER_INTERVAL_MS = 300;
 /**
  * Timeout of a call to another instance, in milliseconds. The connection on which a state was not
  * answered in time is replaced.
@@ -47,10 +48,12 @@
   readonly address: PeerAddress;
   /** Whether the instance is known to own no shares. */
   isFollower: boolean;
-  /** When the next state is due, in milliseconds. */
-  nextMs: number;
-  /** When the next state may be sent if a request was dispatched meanwhile, in milliseconds. */
-  nextChangedMs: number;
+  /** Whether the instance is known to be in the failure domain of this one. */
+  isLocal: boolean;
+  /** When the last state was sent, in milliseconds. */
+  sentMs: number;
+  /** When the instance may be called again after a failed call, in milliseconds. */
+  retryMs: number;
   /** When the instance last answered, or was added, in milliseconds. */
   answeredMs: number;
   isCalling: boolean;
@@ -127,7 +130,8 @@
   #ownKey = '';
   /** The owner that this instance follows. */
   #aggregator: PeerLink | undefined;
-  #hasDispatched = false;
+  /** When this instance last dispatched a request, in milliseconds. */
+  #dispatchedMs = -Infinity;
   /** Restores the overviews of the current aggregator. */
   #overviews = new StateReceiver<Overview>();
   /** The instances that call this one, by name. */
@@ -204,8 +208,9 @@
     this.#links.set(key, {
       address,
       isFollower: false,
-      nextMs: nowMs,
-      nextChangedMs: nowMs,
+      isLocal: false,
+      sentMs: -Infinity,
+      retryMs: nowMs,
       answeredMs: nowMs,
       isCalling: false,
       sender: new StateSender(),
@@ -225,7 +230,7 @@
 
   /** Records that a request was dispatched, so that the next state is sent sooner. */
   noteDispatch(): void {
-    this.#hasDispatched = true;
+    this.#dispatchedMs = this.#context.nowMs();
   }
 
   /** Sends this instance's state to each instance that it is due for. */
@@ -312,27 +317,37 @@
   }
 
   #sendToOwners(): void {
-    const nowMs = this.#context.nowMs();
     this.#aggregator = undefined;
     const links = this.#ownerLinks;
-    const intervalMinMs = (MS_PER_SECOND * links.length) / STATES_PER_SECOND_MAX;
-    const intervalMs = Math.max(STATE_INTERVAL_MS, intervalMinMs);
-    const changedIntervalMs = Math.max(CHANGED_INTERVAL_MS, intervalMinMs);
-    const isDue = ({ isCalling, nextMs, nextChangedMs }: PeerLink): boolean =>
-      !isCalling && nowMs >= (this.#hasDispatched ? nextChangedMs : nextMs);
-    const due = links.filter(isDue);
+    const local = links.filter(({ isLocal }) => isLocal);
+    const remote = links.filter(({ isLocal }) => !isLocal);
+    const due = [
+      ...this.#dueOf(local, LOCAL_STATES_PER_SECOND_MAX),
+      ...this.#dueOf(remote, REMOTE_STATES_PER_SECOND_MAX),
+    ];
     if (due.length === 0) return;
-    this.#hasDispatched = false;
     const state = this.#context.state();
     due.forEach((link) => {
       const update = link.sender.next(state, link.acknowledged);
-      Object.assign(link, { nextChangedMs: nowMs + changedIntervalMs });
-      void this.#call(link, intervalMs, 'state', update).then((answer) => {
+      void this.#call(link, 'state', update).then((answer) => {
         if (answer?.isOwner === false) this.#markFollower(keyOf(link.address));
       });
     });
   }
 
+  #dueOf(links: readonly PeerLink[], statesPerSecondMax: number): PeerLink[] {
+    const nowMs = this.#context.nowMs();
+    const intervalMinMs = (MS_PER_SECOND * links.length) / statesPerSecondMax;
+    return links.filter(({ isCalling, sentMs, retryMs }) => {
+      const hasChanged = this.#dispatchedMs > sentMs;
+      const intervalMs = Math.max(
+        hasChanged ? CHANGED_INTERVAL_MS : STATE_INTERVAL_MS,
+        intervalMinMs,
+      );
+      return !isCalling && nowMs >= Math.max(sentMs + intervalMs, retryMs);
+    });
+  }
+
   // Follows one owner at a time, and chooses another when that one no longer answers.
   #sendToAggregator(): void {
     const nowMs = this.#context.nowMs();
@@ -341,7 +356,8 @@
       this.#noOwnerMs = nowMs;
       this.#context.onNoOwner();
     }
-    if (!link || link.isCalling || nowMs < link.nextMs) return;
+    if (!link || link.isCalling) return;
+    if (nowMs < Math.max(link.sentMs + FOLLOWER_INTERVAL_MS, link.retryMs)) return;
     if (this.#aggregator !== link) {
       const fields = { speaker: keyOf(link.address) };
       this.#context.logger.info(
@@ -353,7 +369,7 @@
     this.#aggregator = link;
     const state = link.sender.next(this.#context.ownState(), link.acknowledged);
     const params = { state, known: this.#overviews.version };
-    void this.#call(link, FOLLOWER_INTERVAL_MS, 'follow', params).then((answer) => {
+    void this.#call(link, 'follow', params).then((answer) => {
       if (answer) this.#receiveOverview(link, answer);
       else this.#dropAggregator('the aggregator of this instance does not answer');
     });
@@ -372,7 +388,7 @@
     // Hashing both names spreads the followers over the owners.
     const hashRankOf = ({ address }: PeerLink): number => hashOf(`${instance}@${keyOf(address)}`);
     return this.#ownerLinks
-      .filter(({ nextMs }) => nowMs() >= nextMs)
+      .filter(({ retryMs }) => nowMs() >= retryMs)
       .sort((left, right) => rankOf(left) - rankOf(right) || hashRankOf(left) - hashRankOf(right))
       .at(0);
   }
@@ -397,12 +413,19 @@
     if (!restored) return;
     table.applyOverview(restored, nowMs());
     [restored.summary, ...Object.values(restored.states)].forEach((state) => {
-      this.add({ host: state.host, port: state.port });
-      this.#links.get(keyOf(state))!.isFollower = state.shares.length === 0;
+      this.#addInstance(state);
       onState(state);
     });
   }
 
+  #addInstance({ host, port, shares, failureDomain }: InstanceState): void {
+    this.add({ host, port });
+    const link = this.#links.get(keyOf({ host, port }));
+    if (!link) return;
+    link.isFollower = shares.length === 0;
+    link.isLocal = failureDomain === this.#context.failureDomain;
+  }
+
   #receiveFollowerState(
     from: string,
     update: StateUpdate<InstanceState>,
@@ -461,14 +484,13 @@
 
   async #call(
     link: PeerLink,
-    intervalMs: number,
     method: 'state' | 'follow',
     params: unknown,
   ): Promise<StateAnswer | undefined> {
     const { nowMs, logger } = this.#context;
     const entry = link;
     entry.isCalling = true;
-    entry.nextMs = nowMs() + intervalMs;
+    entry.sentMs = nowMs();
     try {
       const answer = await this.#pool.call(link.address, method, params, CALL_TIMEOUT_MS);
       entry.answeredMs = nowMs();
@@ -477,8 +499,7 @@
       return answer as StateAnswer;
     } catch (error) {
       entry.acknowledged = undefined;
-      entry.nextMs = nowMs() + RETRY_DELAY_MS;
-      entry.nextChangedMs = entry.nextMs;
+      entry.retryMs = nowMs() + RETRY_DELAY_MS;
       // The connection may be dead without an error while a new one would work.
       this.#pool.drop(link.address);
       if (nowMs() - entry.answeredMs > REMOVAL_TIMEOUT_MS) {
@@ -498,9 +519,7 @@
     const state = receiver.apply(update);
     if (state) {
       table.updateOwner(state, nowMs());
-      this.add({ host: state.host, port: state.port });
-      const link = this.#links.get(keyOf(state));
-      if (link) link.isFollower = state.shares.length === 0;
+      this.#addInstance(state);
       this.#addAddresses(state.owners);
       onState(state);
     }
