--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -187,7 +187,13 @@
   async loadAdapter({ endpoint, model, adapter, wasDenied }: AdapterLoadRequest): Promise<boolean> {
     const owner = this.#activeOwner(endpoint);
     if (!owner) return false;
-    return owner.loadAdapter(model, adapter, wasDenied);
+    try {
+      return await owner.loadAdapter(model, adapter, wasDenied);
+    } catch (error) {
+      const fields = { endpoint, model, adapter, error: (error as Error).message };
+      this.#context.logger.error('adapter_fault', 'an order to load an adapter failed', fields);
+      return false;
+    }
   }
 
   /**
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -71,8 +71,8 @@
     const agesMs = new Map<number, number>();
     [...this.#orderedMs, ...this.#earlierOwnerUntilMs].forEach(([share, atMs]) => {
       const ageMs = Math.ceil(nowMs - atMs);
-      if (ageMs < ORDER_RETENTION_MS)
-        agesMs.set(share, Math.min(ageMs, agesMs.get(share) ?? ageMs));
+      if (ageMs >= ORDER_RETENTION_MS) return;
+      agesMs.set(share, Math.min(ageMs, agesMs.get(share) ?? ageMs));
     });
     return Object.fromEntries(agesMs);
   }
--- a/packages/gateway/src/test/store-calls_test.ts
+++ b/packages/gateway/src/test/store-calls_test.ts
@@ -38,6 +38,7 @@
   }
 
   async leave(): Promise<void> {
+    this.generation += 1;
     return Promise.resolve();
   }
 
