End answers whose bytes belong to no event

Cause: an event that never ends was buffered until the deadline, without a limit of bytes; a stream that sent a byte now and then without completing an event refreshed the timer for stalled streams and was held until the deadline, though another endpoint could go on. A head without end is already cut by the HTTP client's limit.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -18,6 +18,8 @@
 const REMAINING_MIN_MS = 15;
 /** Largest answer that is buffered because it is not relayed as a stream, in bytes. */
 const BUFFERED_BYTES_MAX = 256 * 1024;
+/** Largest event of a stream that is buffered until it is complete, in bytes. */
+const EVENT_BYTES_MAX = 256 * 1024;
 /** Number of sends after which a request fails if the last endpoint did not run it. */
 const SEND_COUNT_MAX = 5;
 /** Time to wait for the head of an answer, as a multiple of the route's objective. */
@@ -350,7 +352,7 @@
 
   #onData(attempt: EndpointAttempt, chunk: Buffer): boolean {
     if (attempt !== this.#attempt || !this.#answer) return true;
-    if (isSuccess(this.#answer) && this.#route.isStream) return this.#forward(chunk);
+    if (isSuccess(this.#answer) && this.#route.isStream) return this.#forward(attempt, chunk);
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes <= BUFFERED_BYTES_MAX) return true;
@@ -359,10 +361,16 @@
     return true;
   }
 
-  #forward(chunk: Buffer): boolean {
-    this.#silenceTimer?.refresh();
+  #forward(attempt: EndpointAttempt, chunk: Buffer): boolean {
     this.#recordPrefill();
-    const { isWritable, gapMs } = this.#relay.push(chunk);
+    const { isWritable, eventCount, gapMs } = this.#relay.push(chunk);
+    if (this.#relay.pendingBytes > EVENT_BYTES_MAX) {
+      attempt.cancel();
+      this.#onFailure(attempt, { wasSent: true, reason: 'event too large' });
+      return true;
+    }
+    // A stream that sends bytes but completes no event is stalled.
+    if (eventCount > 0) this.#silenceTimer?.refresh();
     if (gapMs !== undefined) this.#endpoint?.health.recordEventGap(gapMs, this.#context.nowMs());
     return isWritable;
   }
--- a/packages/gateway/src/lib/dispatch/stream-relay.ts
+++ b/packages/gateway/src/lib/dispatch/stream-relay.ts
@@ -6,6 +6,8 @@
 interface RelayResult {
   /** Whether the caller can take more data now; otherwise wait for `onDrain`. */
   readonly isWritable: boolean;
+  /** Number of events that the chunk completed. */
+  readonly eventCount: number;
   /** Time since the previous chunk, in milliseconds; left out for the first. */
   readonly gapMs?: number;
 }
@@ -40,9 +42,14 @@
     return this.#lastEvent;
   }
 
+  /** Number of bytes received of an event that is not complete yet. */
+  get pendingBytes(): number {
+    return this.#splitter.pendingBytes;
+  }
+
   /** Whether the data received from the attempt so far ends within an event. */
   get isWithinEvent(): boolean {
-    return this.#splitter.pendingBytes > 0;
+    return this.pendingBytes > 0;
   }
 
   /** @param answer - head of an attempt's answer; only the first attempt's is sent to the caller */
@@ -61,13 +68,14 @@
   push(chunk: Buffer): RelayResult {
     const gapMs = this.#recordChunk();
     let isWritable = true;
-    this.#splitter.push(chunk).forEach(({ number, data }) => {
+    const events = this.#splitter.push(chunk);
+    events.forEach(({ number, data }) => {
       // A resumed stream may repeat events that the caller has already.
       if (number !== undefined && number <= (this.#lastEvent ?? -1)) return;
       if (number !== undefined) this.#lastEvent = number;
       isWritable = this.#exchange.write(data);
     });
-    return { isWritable, gapMs };
+    return { isWritable, eventCount: events.length, gapMs };
   }
 
   /**
