Spread followers over the owners that come after the first

Change: a follower compares its aggregator every 4 s with the owners that the overview lists, by failure domain and hash, and leaves it for a better one. Test: peer-sync_test.ts, 'spreads the followers over the owners that come after the first', fails before.

--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -24,6 +24,11 @@
 const REMOTE_STATES_PER_SECOND_MAX = 40;
 /** Time between two states that a follower sends to its aggregator, in milliseconds. */
 const FOLLOWER_INTERVAL_MS = 300;
+/**
+ * Time between two checks whether another owner suits a follower better than its aggregator, in
+ * milliseconds.
+ */
+const AGGREGATOR_CHECK_MS = 4_000;
 /**
  * Timeout of a call to another instance, in milliseconds. The connection on which a state was not
  * answered in time is replaced.
@@ -132,6 +137,8 @@
   #aggregator: PeerLink | undefined;
   /** When this instance last dispatched a request, in milliseconds. */
   #dispatchedMs = -Infinity;
+  /** When this instance last compared its aggregator with the other owners, in milliseconds. */
+  #aggregatorCheckMs = -Infinity;
   /** Restores the overviews of the current aggregator. */
   #overviews = new StateReceiver<Overview>();
   /** The instances that call this one, by name. */
@@ -151,6 +158,10 @@
         const { state, known } = params as { state: StateUpdate<InstanceState>; known?: number };
         stream.end(this.#receiveFollowerState(from, state, known));
       },
+      unfollow: (_, stream, from) => {
+        context.table.removeFollower(from);
+        stream.end({});
+      },
       endpoints: (params, stream) => {
         this.#receiveEndpoints(params as ListPage);
         stream.end({});
@@ -351,7 +362,7 @@
   // Follows one owner at a time, and chooses another when that one no longer answers.
   #sendToAggregator(): void {
     const nowMs = this.#context.nowMs();
-    const link = this.#aggregator ?? this.#chooseAggregator();
+    const link = this.#betterAggregator() ?? this.#aggregator ?? this.#chooseAggregator();
     if (!link && nowMs > this.#noOwnerMs + RETRY_DELAY_MS) {
       this.#noOwnerMs = nowMs;
       this.#context.onNoOwner();
@@ -365,6 +376,9 @@
         'chose an owner of shares as this instance’s aggregator',
         fields,
       );
+      if (this.#aggregator) this.#unfollow(this.#aggregator);
+      this.#overviews = new StateReceiver();
+      this.#aggregatorCheckMs = nowMs;
     }
     this.#aggregator = link;
     const state = link.sender.next(this.#context.ownState(), link.acknowledged);
@@ -375,19 +389,43 @@
     });
   }
 
-  // Prefers owners that have answered recently, and among them those in this instance's failure domain.
+  // When a fleet starts, its first owner is the only one and gets all followers; as other instances come
+  // to own shares, the followers spread over them.
+  #betterAggregator(): PeerLink | undefined {
+    const { nowMs, table } = this.#context;
+    if (!this.#aggregator || this.#aggregator.isCalling) return undefined;
+    if (nowMs() < this.#aggregatorCheckMs + AGGREGATOR_CHECK_MS) return undefined;
+    this.#aggregatorCheckMs = nowMs();
+    const reported = new Set(table.fresh(nowMs()).map(keyOf));
+    const isReported = ({ address }: PeerLink): boolean => reported.has(keyOf(address));
+    return this.#bestAggregator(this.#ownerLinks.filter(isReported), () => 0);
+  }
+
+  // The former aggregator would otherwise count this instance's load until its state expires.
+  #unfollow({ address }: PeerLink): void {
+    this.#pool.call(address, 'unfollow', {}, CALL_TIMEOUT_MS).catch((error: Error) => {
+      const fields = { speaker: keyOf(address), error: error.message };
+      this.#context.logger.info('unfollow_unheard', 'could not leave an aggregator', fields);
+    });
+  }
+
+  // Prefers owners that have answered recently.
   #chooseAggregator(): PeerLink | undefined {
-    const { instance, table, nowMs, failureDomain } = this.#context;
-    const localOwners = new Set(
-      table
-        .fresh(nowMs())
-        .flatMap((state) => (state.failureDomain === failureDomain ? [keyOf(state)] : [])),
+    const nowMs = this.#context.nowMs();
+    return this.#bestAggregator(this.#ownerLinks, ({ answeredMs }) =>
+      nowMs - answeredMs > RETRY_DELAY_MS ? 2 : 0,
     );
-    const rankOf = ({ address, answeredMs }: PeerLink): number =>
-      (localOwners.has(keyOf(address)) ? 0 : 1) + (nowMs() - answeredMs > RETRY_DELAY_MS ? 2 : 0);
-    // Hashing both names spreads the followers over the owners.
+  }
+
+  // Prefers owners in this instance's failure domain; hashing both names spreads the followers over them.
+  #bestAggregator(
+    links: readonly PeerLink[],
+    penaltyOf: (link: PeerLink) => number,
+  ): PeerLink | undefined {
+    const { instance, nowMs } = this.#context;
+    const rankOf = (link: PeerLink): number => (link.isLocal ? 0 : 1) + penaltyOf(link);
     const hashRankOf = ({ address }: PeerLink): number => hashOf(`${instance}@${keyOf(address)}`);
-    return this.#ownerLinks
+    return links
       .filter(({ retryMs }) => nowMs() >= retryMs)
       .sort((left, right) => rankOf(left) - rankOf(right) || hashRankOf(left) - hashRankOf(right))
       .at(0);
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -140,6 +140,11 @@
     return [...this.#followers.values()].map(({ state }) => state);
   }
 
+  /** @param instance - a follower that has chosen another aggregator */
+  removeFollower(instance: string): void {
+    this.#followers.delete(instance);
+  }
+
   /** Removes instances whose states have not been received for too long. */
   removeExpired(nowMs: number): void {
     this.#entries.forEach(({ lastSeenMs }, instance) => {
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -159,6 +159,23 @@
     expect(offsets).to.deep.equal([7, undefined, 7, 7, 7, 7]);
   });
 
+  // On a fleet of 195 instances all followers kept the one owner that existed when they started, which
+  // received 1,500 states and 4 MB a second.
+  it('spreads the followers over the owners that come after the first', async () => {
+    instances[1].shares = [];
+    await sleep(ROUNDS_MS);
+    expect(instances[0].table.followers).to.have.lengthOf(5);
+    instances[1].shares = [1];
+    instances[2].shares = [2];
+    await sleep(3 * ROUNDS_MS);
+    const counts = instances.slice(0, 3).map(({ table }) => table.followers.length);
+    expect(counts.reduce((sum, count) => sum + count, 0)).to.equal(3);
+    expect(Math.max(...counts)).to.be.lessThan(3);
+    expect(instances.map(({ othersLoadCount }) => othersLoadCount)).to.deep.equal([
+      5, 5, 5, 5, 5, 5,
+    ]);
+  }).timeout(10_000);
+
   it('chooses another aggregator when the current one is gone', async () => {
     await sleep(ROUNDS_MS);
     instances[0].close();
