Split the exchange of states, and pass on no wait from the group's first generation

The interfaces and the choice of an aggregator move out of peer-sync.ts without a change. Test: handover_test.ts, 'passes on no wait from the first generation of the group'.

--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -256,7 +256,7 @@
       const lastOrderMs = this.handover.lastOrderMs(share, token, states, nowMs());
       if (lastOrderMs !== undefined) member.markReleased(share, token, lastOrderMs);
       const untilMs = usableFromMs - settings.handoverMs;
-      this.handover.recordWait(share, Math.min(untilMs, lastOrderMs ?? untilMs));
+      this.handover.recordWait(share, token, Math.min(untilMs, lastOrderMs ?? untilMs));
     });
   }
 
--- a/packages/gateway/src/lib/owner/handover.ts
+++ b/packages/gateway/src/lib/owner/handover.ts
@@ -6,6 +6,9 @@
  */
 const ORDER_RETENTION_MS = 8_000;
 
+/** Generation in which the first member joined the group: no share had an owner before. */
+const FIRST_GENERATION = 1;
+
 interface KnownOwner {
   readonly instance: string;
   readonly generation: number;
@@ -56,9 +59,11 @@
    * Records how long an earlier owner of a share that was assigned to this instance may give orders.
    *
    * @param share - the assigned share
+   * @param token - the generation in which it was assigned
    * @param untilMs - monotonic time of the earlier owner's last possible order, in milliseconds
    */
-  recordWait(share: number, untilMs: number): void {
+  recordWait(share: number, token: number, untilMs: number): void {
+    if (token <= FIRST_GENERATION) return;
     this.#earlierOwnerUntilMs.set(share, untilMs);
   }
 
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,13 +1,18 @@
-import { hashOf } from '@chervilseam/decisions';
 import { PeerPool, PeerServer } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
 import type { PackedConfig } from '../feed/packed-config.js';
 import type { EngineMove } from '../owner/engine-move.js';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { AdapterLoadRequest } from './adapter-load-request.js';
+import { bestAggregator } from './best-aggregator.js';
 import type { InstanceState } from './instance-state.js';
 import type { Overview } from './overview.js';
+import type { PeerAddress } from './peer-address.js';
+import { PeerCallers } from './peer-callers.js';
+import { peerKey } from './peer-key.js';
+import type { PeerLink } from './peer-link.js';
 import type { PeerTable } from './peer-table.js';
+import type { StateAnswer } from './state-answer.js';
 import { StateReceiver } from './state-receiver.js';
 import { StateSender } from './state-sender.js';
 import type { StateUpdate } from './state-update.js';
@@ -41,53 +46,10 @@
 /** Timeout of a request to an owner to load an adapter, in milliseconds. */
 const ADAPTER_TIMEOUT_MS = 400;
 
+/** Ranks that an owner without a recent answer loses: more than one in another failure domain. */
+const SILENCE_PENALTY = 2;
 const MS_PER_SECOND = 1_000;
 
-interface PeerAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** What this instance knows of another one that it may call. */
-interface PeerLink {
-  readonly address: PeerAddress;
-  /** Whether the instance is known to own no shares. */
-  isFollower: boolean;
-  /** Whether the instance is known to be in the failure domain of this one. */
-  isLocal: boolean;
-  /** When the last state was sent, in milliseconds. */
-  sentMs: number;
-  /** When the instance may be called again after a failed call, in milliseconds. */
-  retryMs: number;
-  /** When the instance last answered, or was added, in milliseconds. */
-  answeredMs: number;
-  isCalling: boolean;
-  /** Sends this instance's states to the other one. */
-  readonly sender: StateSender<InstanceState>;
-  /** Version of this instance's state that the other one has acknowledged on the current connection. */
-  acknowledged?: number;
-}
-
-/** What this instance has received from another one that called it, and answered to it. */
-interface PeerCaller {
-  readonly receiver: StateReceiver<InstanceState>;
-  readonly sender: StateSender<Overview>;
-  /** When the other instance last called, in milliseconds. */
-  calledMs: number;
-}
-
-/** Answer to the state of another instance. */
-interface StateAnswer {
-  /** Version of the state that the answering instance has now; left out when it needs a whole one. */
-  readonly acknowledged?: number;
-  /** Whether the answering instance owns shares. */
-  readonly isOwner: boolean;
-  /** For a follower of the answering instance, the overview of all others. */
-  readonly overview?: StateUpdate<Overview>;
-  /** For an instance that tried to follow one without shares: addresses of owners that it knows. */
-  readonly owners?: readonly string[];
-}
-
 /** Dependencies of the state exchange. */
 interface PeerSyncContext {
   readonly instance: string;
@@ -119,8 +81,6 @@
 /** A page of the endpoints' list, with the offset that its read began at. */
 type ListPage = EndpointPage & { readonly fromOffset?: number };
 
-const keyOf = ({ host, port }: PeerAddress): string => `${host}:${port}`;
-
 /**
  * Exchanges states with the other instances. Owners of shares (partitions of the endpoints) send their
  * states to each other, each pair over its own connection. An instance without shares, a follower,
@@ -141,14 +101,14 @@
   #aggregatorCheckMs = -Infinity;
   /** Restores the overviews of the current aggregator. */
   #overviews = new StateReceiver<Overview>();
-  /** The instances that call this one, by name. */
-  readonly #callers = new Map<string, PeerCaller>();
+  readonly #callers: PeerCallers;
   /** When this instance last reported that it can reach no owner, in milliseconds. */
   #noOwnerMs = -Infinity;
 
   /** @param context - dependencies of the exchange */
   constructor(context: PeerSyncContext) {
     this.#context = context;
+    this.#callers = new PeerCallers(context.nowMs);
     const { instance, secret } = context;
     const handlers: ConstructorParameters<typeof PeerServer>[0]['handlers'] = {
       state: (params, stream, from) => {
@@ -193,7 +153,7 @@
   get owners(): readonly string[] {
     const { nowMs } = this.#context;
     return this.#ownerLinks.flatMap(({ address, answeredMs }) =>
-      nowMs() - answeredMs < 2 * RETRY_DELAY_MS ? [keyOf(address)] : [],
+      nowMs() - answeredMs < 2 * RETRY_DELAY_MS ? [peerKey(address)] : [],
     );
   }
 
@@ -203,7 +163,7 @@
    * @param address - where to listen, which is also the address of this instance
    */
   async listen(address: PeerAddress): Promise<void> {
-    this.#ownKey = keyOf(address);
+    this.#ownKey = peerKey(address);
     await this.#server.listen(address.host, address.port);
   }
 
@@ -213,7 +173,7 @@
    * @param address - the instance; ignored when it is this one or a known one
    */
   add(address: PeerAddress): void {
-    const key = keyOf(address);
+    const key = peerKey(address);
     if (key === this.#ownKey || this.#links.has(key)) return;
     const nowMs = this.#context.nowMs();
     this.#links.set(key, {
@@ -235,7 +195,7 @@
    */
   addOwner(address: PeerAddress): void {
     this.add(address);
-    const link = this.#links.get(keyOf(address));
+    const link = this.#links.get(peerKey(address));
     if (link) link.isFollower = false;
   }
 
@@ -276,7 +236,7 @@
       const answer = await this.#pool.call(address, 'adapter', request, ADAPTER_TIMEOUT_MS);
       return (answer as { isReady?: boolean }).isReady === true;
     } catch (error) {
-      const fields = { ...request, owner: keyOf(address), error: (error as Error).message };
+      const fields = { ...request, owner: peerKey(address), error: (error as Error).message };
       this.#context.logger.info(
         'owner_silent',
         'request to an engine’s owner to load an adapter failed',
@@ -295,7 +255,7 @@
    */
   beginMove(address: PeerAddress, endpoint: string, move: EngineMove): void {
     this.#pool.call(address, 'move', { endpoint, move }, CALL_TIMEOUT_MS).catch((error: Error) => {
-      const fields = { endpoint, ...move, owner: keyOf(address), error: error.message };
+      const fields = { endpoint, ...move, owner: peerKey(address), error: error.message };
       this.#context.logger.info(
         'move_unheard',
         'request to an engine’s owner to change its models failed',
@@ -327,6 +287,11 @@
     return [...this.#links.values()].filter(({ isFollower }) => !isFollower);
   }
 
+  get #callableOwners(): PeerLink[] {
+    const nowMs = this.#context.nowMs();
+    return this.#ownerLinks.filter(({ retryMs }) => nowMs >= retryMs);
+  }
+
   #sendToOwners(): void {
     this.#aggregator = undefined;
     const links = this.#ownerLinks;
@@ -341,7 +306,7 @@
     due.forEach((link) => {
       const update = link.sender.next(state, link.acknowledged);
       void this.#call(link, 'state', update).then((answer) => {
-        if (answer?.isOwner === false) this.#markFollower(keyOf(link.address));
+        if (answer?.isOwner === false) this.#markFollower(peerKey(link.address));
       });
     });
   }
@@ -370,7 +335,7 @@
     if (!link || link.isCalling) return;
     if (nowMs < Math.max(link.sentMs + FOLLOWER_INTERVAL_MS, link.retryMs)) return;
     if (this.#aggregator !== link) {
-      const fields = { speaker: keyOf(link.address) };
+      const fields = { speaker: peerKey(link.address) };
       this.#context.logger.info(
         'speaker',
         'chose an owner of shares as this instance’s aggregator',
@@ -396,15 +361,15 @@
     if (!this.#aggregator || this.#aggregator.isCalling) return undefined;
     if (nowMs() < this.#aggregatorCheckMs + AGGREGATOR_CHECK_MS) return undefined;
     this.#aggregatorCheckMs = nowMs();
-    const reported = new Set(table.fresh(nowMs()).map(keyOf));
-    const isReported = ({ address }: PeerLink): boolean => reported.has(keyOf(address));
-    return this.#bestAggregator(this.#ownerLinks.filter(isReported), () => 0);
+    const reported = new Set(table.fresh(nowMs()).map(peerKey));
+    const isReported = ({ address }: PeerLink): boolean => reported.has(peerKey(address));
+    return bestAggregator(this.#context.instance, this.#callableOwners.filter(isReported));
   }
 
   // The former aggregator would otherwise count this instance's load until its state expires.
   #unfollow({ address }: PeerLink): void {
     this.#pool.call(address, 'unfollow', {}, CALL_TIMEOUT_MS).catch((error: Error) => {
-      const fields = { speaker: keyOf(address), error: error.message };
+      const fields = { speaker: peerKey(address), error: error.message };
       this.#context.logger.info('unfollow_unheard', 'could not leave an aggregator', fields);
     });
   }
@@ -412,27 +377,13 @@
   // Prefers owners that have answered recently.
   #chooseAggregator(): PeerLink | undefined {
     const nowMs = this.#context.nowMs();
-    return this.#bestAggregator(this.#ownerLinks, ({ answeredMs }) =>
-      nowMs - answeredMs > RETRY_DELAY_MS ? 2 : 0,
+    return bestAggregator(this.#context.instance, this.#callableOwners, ({ answeredMs }) =>
+      nowMs - answeredMs > RETRY_DELAY_MS ? SILENCE_PENALTY : 0,
     );
   }
 
-  // Prefers owners in this instance's failure domain; hashing both names spreads the followers over them.
-  #bestAggregator(
-    links: readonly PeerLink[],
-    penaltyOf: (link: PeerLink) => number,
-  ): PeerLink | undefined {
-    const { instance, nowMs } = this.#context;
-    const rankOf = (link: PeerLink): number => (link.isLocal ? 0 : 1) + penaltyOf(link);
-    const hashRankOf = ({ address }: PeerLink): number => hashOf(`${instance}@${keyOf(address)}`);
-    return links
-      .filter(({ retryMs }) => nowMs() >= retryMs)
-      .sort((left, right) => rankOf(left) - rankOf(right) || hashRankOf(left) - hashRankOf(right))
-      .at(0);
-  }
-
   #dropAggregator(reason: string): void {
-    const speaker = this.#aggregator && keyOf(this.#aggregator.address);
+    const speaker = this.#aggregator && peerKey(this.#aggregator.address);
     this.#context.logger.info('speaker_lost', reason, { speaker });
     this.#aggregator = undefined;
     this.#overviews = new StateReceiver();
@@ -443,7 +394,7 @@
     if (!isOwner) {
       // The instance owns no shares, but may know instances that do.
       this.#addAddresses(owners ?? []);
-      this.#markFollower(keyOf(link.address));
+      this.#markFollower(peerKey(link.address));
       this.#dropAggregator('the chosen aggregator owns no shares');
       return;
     }
@@ -458,7 +409,7 @@
 
   #addInstance({ host, port, shares, failureDomain }: InstanceState): void {
     this.add({ host, port });
-    const link = this.#links.get(keyOf({ host, port }));
+    const link = this.#links.get(peerKey({ host, port }));
     if (!link) return;
     link.isFollower = shares.length === 0;
     link.isLocal = failureDomain === this.#context.failureDomain;
@@ -470,37 +421,18 @@
     known: number | undefined,
   ): StateAnswer {
     const { table, nowMs, isOwner, ownState, onState } = this.#context;
-    const caller = this.#caller(from);
+    const caller = this.#callers.get(from);
     const state = caller.receiver.apply(update);
     const acknowledged = caller.receiver.version;
     if (!isOwner()) return { acknowledged, isOwner: false, owners: this.owners };
     if (!state) return { acknowledged, isOwner: true };
-    this.#markFollower(keyOf(state));
+    this.#markFollower(peerKey(state));
     table.updateFollower(state, nowMs());
     onState(state);
     const overview = table.overviewFor(ownState(), state.instance, nowMs());
     return { acknowledged, isOwner: true, overview: caller.sender.next(overview, known) };
   }
 
-  #caller(instance: string): PeerCaller {
-    const nowMs = this.#context.nowMs();
-    const known = this.#callers.get(instance);
-    if (known) {
-      known.calledMs = nowMs;
-      return known;
-    }
-    this.#callers.forEach(({ calledMs }, name) => {
-      if (nowMs - calledMs > REMOVAL_TIMEOUT_MS) this.#callers.delete(name);
-    });
-    const caller: PeerCaller = {
-      receiver: new StateReceiver(),
-      sender: new StateSender(),
-      calledMs: nowMs,
-    };
-    this.#callers.set(instance, caller);
-    return caller;
-  }
-
   #receiveEndpoints(page: ListPage): void {
     const { table, isOwner, onEndpoints } = this.#context;
     onEndpoints(page);
@@ -541,8 +473,8 @@
       // The connection may be dead without an error while a new one would work.
       this.#pool.drop(link.address);
       if (nowMs() - entry.answeredMs > REMOVAL_TIMEOUT_MS) {
-        this.#links.delete(keyOf(link.address));
-        const fields = { peer: keyOf(link.address), error: (error as Error).message };
+        this.#links.delete(peerKey(link.address));
+        const fields = { peer: peerKey(link.address), error: (error as Error).message };
         logger.info('peer_lost', 'removed an instance that no longer answers', fields);
       }
       return undefined;
@@ -553,7 +485,7 @@
 
   #receiveState(from: string, update: StateUpdate<InstanceState>): StateAnswer {
     const { table, nowMs, onState, isOwner } = this.#context;
-    const { receiver } = this.#caller(from);
+    const { receiver } = this.#callers.get(from);
     const state = receiver.apply(update);
     if (state) {
       table.updateOwner(state, nowMs());
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -43,14 +43,20 @@
 
   // An instance that loses a share before it may use it cannot tell when the owner before it stopped.
   it('passes on the wait for an earlier owner when it loses a share that it could not use yet', () => {
-    handover.recordWait(5, 4_000);
+    handover.recordWait(5, 4, 4_000);
     expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: -2_500 });
-    handover.recordWait(5, 1_200);
+    handover.recordWait(5, 4, 1_200);
     expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: 300 });
     const waiting = state({ orderAgesMs: { 1: -2_500 } });
     expect(handover.lastOrderMs(1, 4, [waiting], 10_000)).to.equal(12_500);
   });
 
+  // The first owner of a starting fleet passes on shares that nobody owned before it.
+  it('passes on no wait from the first generation of the group', () => {
+    handover.recordWait(5, 1, 4_000);
+    expect(handover.orderAgesMs(1_500)).to.deep.equal({});
+  });
+
   it('reports its own orders until they are too old to matter', () => {
     handover.recordOrder(5, 1_000);
     expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: 500 });
