--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -140,7 +140,7 @@
     return [...this.#followers.values()].map(({ state }) => state);
   }
 
-  /** @param instance - a follower that has chosen another aggregator */
+  /** @param instance - name of a follower that has left this instance for another aggregator */
   removeFollower(instance: string): void {
     this.#followers.delete(instance);
   }
--- a/packages/gateway/src/test/handover_test.ts
+++ b/packages/gateway/src/test/handover_test.ts
@@ -41,7 +41,7 @@
     expect(handover.lastOrderMs(1, 4, [state({}), other], 10_000)).to.equal(9_600);
   });
 
-  // An instance that loses a share before it may use it cannot tell when the owner before it stopped.
+  // An instance that loses a share before its wait is over does not know when the earlier owner stopped.
   it('passes on the wait for an earlier owner when it loses a share that it could not use yet', () => {
     handover.recordWait(5, 4, 4_000);
     expect(handover.orderAgesMs(1_500)).to.deep.equal({ 5: -2_500 });
