--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -370,7 +370,11 @@
   #unfollow({ address }: PeerLink): void {
     this.#pool.call(address, 'unfollow', {}, CALL_TIMEOUT_MS).catch((error: Error) => {
       const fields = { speaker: peerKey(address), error: error.message };
-      this.#context.logger.info('unfollow_unheard', 'could not notify the former aggregator', fields);
+      this.#context.logger.info(
+        'unfollow_unheard',
+        'could not notify the former aggregator',
+        fields,
+      );
     });
   }
 
