Log and count how each configuration reaches an instance

The log could not tell a read that was too slow from a version that no instance reported, nor which version had routed a request. No logic changes.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -61,6 +61,7 @@
   readonly #exchange: CallerExchange;
   readonly #route: RouteSpec;
   readonly #service: ServiceSpec;
+  readonly #target: RunTarget;
   readonly #head: CallerHead;
   readonly #body: Buffer;
   readonly #deadlineMs: number;
@@ -105,6 +106,7 @@
     this.#exchange = exchange;
     this.#route = target.route;
     this.#service = target.service;
+    this.#target = target;
     this.#head = head;
     this.#body = body;
     this.#relay = new StreamRelay(exchange, context.nowMs);
@@ -120,7 +122,7 @@
 
   /** Sends the request to an endpoint, queues it or refuses it. */
   start(): void {
-    this.#context.onReceived(this.#head, { route: this.#route, service: this.#service });
+    this.#context.onReceived(this.#head, this.#target);
     this.#context.retryBudget(this.#service.name).earn(this.#context.nowMs());
     this.#dispatch();
   }
@@ -502,7 +504,7 @@
     const spreadMs = randomUnit() * RETRY_AFTER_SPREAD_MS;
     const baseMs = etaMs === undefined || etaMs === 0 ? RETRY_AFTER_MS : etaMs;
     const retryAfterMs = Math.max(retryAfterMinMs, baseMs + spreadMs);
-    this.#context.onRefused(this.#head, { route: this.#route, service: this.#service });
+    this.#context.onRefused(this.#head, this.#target);
     this.#finish('refused', 503, reason);
     this.#exchange.refuse(503, reason, retryAfterMs);
     return true;
@@ -551,6 +553,7 @@
     this.#context.onFinished(
       { requestId: this.#head.requestId, route: this.#route.name, outcome, status, reason },
       {
+        configVersion: this.#target.configVersion,
         offers: this.#sendCount,
         model: this.#head.model,
         adapter: this.#head.adapter,
--- a/packages/gateway/src/lib/dispatch/run-target.ts
+++ b/packages/gateway/src/lib/dispatch/run-target.ts
@@ -4,4 +4,6 @@
 export interface RunTarget {
   readonly route: RouteSpec;
   readonly service: ServiceSpec;
+  /** Version of the configuration that the request was routed by. */
+  readonly configVersion: number;
 }
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -21,6 +21,8 @@
 /** Upper bound of the backoff, in milliseconds. */
 const BACKOFF_MAX_MS = 800;
 
+type ConfigSource = 'store' | 'peer';
+
 /** Dependencies of the feed. */
 interface ConfigFeedContext {
   readonly store: StateStore;
@@ -31,10 +33,21 @@
    * that the number of readers does not grow with the number of instances.
    */
   readonly isInformed: () => boolean;
+  /** Called after each read of the configuration; `source` is `store` or `peer`. */
+  readonly onRead: (source: ConfigSource, outcome: 'read' | 'failed', durationMs: number) => void;
   /** Called when a newer configuration is in force. */
   readonly onChange: (config: ServingConfig) => void;
 }
 
+/** Where and when a configuration was read. */
+interface ConfigRead {
+  readonly source: ConfigSource;
+  /** Address of the instance that it was read from. */
+  readonly from?: string;
+  /** When the read began, in milliseconds; a read of the store includes the wait for a change. */
+  readonly startMs: number;
+}
+
 /**
  * Reads the configuration from the store whenever it changes, and puts each newer version in force; an
  * older one is ignored.
@@ -48,6 +61,10 @@
   #failureCount = 0;
   #isStopped = false;
   #nextPeerReadMs = 0;
+  /** The newest version that another instance has reported. */
+  #reportedVersion = 0;
+  /** When `#reportedVersion` was first reported, in milliseconds. */
+  #reportedMs = 0;
 
   /** @param context - dependencies of the feed */
   constructor(context: ConfigFeedContext) {
@@ -69,6 +86,11 @@
     return this.#config?.version ?? 0;
   }
 
+  /** The newest version that this instance knows of; it may not be in force here yet. */
+  get reportedVersion(): number {
+    return Math.max(this.#reportedVersion, this.version);
+  }
+
   /** Starts to read the configuration from the store, until stopped. */
   start(): void {
     void this.#follow();
@@ -84,16 +106,27 @@
    * instance may be unable to reach the store.
    *
    * @param version - the version in force at the other instance
+   * @param from - address of that instance, for the log
    * @param read - reads the configuration from that instance
    */
-  onPeerVersion(version: number, read: () => Promise<ServingConfig>): void {
-    const { nowMs, logger } = this.#context;
+  onPeerVersion(version: number, from: string, read: () => Promise<ServingConfig>): void {
+    const { nowMs, logger, onRead } = this.#context;
+    if (version > this.#reportedVersion) {
+      this.#reportedVersion = version;
+      this.#reportedMs = nowMs();
+    }
     if (version <= this.version || nowMs() < this.#nextPeerReadMs) return;
     this.#nextPeerReadMs = nowMs() + PEER_READ_PERIOD_MS;
+    const startMs = nowMs();
     read().then(
-      (config) => this.#apply(config, 'peer'),
+      (config) => {
+        onRead('peer', 'read', nowMs() - startMs);
+        this.#apply(config, { source: 'peer', from, startMs });
+      },
       (error: Error) => {
-        const fields = { error: error.message, version };
+        const afterMs = Math.round(nowMs() - startMs);
+        onRead('peer', 'failed', afterMs);
+        const fields = { error: error.message, version, inForce: this.version, from, afterMs };
         logger.info(
           'config_unread',
           'cannot read a newer configuration from another instance',
@@ -115,15 +148,17 @@
 
   /** @returns time to wait before the next read, in milliseconds */
   async #readNext(): Promise<number> {
-    const { store, logger, isInformed } = this.#context;
+    const { store, logger, isInformed, nowMs, onRead } = this.#context;
     if (this.#config && isInformed()) return INFORMED_CHECK_MS;
+    const startMs = nowMs();
     try {
       const page = await store.readConfig(
         this.#offset,
         this.#offset === undefined ? 0 : LONG_POLL_MS,
       );
       this.#offset = page.nextOffset;
-      if (page.config) this.#apply(page.config, 'store');
+      onRead('store', 'read', nowMs() - startMs);
+      if (page.config) this.#apply(page.config, { source: 'store', startMs });
       if (this.#failureCount > 0) {
         logger.info('config_regained', 'the configuration can be read again', {
           failures: this.#failureCount,
@@ -133,18 +168,22 @@
       return this.#config ? 0 : BACKOFF_MIN_MS;
     } catch (error) {
       this.#failureCount += 1;
+      onRead('store', 'failed', nowMs() - startMs);
       if (this.#failureCount === 1) {
         logger.warn('config_lost', 'the configuration cannot be read', {
           error: (error as Error).message,
           version: this.version,
+          reported: this.reportedVersion,
+          afterMs: Math.round(nowMs() - startMs),
         });
       }
       return Math.min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** this.#failureCount);
     }
   }
 
-  #apply(config: ServingConfig, source: string): void {
+  #apply(config: ServingConfig, { source, from, startMs }: ConfigRead): void {
     if (config.version <= this.version) return;
+    const nowMs = this.#context.nowMs();
     const previous = this.version;
     this.#config = config;
     this.#routes = new RouteIndex(config);
@@ -152,7 +191,12 @@
       version: config.version,
       previous,
       source,
+      from,
       routes: config.routes.length,
+      readMs: Math.round(nowMs - startMs),
+      ...(config.version === this.#reportedVersion && {
+        reportedAgoMs: Math.round(nowMs - this.#reportedMs),
+      }),
     });
     this.#context.onChange(config);
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -115,6 +115,10 @@
       logger: ports.logger('config'),
       nowMs,
       isInformed: () => this.#member.shares.length === 0 && this.#peerSync.isFollowing,
+      onRead: (source, outcome, durationMs) => {
+        this.#metrics.configReads.inc({ source, outcome });
+        if (source === 'peer') this.#metrics.observe('config_read', durationMs);
+      },
       onChange: ({ limits, version }) => {
         this.#ingress.apply(limits);
         this.#metrics.configVersion.set(version);
@@ -341,7 +345,8 @@
       refuse(503, 'no service', NOT_READY_RETRY_MS);
       return;
     }
-    new RequestRun(this.#runContext, exchange, { route, service }, head, body).start();
+    const target = { route, service, configVersion: config.version };
+    new RequestRun(this.#runContext, exchange, target, head, body).start();
   }
 
   // A request that arrives late in a shutdown might not complete before the process exits.
@@ -419,10 +424,9 @@
 
   #onPeerState(state: InstanceState): void {
     if (state.instance !== this.#settings.instance) {
-      this.#config.onPeerVersion(state.configVersion, async () =>
-        packedConfig.unpack(
-          await this.#peerSync.readConfig({ host: state.host, port: state.port }),
-        ),
+      const { host, port, configVersion } = state;
+      this.#config.onPeerVersion(configVersion, `${host}:${port}`, async () =>
+        packedConfig.unpack(await this.#peerSync.readConfig({ host, port })),
       );
     }
     this.#fleet.receiveState(state);
@@ -487,6 +491,7 @@
     this.#metrics.waiting.set(this.#services.waitingCount);
     this.#metrics.instances.set(this.#peers.instanceCount() + 1);
     this.#metrics.endpoints.set(this.#registry.all.length);
+    this.#metrics.configVersionReported.set(this.#config.reportedVersion);
     this.#metrics.listAgeMs.set(this.#endpointFeed.ageMs(nowMs));
     this.#metrics.ownedEngines.set(Object.keys(this.#fleet.ownStates()).length);
     return this.#metrics.text();
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -1,7 +1,10 @@
 import { MetricsRegistry } from '@chervilseam/observe';
 
-/** What is timed: a request, its time to the first event, its time at an endpoint. */
-type LatencyName = 'request' | 'first_event' | 'endpoint_hold';
+/**
+ * What is timed: a request, its time to the first event, its time at an endpoint, and a read of the
+ * configuration from another instance.
+ */
+type LatencyName = 'request' | 'first_event' | 'endpoint_hold' | 'config_read';
 
 /** Metrics of an instance: counters, gauges and latency histograms. */
 export class GatewayMetrics extends MetricsRegistry<LatencyName> {
@@ -13,6 +16,15 @@
   readonly instances = this.gauge('instances', 'Instances that are heard, with this one.', []);
   readonly endpoints = this.gauge('endpoints', 'Endpoints that have not left.', []);
   readonly configVersion = this.gauge('config_version', 'Version in force.', []);
+  readonly configVersionReported = this.gauge(
+    'config_version_reported',
+    'Newest version known of.',
+    [],
+  );
+  readonly configReads = this.counter('config_reads_total', 'Reads of the configuration.', [
+    'source',
+    'outcome',
+  ]);
   readonly listAgeMs = this.gauge('list_age_ms', 'Age of the list of endpoints.', []);
   readonly ownedEngines = this.gauge('owned_engines', 'Engines that may be ordered from here.', []);
 }
--- a/packages/gateway/src/test/store-calls_test.ts
+++ b/packages/gateway/src/test/store-calls_test.ts
@@ -66,6 +66,7 @@
       logger,
       nowMs: () => performance.now(),
       isInformed: () => state.isInformed,
+      onRead: () => undefined,
       onChange: () => undefined,
     });
     feed.start();
