Deliver large configurations between instances behind slow links

Cause: an instance read a newer configuration from a peer in one call of 700 ms for the whole transfer, on the connection of the state exchange. 370 to 680 kB do not pass a link of 7 Mbit/s in that time beside callers' requests: the call was cut off and repeated from the start, up to 268 times per version; the state exchange behind it timed out too and closed the connection. All followers of an overview asked the first instance in it, and none read the store while its owner answered.

Class: a time limit that does not grow with what it limits, and repeats that share what made the first try slow.

Now the configuration travels compressed (16 times smaller), on a connection of its own, and a transfer fails after 700 ms without data or 8 s in all. One read at a time; the source is chosen at random among the instances that report the version, near ones and ones without a failure first (ConfigSources). An instance that makes no progress towards a reported version for 500 ms reads the store; one that reads the store asks others after 300 ms.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -55,6 +55,7 @@
 export { chooseEndpoint } from './lib/serving/choose-endpoint.js';
 export type { EndpointCandidate } from './lib/serving/choose-endpoint.js';
 export { chooseTarget } from './lib/serving/choose-target.js';
+export { ConfigSources } from './lib/serving/config-sources.js';
 export { EndpointHealth } from './lib/serving/endpoint-health.js';
 export { EngineInventory } from './lib/serving/engine-inventory.js';
 export type { EngineOrder } from './lib/serving/engine-order.js';
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -1,8 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { RouteIndex } from '@chervilseam/decisions';
+import { ConfigSources, RouteIndex } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
+import { packedConfig } from './packed-config.js';
 
 /**
  * Longest time that the store holds a read until the configuration changes (long poll), in
@@ -11,8 +12,16 @@
 const LONG_POLL_MS = 28_000;
 /** Time between two checks whether another instance still reports the version in force, in milliseconds. */
 const INFORMED_CHECK_MS = 250;
-/** Shortest time between two reads of the configuration from peers, in milliseconds. */
-const PEER_READ_PERIOD_MS = 300;
+/**
+ * Time after the report of a newer version in which an instance that reads the store expects the version
+ * from there, in milliseconds.
+ */
+const STORE_HEAD_START_MS = 300;
+/**
+ * Time after the report of a newer version from which an instance that relies on others reads the store
+ * itself, in milliseconds.
+ */
+const PEER_READ_MAX_MS = 500;
 /**
  * Base of the exponential backoff after failed reads, and wait until the next read while the store has
  * no configuration, in milliseconds.
@@ -28,12 +37,16 @@
   readonly store: StateStore;
   readonly logger: PartLogger;
   readonly nowMs: () => number;
+  /** @returns a random number from 0 up to 1 */
+  readonly randomUnit: () => number;
   /**
    * Whether another instance reports each new version to this one. The store is not read meanwhile, so
    * that the number of readers does not grow with the number of instances.
    */
   readonly isInformed: () => boolean;
-  /** Called after each read of the configuration; `source` is `store` or `peer`. */
+  /** Reads the configuration from another instance, given its address as `host:port`. */
+  readonly readPeer: (address: string) => Promise<ServingConfig>;
+  /** Called after each read of the configuration. */
   readonly onRead: (source: ConfigSource, outcome: 'read' | 'failed', durationMs: number) => void;
   /** Called when a newer configuration is in force. */
   readonly onChange: (config: ServingConfig) => void;
@@ -49,22 +62,28 @@
 }
 
 /**
- * Reads the configuration from the store whenever it changes, and puts each newer version in force; an
- * older one is ignored.
+ * Puts each newer version of the configuration in force; an older one is ignored. Versions come from the
+ * store, or from another instance that reports a newer one: instances that others inform do not read
+ * the store unless the others fail to deliver what they report, and the rest read from others when the
+ * store is late.
  */
 export class ConfigFeed {
   readonly #context: ConfigFeedContext;
+  readonly #sources = new ConfigSources();
   #config: ServingConfig | undefined;
+  /** The configuration in force as other instances receive it; created when one asks for it. */
+  #encoded: Promise<Buffer> | undefined;
   #routes: RouteIndex | undefined;
   /** Log offset where the next read begins; `undefined` before the first read. */
   #offset: number | undefined;
   #failureCount = 0;
   #isStopped = false;
-  #nextPeerReadMs = 0;
-  /** The newest version that another instance has reported. */
-  #reportedVersion = 0;
-  /** When `#reportedVersion` was first reported, in milliseconds. */
-  #reportedMs = 0;
+  #isReadingPeers = false;
+  /**
+   * Since when a newer version is known of and this instance has made no progress towards it, in
+   * milliseconds; `undefined` while none is known of.
+   */
+  #behindSinceMs: number | undefined;
 
   /** @param context - dependencies of the feed */
   constructor(context: ConfigFeedContext) {
@@ -76,6 +95,12 @@
     return this.#config;
   }
 
+  /** The configuration in force, encoded for other instances; `undefined` before the first one was read. */
+  get encoded(): Promise<Buffer> | undefined {
+    this.#encoded ??= this.#config && packedConfig.encode(this.#config);
+    return this.#encoded;
+  }
+
   /** Routes of the configuration in force. */
   get routes(): RouteIndex | undefined {
     return this.#routes;
@@ -88,7 +113,7 @@
 
   /** The newest version that this instance knows of; it may not be in force here yet. */
   get reportedVersion(): number {
-    return Math.max(this.#reportedVersion, this.version);
+    return Math.max(this.#sources.newestVersion, this.version);
   }
 
   /** Starts to read the configuration from the store, until stopped. */
@@ -102,38 +127,68 @@
   }
 
   /**
-   * Reads the configuration from another instance if that instance has a newer one, since this
-   * instance may be unable to reach the store.
+   * Records the version in force at another instance, and reads it from there if it is newer than the
+   * one here and the store does not deliver it.
    *
-   * @param version - the version in force at the other instance
-   * @param from - address of that instance, for the log
-   * @param read - reads the configuration from that instance
+   * @param report - the other instance, its version, and whether it is in this one's failure domain
    */
-  onPeerVersion(version: number, from: string, read: () => Promise<ServingConfig>): void {
-    const { nowMs, logger, onRead } = this.#context;
-    if (version > this.#reportedVersion) {
-      this.#reportedVersion = version;
-      this.#reportedMs = nowMs();
+  onPeerVersion(report: Parameters<ConfigSources['report']>[0]): void {
+    const nowMs = this.#context.nowMs();
+    this.#sources.report(report, nowMs);
+    if (report.version <= this.version) return;
+    this.#behindSinceMs ??= nowMs;
+    if (this.#isReadingPeers || !this.#mayReadPeers) return;
+    this.#isReadingPeers = true;
+    // The other reports of the same message are recorded first, as the choice between them is random.
+    setImmediate(() => {
+      void this.#readPeers();
+    });
+  }
+
+  get #behindMs(): number {
+    return this.#behindSinceMs === undefined ? 0 : this.#context.nowMs() - this.#behindSinceMs;
+  }
+
+  get #mayReadPeers(): boolean {
+    const { isInformed } = this.#context;
+    return isInformed() || this.#failureCount > 0 || this.#behindMs >= STORE_HEAD_START_MS;
+  }
+
+  async #readPeers(): Promise<void> {
+    const { nowMs, randomUnit } = this.#context;
+    const choose = (): string | undefined =>
+      this.#isStopped ? undefined : this.#sources.choose(this.version, nowMs(), randomUnit());
+    // One read at a time, since all share the link of this instance.
+    for (let address = choose(); address !== undefined; address = choose()) {
+      // eslint-disable-next-line no-await-in-loop
+      const isRead = await this.#readPeer(address);
+      // eslint-disable-next-line no-await-in-loop
+      if (!isRead) await sleep(BACKOFF_MIN_MS);
     }
-    if (version <= this.version || nowMs() < this.#nextPeerReadMs) return;
-    this.#nextPeerReadMs = nowMs() + PEER_READ_PERIOD_MS;
+    this.#isReadingPeers = false;
+  }
+
+  async #readPeer(address: string): Promise<boolean> {
+    const { nowMs, logger, onRead, readPeer } = this.#context;
     const startMs = nowMs();
-    read().then(
-      (config) => {
-        onRead('peer', 'read', nowMs() - startMs);
-        this.#apply(config, { source: 'peer', from, startMs });
-      },
-      (error: Error) => {
-        const afterMs = Math.round(nowMs() - startMs);
-        onRead('peer', 'failed', afterMs);
-        const fields = { error: error.message, version, inForce: this.version, from, afterMs };
-        logger.info(
-          'config_unread',
-          'cannot read a newer configuration from another instance',
-          fields,
-        );
-      },
-    );
+    try {
+      const config = await readPeer(address);
+      onRead('peer', 'read', nowMs() - startMs);
+      this.#apply(config, { source: 'peer', from: address, startMs });
+      return true;
+    } catch (error) {
+      const afterMs = Math.round(nowMs() - startMs);
+      onRead('peer', 'failed', afterMs);
+      this.#sources.markFailed(address, nowMs());
+      logger.info('config_unread', 'cannot read a newer configuration from another instance', {
+        error: (error as Error).message,
+        from: address,
+        reported: this.reportedVersion,
+        version: this.version,
+        afterMs,
+      });
+      return false;
+    }
   }
 
   async #follow(): Promise<void> {
@@ -146,10 +201,16 @@
     }
   }
 
+  // Whether other instances inform this one and have delivered what they report.
+  get #isServedByPeers(): boolean {
+    const { isInformed } = this.#context;
+    return this.#config !== undefined && isInformed() && this.#behindMs < PEER_READ_MAX_MS;
+  }
+
   /** @returns time to wait before the next read, in milliseconds */
   async #readNext(): Promise<number> {
-    const { store, logger, isInformed, nowMs, onRead } = this.#context;
-    if (this.#config && isInformed()) return INFORMED_CHECK_MS;
+    const { store, logger, nowMs, onRead } = this.#context;
+    if (this.#isServedByPeers) return INFORMED_CHECK_MS;
     const startMs = nowMs();
     try {
       const page = await store.readConfig(
@@ -185,18 +246,20 @@
     if (config.version <= this.version) return;
     const nowMs = this.#context.nowMs();
     const previous = this.version;
+    const behindMs = Math.round(this.#behindMs);
     this.#config = config;
+    this.#encoded = undefined;
     this.#routes = new RouteIndex(config);
+    this.#behindSinceMs = this.reportedVersion > config.version ? nowMs : undefined;
     this.#context.logger.info('config_in_force', 'a newer configuration is in force', {
       version: config.version,
       previous,
+      reported: this.reportedVersion,
       source,
       from,
       routes: config.routes.length,
       readMs: Math.round(nowMs - startMs),
-      ...(config.version === this.#reportedVersion && {
-        reportedAgoMs: Math.round(nowMs - this.#reportedMs),
-      }),
+      behindMs,
     });
     this.#context.onChange(config);
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -9,7 +9,6 @@
 import { ServiceTable } from './dispatch/service-table.js';
 import { ConfigFeed } from './feed/config-feed.js';
 import { EndpointFeed } from './feed/endpoint-feed.js';
-import { packedConfig } from './feed/packed-config.js';
 import { EndpointRegistry } from './feed/endpoint-registry.js';
 import type { GatewayPorts } from './gateway-ports.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -21,6 +20,8 @@
 import { GroupMember } from './owner/group-member.js';
 import type { EndpointLoad } from './peer/endpoint-load.js';
 import type { InstanceState } from './peer/instance-state.js';
+import { parsePeerKey } from './peer/parse-peer-key.js';
+import { peerKey } from './peer/peer-key.js';
 import { PeerSync } from './peer/peer-sync.js';
 import { PeerTable } from './peer/peer-table.js';
 
@@ -115,6 +116,8 @@
       logger: ports.logger('config'),
       nowMs,
       isInformed: () => this.#member.shares.length === 0 && this.#peerSync.isFollowing,
+      readPeer: (address) => this.#peerSync.readConfig(parsePeerKey(address)),
+      randomUnit: () => this.#random.unit(),
       onRead: (source, outcome, durationMs) => {
         this.#metrics.configReads.inc({ source, outcome });
         if (source === 'peer') this.#metrics.observe('config_read', durationMs);
@@ -136,7 +139,7 @@
       ownState: () => this.#ownState(),
       state: () => this.#state(),
       loadAdapter: (request) => this.#fleet.loadAdapter(request),
-      config: () => this.#config.config && packedConfig.pack(this.#config.config),
+      config: () => this.#config.encoded,
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
       onEndpoints: (page) => this.#endpointFeed.applyPeerRead(page),
       onState: (state) => this.#onPeerState(state),
@@ -424,10 +427,9 @@
 
   #onPeerState(state: InstanceState): void {
     if (state.instance !== this.#settings.instance) {
-      const { host, port, configVersion } = state;
-      this.#config.onPeerVersion(configVersion, `${host}:${port}`, async () =>
-        packedConfig.unpack(await this.#peerSync.readConfig({ host, port })),
-      );
+      const { configVersion: version, failureDomain } = state;
+      const isLocal = failureDomain === this.#settings.failureDomain;
+      this.#config.onPeerVersion({ version, address: peerKey(state), isLocal });
     }
     this.#fleet.receiveState(state);
     // Adapters that a follower used are passed on to the owners with this instance's next state.
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,6 +1,8 @@
 import { PeerPool, PeerServer } from '@chervilseam/peer';
+import type { PeerStream } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
-import type { PackedConfig } from '../feed/packed-config.js';
+import type { ServingConfig } from '@chervilseam/model';
+import { packedConfig } from '../feed/packed-config.js';
 import type { EngineMove } from '../owner/engine-move.js';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { AdapterLoadRequest } from './adapter-load-request.js';
@@ -9,9 +11,11 @@
 import type { Overview } from './overview.js';
 import type { PeerAddress } from './peer-address.js';
 import { PeerCallers } from './peer-callers.js';
+import { parsePeerKey } from './parse-peer-key.js';
 import { peerKey } from './peer-key.js';
 import type { PeerLink } from './peer-link.js';
 import type { PeerTable } from './peer-table.js';
+import { sendInParts } from './send-in-parts.js';
 import type { StateAnswer } from './state-answer.js';
 import { StateReceiver } from './state-receiver.js';
 import { StateSender } from './state-sender.js';
@@ -39,6 +43,12 @@
  * answered in time is replaced.
  */
 const CALL_TIMEOUT_MS = 700;
+/** Bounds of a large transfer from another instance, in milliseconds and bytes. */
+const TRANSFER_BOUNDS = {
+  silenceMs: CALL_TIMEOUT_MS,
+  totalMs: 8_000,
+  bytesMax: 4 * 1024 * 1024,
+} as const;
 /** Time from a failed call until the instance is called again, in milliseconds. */
 const RETRY_DELAY_MS = 1_000;
 /** An instance that has not answered for this long is removed, in milliseconds. */
@@ -68,8 +78,8 @@
   readonly loadAdapter: (request: AdapterLoadRequest) => Promise<boolean>;
   /** Begins a change of the models on an engine that this instance owns. */
   readonly beginMove: (endpoint: string, move: EngineMove) => boolean;
-  /** The configuration in force here, for instances that cannot read it from the store. */
-  readonly config: () => PackedConfig | undefined;
+  /** The configuration in force here, encoded for instances that do not read it from the store. */
+  readonly config: () => Promise<Buffer> | undefined;
   /** Receives a page of the endpoints' list that another instance read. */
   readonly onEndpoints: (page: ListPage) => void;
   /** Receives each state of another instance. */
@@ -90,6 +100,8 @@
 export class PeerSync {
   readonly #context: PeerSyncContext;
   readonly #pool: PeerPool;
+  /** Connections of large transfers, which would hold up the state exchange. */
+  readonly #transfers: PeerPool;
   readonly #server: PeerServer;
   readonly #links = new Map<string, PeerLink>();
   #ownKey = '';
@@ -127,7 +139,7 @@
         stream.end({});
       },
       config: (_, stream) => {
-        stream.end(context.config() ?? {});
+        void this.#sendConfig(stream);
       },
       move: (params, stream) => {
         const { endpoint, move } = params as { endpoint: string; move: EngineMove };
@@ -140,6 +152,7 @@
       },
     };
     this.#pool = new PeerPool({ instance, secret, handlers: {} });
+    this.#transfers = new PeerPool({ instance, secret, handlers: {} }, CALL_TIMEOUT_MS);
     this.#server = new PeerServer({ instance, secret, handlers });
   }
 
@@ -271,16 +284,26 @@
    * @returns the configuration
    * @throws when there is no answer, or no configuration is in force there
    */
-  async readConfig(address: PeerAddress): Promise<PackedConfig> {
-    const answer = await this.#pool.call(address, 'config', {}, CALL_TIMEOUT_MS);
-    if ((answer as PackedConfig).version === undefined) throw new Error('peer has no config');
-    return answer as PackedConfig;
+  async readConfig(address: PeerAddress): Promise<ServingConfig> {
+    try {
+      const bytes = await this.#transfers.download(address, 'config', {}, TRANSFER_BOUNDS);
+      return await packedConfig.decode(bytes);
+    } finally {
+      this.#transfers.drop(address);
+    }
   }
 
   /** Stops listening and closes all connections. */
   close(): void {
     this.#server.close();
     this.#pool.close();
+    this.#transfers.close();
+  }
+
+  async #sendConfig(stream: PeerStream): Promise<void> {
+    const bytes = await this.#context.config();
+    if (bytes) sendInParts(stream, bytes);
+    else stream.fail({ code: 'no_config', message: 'peer has no configuration' });
   }
 
   get #ownerLinks(): PeerLink[] {
@@ -501,9 +524,6 @@
   }
 
   #addAddresses(keys: readonly string[]): void {
-    keys.forEach((key) => {
-      const [host, port] = key.split(':');
-      this.add({ host, port: Number(port) });
-    });
+    keys.forEach((key) => this.add(parsePeerKey(key)));
   }
 }
--- a/packages/gateway/src/test/large-config_test.ts
+++ b/packages/gateway/src/test/large-config_test.ts
@@ -56,7 +56,7 @@
     state,
     loadAdapter: () => Promise.resolve(false),
     beginMove: () => false,
-    config: () => packedConfig.pack(config),
+    config: () => packedConfig.encode(config),
     onEndpoints: () => undefined,
     onState: () => undefined,
     onNoOwner: () => undefined,
--- a/packages/gateway/src/test/packed-config_test.ts
+++ b/packages/gateway/src/test/packed-config_test.ts
@@ -1,8 +1,6 @@
-import { decode, encode } from 'cbor-x';
 import { expect } from 'chai';
 import type { ServingConfig } from '@chervilseam/model';
 import { packedConfig } from '../lib/feed/packed-config.js';
-import type { PackedConfig } from '../lib/feed/packed-config.js';
 
 const model = {
   name: 'm',
@@ -38,8 +36,13 @@
 };
 
 describe('packedConfig', () => {
-  it('restores an equal configuration after it was packed, encoded, decoded and unpacked', () => {
-    const sent = decode(encode(packedConfig.pack(config))) as PackedConfig;
-    expect(packedConfig.unpack(sent)).to.deep.equal(config);
+  it('restores an equal configuration after it was encoded and decoded', async () => {
+    const bytes = await packedConfig.encode(config);
+    expect(await packedConfig.decode(bytes)).to.deep.equal(config);
+  });
+
+  it('refuses bytes that are no configuration', async () => {
+    const decoded = packedConfig.decode(Buffer.from('not compressed'));
+    expect(await decoded.catch((error: unknown) => error)).to.be.instanceOf(Error);
   });
 });
--- a/packages/gateway/src/test/store-calls_test.ts
+++ b/packages/gateway/src/test/store-calls_test.ts
@@ -66,6 +66,8 @@
       logger,
       nowMs: () => performance.now(),
       isInformed: () => state.isInformed,
+      randomUnit: () => 0,
+      readPeer: () => Promise.reject(new Error('unused')),
       onRead: () => undefined,
       onChange: () => undefined,
     });
--- a/packages/peer/src/lib/peer-pool.ts
+++ b/packages/peer/src/lib/peer-pool.ts
@@ -1,8 +1,9 @@
 import { connect } from 'node:net';
 import { PeerConnection } from './peer-connection.js';
 import type { PeerStream } from './peer-stream.js';
+import { settleStream } from './settle-stream.js';
 
-/** Longest time until a connection is open and its handshake complete, in milliseconds. */
+/** Default of the longest time until a connection is open and its handshake complete, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 2_000;
 
 type ConnectionOptions = ConstructorParameters<typeof PeerConnection>[1];
@@ -26,10 +27,19 @@
 export class PeerPool {
   readonly #options: Omit<ConnectionOptions, 'role' | 'onReady' | 'onClose'>;
   readonly #connections = new Map<string, PooledConnection>();
+  readonly #connectTimeoutMs: number;
 
-  /** @param options - options of every connection: name, shared key and handlers */
-  constructor(options: Omit<ConnectionOptions, 'role' | 'onReady' | 'onClose'>) {
+  /**
+   * @param options - options of every connection: name, shared key and handlers
+   * @param connectTimeoutMs - longest time until a connection is open and its handshake complete, in
+   *   milliseconds
+   */
+  constructor(
+    options: Omit<ConnectionOptions, 'role' | 'onReady' | 'onClose'>,
+    connectTimeoutMs = CONNECT_TIMEOUT_MS,
+  ) {
     this.#options = options;
+    this.#connectTimeoutMs = connectTimeoutMs;
   }
 
   /**
@@ -64,24 +74,29 @@
     timeoutMs: number,
   ): Promise<unknown> {
     const stream = await this.open(address, method, params);
-    return new Promise((resolve, reject) => {
-      const timer = setTimeout(() => {
-        stream.fail({ code: 'timeout', message: 'timed out' });
-        reject(new Error(`${method} timed out after ${timeoutMs} ms`));
-      }, timeoutMs);
-      stream.listener = {
-        onEnd: (answer) => {
-          clearTimeout(timer);
-          resolve(answer);
-        },
-        onFail: (reason) => {
-          clearTimeout(timer);
-          const { message } = (reason ?? {}) as { message?: string };
-          reject(new Error(message ?? 'the other side failed'));
-        },
-      };
-      stream.end();
-    });
+    const bounds = { totalMs: timeoutMs, silenceMs: timeoutMs, bytesMax: 0 };
+    return (await settleStream(stream, method, bounds)).params;
+  }
+
+  /**
+   * Sends a request and reads the data of its answer, which may be large.
+   *
+   * @param address - address of the instance
+   * @param method - name of the instance's handler
+   * @param params - parameters for the handler
+   * @param bounds - longest time without data and for the whole answer on an open connection, in
+   *   milliseconds, and its largest size, in bytes
+   * @returns the data that the handler wrote before it ended its stream
+   * @throws the connection's error, the handler's failure, or an error when a bound is exceeded
+   */
+  async download(
+    address: PeerAddress,
+    method: string,
+    params: unknown,
+    bounds: Parameters<typeof settleStream>[2],
+  ): Promise<Buffer> {
+    const stream = await this.open(address, method, params);
+    return (await settleStream(stream, method, bounds)).data;
   }
 
   /**
@@ -104,8 +119,8 @@
     if (existing) return existing;
     const socket = connect({ host, port });
     const timer = setTimeout(() => {
-      socket.destroy(new Error(`no connection to ${key} in ${CONNECT_TIMEOUT_MS} ms`));
-    }, CONNECT_TIMEOUT_MS);
+      socket.destroy(new Error(`no connection to ${key} in ${this.#connectTimeoutMs} ms`));
+    }, this.#connectTimeoutMs);
     let connection!: PeerConnection;
     const ready = new Promise<void>((resolve, reject) => {
       connection = new PeerConnection(socket, {
--- /dev/null
+++ b/packages/peer/src/lib/settle-stream.ts
@@ -0,0 +1,73 @@
+import type { PeerStream } from './peer-stream.js';
+
+/** Bounds of an answer, in milliseconds and bytes. */
+interface AnswerBounds {
+  /** Longest time for the whole answer. */
+  readonly totalMs: number;
+  /** Longest time without data. */
+  readonly silenceMs: number;
+  /** Largest amount of data that is kept. */
+  readonly bytesMax: number;
+}
+
+/** An answer: its data, and the parameters that the handler ended its stream with. */
+interface SettledAnswer {
+  readonly data: Buffer;
+  readonly params: unknown;
+}
+
+/**
+ * Ends the request on a stream and waits for the answer.
+ *
+ * @param stream - the stream, just opened
+ * @param method - name of the handler, for errors
+ * @param bounds - bounds of the answer
+ * @returns the answer
+ * @throws the handler's failure, the connection's error, or an error when a bound is exceeded
+ */
+export function settleStream(
+  stream: PeerStream,
+  method: string,
+  { totalMs, silenceMs, bytesMax }: AnswerBounds,
+): Promise<SettledAnswer> {
+  return new Promise((resolve, reject) => {
+    const parts: Uint8Array[] = [];
+    let bytes = 0;
+    let timers: NodeJS.Timeout[] = [];
+    const stopTimers = (): void => timers.forEach((timer) => clearTimeout(timer));
+    const cancel = (code: string, message: string): void => {
+      stopTimers();
+      stream.fail({ code, message });
+      reject(new Error(`${method} ${message}`));
+    };
+    const silence = setTimeout(
+      () => cancel('timeout', `delivered nothing for ${silenceMs} ms`),
+      silenceMs,
+    );
+    const total = setTimeout(() => cancel('timeout', `timed out after ${totalMs} ms`), totalMs);
+    timers = [silence, total];
+    // A stream calls the listener that is assigned to it.
+    // eslint-disable-next-line no-param-reassign
+    stream.listener = {
+      onData: (data) => {
+        bytes += data.length;
+        if (bytes > bytesMax) {
+          cancel('too_large', `answered with more than ${bytesMax} bytes`);
+          return;
+        }
+        parts.push(data);
+        silence.refresh();
+      },
+      onEnd: (params) => {
+        stopTimers();
+        resolve({ data: Buffer.concat(parts), params });
+      },
+      onFail: (reason) => {
+        stopTimers();
+        const { message } = (reason ?? {}) as { message?: string };
+        reject(new Error(message ?? 'the other side failed'));
+      },
+    };
+    stream.end();
+  });
+}
--- a/packages/peer/src/test/peer_test.ts
+++ b/packages/peer/src/test/peer_test.ts
@@ -36,6 +36,50 @@
   return { port, pool, connectionErrors, close };
 }
 
+// Every answer had a time limit for the whole of it, so that a large one never arrived over a slow link.
+describe('peer downloads', () => {
+  const PART_BYTES = 1_000;
+  const bounds = { silenceMs: 150, totalMs: 600, bytesMax: 50 * PART_BYTES };
+
+  const download = async (partCount: number, gapMs: number): Promise<unknown> => {
+    const parts = (_: unknown, stream: PeerStream): void => {
+      let sentCount = 0;
+      const timer = setInterval(() => {
+        sentCount += 1;
+        stream.write(Buffer.alloc(PART_BYTES));
+        if (sentCount < partCount) return;
+        clearInterval(timer);
+        stream.end();
+      }, gapMs);
+    };
+    const server = new PeerServer({ instance: 'b', secret: 'shared', handlers: { parts } });
+    const port = await server.listen(HOST, 0);
+    const pool = new PeerPool({ instance: 'a', secret: 'shared', handlers: {} });
+    const answer = await pool
+      .download({ host: HOST, port }, 'parts', {}, bounds)
+      .catch((error: unknown) => error);
+    pool.close();
+    server.close();
+    return answer;
+  };
+
+  it('complete although they take longer than they may be silent', async () => {
+    expect(await download(8, 50)).to.have.lengthOf(8 * PART_BYTES);
+  });
+
+  it('fail after a silence', async () => {
+    expect(String(await download(2, 300))).to.match(/delivered nothing for 150 ms/);
+  });
+
+  it('fail when data comes now and then without an end', async () => {
+    expect(String(await download(1_000, 100))).to.match(/timed out after 600 ms/);
+  });
+
+  it('fail when more data comes than may be kept', async () => {
+    expect(String(await download(1_000, 1))).to.match(/more than 50000 bytes/);
+  });
+});
+
 describe('peer streams', () => {
   it('answers a call', async () => {
     const { port, pool, close } = await startPeers();
