Forward a read of the whole endpoint list as what it changes

A link of 7 Mbit/s needs about two seconds for the 82 endpoints of the grown fleet and 17 s for 600 (computed from 1 kB an entry, not run).

--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -111,9 +111,9 @@
         });
       }
       this.#failureCount = 0;
-      const changes = page.isWhole ? page.changes : registry.effectiveChanges(page);
+      const relayed = registry.effectivePage(page, fromOffset);
       this.#apply(page, 'store');
-      relay({ ...page, changes, fromOffset });
+      relay(relayed);
       this.#schedule();
     } catch (error) {
       this.#failureCount += 1;
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -58,21 +58,33 @@
       record ? this.#add(record) : this.#remove(id, nowMs, isStoreUnstable),
     );
     if (page.isWhole) {
-      const listed = new Set(page.changes.flatMap(({ id, record }) => (record ? [id] : [])));
-      const missing = [...this.#endpoints.keys()].filter((id) => !listed.has(id));
+      const missing = this.#missingFrom(page);
       transitions.push(...missing.flatMap((id) => this.#remove(id, nowMs, isStoreUnstable)));
     }
     this.#index();
     return transitions;
   }
 
-  /** @returns the changes of a read that alter this registry; most entries are only heartbeats */
-  effectiveChanges({ changes }: EndpointPage): EndpointPage['changes'] {
-    return changes.filter(({ id, record }) => {
-      const known = this.#endpoints.get(id);
-      if (!record) return known !== undefined && known.leftMs === undefined;
-      return !known || known.leftMs !== undefined || !isDeepStrictEqual(known.record, record);
+  /**
+   * Reduces a read to what it changes here, for other instances: most entries are only heartbeats, and a
+   * whole list is too large to be sent to everyone at once.
+   *
+   * @param page - result of the read
+   * @param fromOffset - log offset where the read began
+   * @returns the changes and where they begin; the whole list if none was read before
+   */
+  effectivePage(
+    page: EndpointPage,
+    fromOffset: number | undefined,
+  ): EndpointPage & { readonly fromOffset?: number } {
+    if (!page.isWhole) return { ...page, changes: this.#effectiveChanges(page), fromOffset };
+    if (this.#offset === undefined) return page;
+    const removed = this.#missingFrom(page).map((id) => ({ id }));
+    const changes = this.#effectiveChanges({
+      ...page,
+      changes: [...page.changes, ...removed],
     });
+    return { ...page, isWhole: false, changes, fromOffset: this.#offset };
   }
 
   /**
@@ -99,6 +111,19 @@
     this.#endpoints.forEach((endpoint) => endpoint.close());
   }
 
+  #effectiveChanges({ changes }: EndpointPage): EndpointPage['changes'] {
+    return changes.filter(({ id, record }) => {
+      const known = this.#endpoints.get(id);
+      if (!record) return known !== undefined && known.leftMs === undefined;
+      return !known || known.leftMs !== undefined || !isDeepStrictEqual(known.record, record);
+    });
+  }
+
+  #missingFrom({ changes }: EndpointPage): string[] {
+    const listed = new Set(changes.flatMap(({ id, record }) => (record ? [id] : [])));
+    return [...this.#endpoints.keys()].filter((id) => !listed.has(id));
+  }
+
   #add(record: EndpointRecord): EndpointTransition[] {
     this.#suspected.delete(record.id);
     const known = this.#endpoints.get(record.id);
