Notice a change of the configuration although every long poll went silent

The first two instances that read the store now poll for 2 s. 'is found although every long poll went silent' failed before.

--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -10,6 +10,13 @@
  * milliseconds. If a read misses a newer version, the instance learns of it from the states of peers.
  */
 const LONG_POLL_MS = 28_000;
+/**
+ * The same at the first instances that read the store, in milliseconds. The connections of all instances
+ * may go silent at once; then a change is noticed only by the next read.
+ */
+const WATCHER_POLL_MS = 2_000;
+/** Number of instances that poll the store in the shorter interval, in case one cannot reach it. */
+const WATCHER_COUNT = 2;
 /** Time between two checks whether another instance still reports the version in force, in milliseconds. */
 const INFORMED_CHECK_MS = 250;
 /**
@@ -44,6 +51,8 @@
    * that the number of readers does not grow with the number of instances.
    */
   readonly isInformed: () => boolean;
+  /** Rank of this instance among those that read the store; 0 is the first. */
+  readonly rank: () => number;
   /** Reads the configuration from another instance, given its address as `host:port`. */
   readonly readPeer: (address: string) => Promise<ServingConfig>;
   /** Called after each read of the configuration. */
@@ -207,6 +216,10 @@
     return this.#config !== undefined && isInformed() && this.#behindMs < PEER_READ_MAX_MS;
   }
 
+  get #pollMs(): number {
+    return this.#context.rank() < WATCHER_COUNT ? WATCHER_POLL_MS : LONG_POLL_MS;
+  }
+
   /** @returns time to wait before the next read, in milliseconds */
   async #readNext(): Promise<number> {
     const { store, logger, nowMs, onRead } = this.#context;
@@ -215,7 +228,7 @@
     try {
       const page = await store.readConfig(
         this.#offset,
-        this.#offset === undefined ? 0 : LONG_POLL_MS,
+        this.#offset === undefined ? 0 : this.#pollMs,
       );
       this.#offset = page.nextOffset;
       onRead('store', 'read', nowMs() - startMs);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -116,6 +116,7 @@
       logger: ports.logger('config'),
       nowMs,
       isInformed: () => this.#member.shares.length === 0 && this.#peerSync.isFollowing,
+      rank: () => this.#readRank(),
       readPeer: (address) => this.#peerSync.readConfig(parsePeerKey(address)),
       randomUnit: () => this.#random.unit(),
       onRead: (source, outcome, durationMs) => {
--- a/packages/gateway/src/test/config-feed_test.ts
+++ b/packages/gateway/src/test/config-feed_test.ts
@@ -9,27 +9,36 @@
 
 const FOLLOWER_COUNT = 40;
 const OWNER_COUNT = 8;
+/** Time without disturbances after which the bounds hold again, in milliseconds. */
+const STABLE_MS = 4_000;
 
 const configOf = (version: number): ServingConfig =>
   ({ version, routes: [], services: new Map(), limits: {} }) as unknown as ServingConfig;
 
-/** A store with one configuration at a time, whose long polls never notice a change. */
-class StaleStore {
+/** Time after which a call without any answer fails, in milliseconds. */
+const SILENCE_MS = 1_000;
+
+/** A store with one configuration at a time, whose long polls go silent: they fail after their wait. */
+class SilentStore {
   version = 1;
   readCount = 0;
   isDown = false;
 
-  async readConfig(fromOffset: number | undefined): Promise<ConfigPage> {
+  async readConfig(fromOffset: number | undefined, waitMs: number): Promise<ConfigPage> {
     this.readCount += 1;
     await sleep(5);
     if (this.isDown) throw new Error('store is down');
-    if (fromOffset === this.version) await sleep(60_000, undefined, { ref: false });
+    if (fromOffset === this.version) {
+      await sleep(waitMs + SILENCE_MS, undefined, { ref: false });
+      throw new Error('no byte of the answer');
+    }
     return { nextOffset: this.version, config: configOf(this.version) };
   }
 }
 
 interface Setting {
   readonly isInformed: boolean;
+  readonly rank?: number;
   readonly readPeer: (address: string) => Promise<ServingConfig>;
 }
 
@@ -37,16 +46,17 @@
 
 describe('ConfigFeed: a newer version that other instances report', () => {
   const random = new Random(7);
-  let store: StaleStore;
+  let store: SilentStore;
   let feeds: ConfigFeed[];
 
-  const feedOf = ({ isInformed, readPeer }: Setting): ConfigFeed => {
+  const feedOf = ({ isInformed, rank = 0, readPeer }: Setting): ConfigFeed => {
     const feed = new ConfigFeed({
       store: store as unknown as StateStore,
       logger,
       nowMs: () => performance.now(),
       randomUnit: () => random.unit(),
       isInformed: () => isInformed,
+      rank: () => rank,
       readPeer,
       onRead: () => undefined,
       onChange: () => undefined,
@@ -63,7 +73,7 @@
   };
 
   beforeEach(() => {
-    store = new StaleStore();
+    store = new SilentStore();
     feeds = [];
   });
 
@@ -148,6 +158,17 @@
     expect(feed.version).to.equal(2);
   });
 
+  // Connections may go silent for good without an error, at all instances at once: then no long poll
+  // notices a change, and no instance has a version to report.
+  it('is found although every long poll went silent', async () => {
+    const readPeer = (): Promise<ServingConfig> => Promise.reject(new Error('unused'));
+    const feed = feedOf({ isInformed: false, readPeer });
+    await sleep(100);
+    store.version = 2;
+    await sleep(STABLE_MS);
+    expect(feed.version).to.equal(2);
+  }).timeout(10_000);
+
   it('never replaces a newer version by an older one', async () => {
     const feed = feedOf({ isInformed: true, readPeer: () => Promise.resolve(configOf(3)) });
     await sleep(50);
--- a/packages/gateway/src/test/store-calls_test.ts
+++ b/packages/gateway/src/test/store-calls_test.ts
@@ -66,6 +66,7 @@
       logger,
       nowMs: () => performance.now(),
       isInformed: () => state.isInformed,
+      rank: () => 0,
       randomUnit: () => 0,
       readPeer: () => Promise.reject(new Error('unused')),
       onRead: () => undefined,
