Transfer the daemon's configuration between instances in parts

Over a megabyte the message is refused and the connection closed, so the instance never becomes ready; on a slow link the call ends first.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -2,6 +2,7 @@
 import { loadChart, Random, RouteTable } from '@chervilseam/decisions';
 import type { ConfigSnapshot, Member, MembershipMessage } from '@chervilseam/decisions';
 import { createDrivers } from '@chervilseam/endpoints';
+import { compressedCbor, sendInParts } from '@chervilseam/peer';
 import type { PeerStream } from '@chervilseam/peer';
 import { HttpInstanceList, HttpLog } from '@chervilseam/ports';
 import { PartLogger } from '@chervilseam/observe';
@@ -261,7 +262,9 @@
       secret: this.#secrets.peerKey,
       handlers: {
         dispatch: (params, stream) => this.#owner.dispatch(params as DispatchParams, stream),
-        config: (params, stream) => this.#answerConfig(params, stream),
+        config: (params, stream) => {
+          void this.#answerConfig(params, stream);
+        },
         ...this.#group.handlers,
         keyClaim: (params, stream) => this.#keys.handlers.keyClaim(params, stream),
         keySettle: (params, stream) => this.#keys.handlers.keySettle(params, stream),
@@ -463,14 +466,17 @@
   }
 
   async #fetchConfig(fromOffset: number): Promise<ConfigSnapshot | undefined> {
-    const answer = await this.#group.callAnyPeer('config', { fromOffset });
-    return (answer ?? undefined) as ConfigSnapshot | undefined;
+    const bytes = await this.#group.downloadFromAnyPeer('config', { fromOffset });
+    if (!bytes || bytes.length === 0) return undefined;
+    return (await compressedCbor.decode(bytes)) as ConfigSnapshot;
   }
 
-  #answerConfig(params: unknown, stream: PeerStream): void {
+  // Sends nothing when the other instance has everything.
+  async #answerConfig(params: unknown, stream: PeerStream): Promise<void> {
     const { fromOffset } = params as { fromOffset: number };
     const { fold } = this.config;
-    stream.end(fold.offset > fromOffset ? fold.snapshot() : null);
+    if (fold.offset <= fromOffset) stream.end();
+    else sendInParts(stream, await compressedCbor.encode(fold.snapshot()));
   }
 
   /** @returns number of requests and entries of idempotency keys that a shutdown waits for */
--- a/packages/daemon/src/lib/peer/group.ts
+++ b/packages/daemon/src/lib/peer/group.ts
@@ -14,6 +14,12 @@
 
 /** Timeout of a call to another instance, in milliseconds. */
 const PEER_CALL_TIMEOUT_MS = 2_000;
+/** Bounds of a large transfer from another instance, in milliseconds and bytes. */
+const TRANSFER_BOUNDS = {
+  silenceMs: PEER_CALL_TIMEOUT_MS,
+  totalMs: 30_000,
+  bytesMax: 16 * 1024 * 1024,
+} as const;
 /** Maximum number of instances that a starting instance asks for their rumors concurrently. */
 const START_PEER_COUNT_MAX = 4;
 
@@ -148,16 +154,16 @@
   }
 
   /**
-   * Calls a method of a random other instance.
+   * Reads the data that a method of a random other instance answers with, which may be large.
    *
    * @param method - name of the method
    * @param params - its parameters
-   * @returns the answer, or `undefined` when there is no other active member
-   * @throws the connection's error, the handler's failure, or a timeout
+   * @returns the data, or `undefined` when there is no other active member
+   * @throws the connection's error, the handler's failure, or an error when a bound is exceeded
    */
-  async callAnyPeer(method: string, params: unknown): Promise<unknown> {
+  async downloadFromAnyPeer(method: string, params: unknown): Promise<Buffer | undefined> {
     const peer = this.anyPeer();
-    return peer && this.#peers?.call(peer, method, params, PEER_CALL_TIMEOUT_MS);
+    return peer && this.#peers?.download(peer, method, params, TRANSFER_BOUNDS);
   }
 
   /** Sends the heartbeats that are due and updates the metric of members by state. */
--- a/packages/daemon/src/lib/peer/peer-node.ts
+++ b/packages/daemon/src/lib/peer/peer-node.ts
@@ -109,6 +109,21 @@
     return this.#pool.call(target, method, params, timeoutMs);
   }
 
+  /**
+   * Reads the data that a method of another instance answers with, which may be large.
+   *
+   * @throws the connection's error, the handler's failure, or an error when a bound is exceeded
+   */
+  download(
+    target: PeerTarget,
+    method: string,
+    params: unknown,
+    bounds: Parameters<PeerPool['download']>[3],
+  ): Promise<Buffer> {
+    if (this.blocked.has(target.name)) return Promise.reject(new Error('blocked for a test'));
+    return this.#pool.download(target, method, params, bounds);
+  }
+
   /**
    * Sends a datagram, which may be lost.
    *
--- a/packages/embedded/src/test/shared-state_test.ts
+++ b/packages/embedded/src/test/shared-state_test.ts
@@ -1,6 +1,11 @@
+import type { Daemon } from '@chervilseam/daemon';
 import { expect } from 'chai';
 import { Deployment } from '../index.js';
 
+/** Number of models whose configuration is over a megabyte. */
+const LARGE_MODEL_COUNT = 8_000;
+const LONG_NAME = 'x'.repeat(50);
+
 const modelToml = (name: string, weightsBytes = 1): string =>
   `[[model]]\nname = "${name}"\nweightsBytes = ${weightsBytes}\n`;
 
@@ -90,6 +95,22 @@
     expect(daemon.config.isLogDown).to.equal(true);
   });
 
+  // The snapshot was one answer with one time limit, and closed the connection if it was over a megabyte.
+  it('reads a configuration of over a megabyte from its peers', async () => {
+    await start(3);
+    const models = Array.from({ length: LARGE_MODEL_COUNT }, (_, index) =>
+      modelToml(`m-${index}-${LONG_NAME}`),
+    );
+    await deployment.apply(models.join(''));
+    const hasAll = ({ config }: Daemon): boolean => config.view.models.size > LARGE_MODEL_COUNT;
+    await deployment.waitFor('all models at every instance', () =>
+      [...deployment.daemons.values()].every(hasAll),
+    );
+    deployment.log.faults.isDown = true;
+    const daemon = await deployment.startDaemon('instance-9', 0);
+    await deployment.waitFor('all models at instance-9', () => hasAll(daemon));
+  }).timeout(30_000);
+
   it('receives changes through a peer while it cannot reach the log, and keeps them afterwards', async () => {
     await start(3);
     const isolated = deployment.daemons.get('instance-3');
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,4 +1,4 @@
-import { PeerPool, PeerServer } from '@chervilseam/peer';
+import { PeerPool, PeerServer, sendInParts } from '@chervilseam/peer';
 import type { PeerStream } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
 import type { ServingConfig } from '@chervilseam/model';
@@ -15,7 +15,6 @@
 import { peerKey } from './peer-key.js';
 import type { PeerLink } from './peer-link.js';
 import type { PeerTable } from './peer-table.js';
-import { sendInParts } from './send-in-parts.js';
 import type { StateAnswer } from './state-answer.js';
 import { StateReceiver } from './state-receiver.js';
 import { StateSender } from './state-sender.js';
--- a/packages/gateway/src/lib/peer/send-in-parts.ts
+++ b/packages/peer/src/lib/send-in-parts.ts
@@ -1,4 +1,4 @@
-import type { PeerStream } from '@chervilseam/peer';
+import type { PeerStream } from './peer-stream.js';
 
 /** Size of a part, in bytes: each part shows the receiver that the transfer goes on. */
 const PART_BYTES = 8 * 1024;
