Check what another instance delivers as the configuration

A value without a version counted as newer than every configuration. An encoding that fails was an unhandled error. Both tests failed before.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -475,8 +475,12 @@
   async #answerConfig(params: unknown, stream: PeerStream): Promise<void> {
     const { fromOffset } = params as { fromOffset: number };
     const { fold } = this.config;
-    if (fold.offset <= fromOffset) stream.end();
-    else sendInParts(stream, await compressedCbor.encode(fold.snapshot()));
+    try {
+      if (fold.offset <= fromOffset) stream.end();
+      else sendInParts(stream, await compressedCbor.encode(fold.snapshot()));
+    } catch (error) {
+      stream.fail({ code: 'not_encoded', message: (error as Error).message });
+    }
   }
 
   /** @returns number of requests and entries of idempotency keys that a shutdown waits for */
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -180,8 +180,13 @@
   async #readPeer(address: string): Promise<boolean> {
     const { nowMs, logger, onRead, readPeer } = this.#context;
     const startMs = nowMs();
+    // The store may put a newer version in force during the read.
+    const previous = this.version;
     try {
       const config = await readPeer(address);
+      if (config.version <= previous) {
+        throw new Error(`received version ${config.version}, not one after ${previous}`);
+      }
       onRead('peer', 'read', nowMs() - startMs);
       this.#apply(config, { source: 'peer', from: address, startMs });
       return true;
--- a/packages/gateway/src/lib/feed/packed-config.ts
+++ b/packages/gateway/src/lib/feed/packed-config.ts
@@ -39,6 +39,13 @@
    */
   async decode(bytes: Buffer): Promise<ServingConfig> {
     const packed = (await compressedCbor.decode(bytes)) as PackedConfig;
+    const isComplete =
+      Number.isFinite(packed.version) &&
+      Array.isArray(packed.routes) &&
+      Array.isArray(packed.services);
+    if (!isComplete) {
+      throw new Error('configuration from an instance lacks its version, routes or services');
+    }
     const services = packed.services.map(({ engine, ...service }) => ({
       ...service,
       ...(engine && { engine: { ...engine, models: byName(engine.models) } }),
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -300,9 +300,13 @@
   }
 
   async #sendConfig(stream: PeerStream): Promise<void> {
-    const bytes = await this.#context.config();
-    if (bytes) sendInParts(stream, bytes);
-    else stream.fail({ code: 'no_config', message: 'peer has no configuration' });
+    try {
+      const bytes = await this.#context.config();
+      if (bytes) sendInParts(stream, bytes);
+      else stream.fail({ code: 'no_config', message: 'peer has no configuration' });
+    } catch (error) {
+      stream.fail({ code: 'not_encoded', message: (error as Error).message });
+    }
   }
 
   get #ownerLinks(): PeerLink[] {
--- a/packages/gateway/src/test/config-feed_test.ts
+++ b/packages/gateway/src/test/config-feed_test.ts
@@ -169,6 +169,23 @@
     expect(feed.version).to.equal(2);
   }).timeout(10_000);
 
+  // An instance may have restarted with an older version than the one it reported before.
+  it('is not read again at once from an owner that delivers an older one', async () => {
+    let readCount = 0;
+    const feed = feedOf({
+      isInformed: true,
+      readPeer: () => {
+        readCount += 1;
+        return Promise.resolve(configOf(1));
+      },
+    });
+    await sleep(50);
+    report(feed, 2, 1);
+    await sleep(300);
+    expect(feed.version).to.equal(1);
+    expect(readCount).to.be.lessThan(5);
+  });
+
   it('never replaces a newer version by an older one', async () => {
     const feed = feedOf({ isInformed: true, readPeer: () => Promise.resolve(configOf(3)) });
     await sleep(50);
--- a/packages/gateway/src/test/packed-config_test.ts
+++ b/packages/gateway/src/test/packed-config_test.ts
@@ -1,3 +1,4 @@
+import { compressedCbor } from '@chervilseam/peer';
 import { expect } from 'chai';
 import type { ServingConfig } from '@chervilseam/model';
 import { packedConfig } from '../lib/feed/packed-config.js';
@@ -41,8 +42,19 @@
     expect(await packedConfig.decode(bytes)).to.deep.equal(config);
   });
 
+  const failureOf = (bytes: Buffer): Promise<unknown> =>
+    packedConfig.decode(bytes).catch((error: unknown) => error);
+
   it('refuses bytes that are no configuration', async () => {
-    const decoded = packedConfig.decode(Buffer.from('not compressed'));
-    expect(await decoded.catch((error: unknown) => error)).to.be.instanceOf(Error);
+    expect(await failureOf(Buffer.from('not compressed'))).to.be.instanceOf(Error);
+  });
+
+  // A value without a version would count as newer than every configuration.
+  it('refuses a value without a version, routes or services', async () => {
+    const values = [{ services: [], routes: [] }, { version: 3, services: [] }, { version: 3 }, 7];
+    const failures = await Promise.all(
+      values.map(async (value) => failureOf(await compressedCbor.encode(value))),
+    );
+    failures.forEach((failure) => expect(failure).to.be.instanceOf(Error));
   });
 });
--- a/packages/peer/src/lib/settle-stream.ts
+++ b/packages/peer/src/lib/settle-stream.ts
@@ -40,12 +40,12 @@
       stream.fail({ code, message });
       reject(new Error(`${method} ${message}`));
     };
-    const silence = setTimeout(
-      () => cancel('timeout', `delivered nothing for ${silenceMs} ms`),
-      silenceMs,
-    );
-    const total = setTimeout(() => cancel('timeout', `timed out after ${totalMs} ms`), totalMs);
-    timers = [silence, total];
+    const abortAfter = (delayMs: number, text: string): NodeJS.Timeout =>
+      setTimeout(() => cancel('timeout', `${text} ${delayMs} ms`), delayMs);
+    const total = abortAfter(totalMs, 'timed out after');
+    const silence =
+      silenceMs < totalMs ? abortAfter(silenceMs, 'delivered nothing for') : undefined;
+    timers = [total, ...(silence ? [silence] : [])];
     // A stream calls the listener that is assigned to it.
     // eslint-disable-next-line no-param-reassign
     stream.listener = {
@@ -56,7 +56,7 @@
           return;
         }
         parts.push(data);
-        silence.refresh();
+        silence?.refresh();
       },
       onEnd: (params) => {
         stopTimers();
