--- a/packages/decisions/src/lib/serving/engine-inventory.ts
+++ b/packages/decisions/src/lib/serving/engine-inventory.ts
@@ -13,10 +13,16 @@
 interface AdapterEntry {
   /** Time of the last request that used it, in milliseconds. */
   usedMs: number;
-  /** Whether the adapter is still being loaded. */
-  isInFlight: boolean;
+  /**
+   * Every adapter takes a slot: one that is `leaving` may still be in use, and one that the engine denied
+   * to have may be on its way there.
+   */
+  state: 'in-flight' | 'ready' | 'leaving' | 'denied';
 }
 
+/** States of adapters that may be unloaded to free a slot. */
+const evictableStates: ReadonlySet<AdapterEntry['state']> = new Set(['ready', 'denied']);
+
 interface ModelEntry {
   readonly adapters: Map<string, AdapterEntry>;
   state: 'loading' | 'ready' | 'leaving';
@@ -90,12 +96,17 @@
   get readyAdapters(): readonly string[] {
     return [...this.#models].flatMap(([name, { adapters, state }]) => {
       if (state !== 'ready') return [];
-      const ready = [...adapters].filter(([, { isInFlight }]) => !isInFlight);
+      const ready = [...adapters].filter(([, adapter]) => adapter.state === 'ready');
       return ready.map(([adapter]) => `${name}/${adapter}`);
     });
   }
 
-  /** Number of adapters that are resident or being loaded; each uses a slot. */
+  /** Whether the engine has accepted to unload an adapter and no report has shown that it is gone. */
+  get hasLeavingAdapters(): boolean {
+    return this.#adapterEntries.some(({ entry }) => entry.state === 'leaving');
+  }
+
+  /** Number of adapters that are resident, or being loaded or unloaded; each uses a slot. */
   get adapterCount(): number {
     return this.#adapterEntries.length;
   }
@@ -129,14 +140,16 @@
     this.#models.clear();
     report.models.forEach(({ name, adapters }) => {
       const entries = adapters.map((adapter) => {
-        const usedMs = known.get(name)?.adapters.get(adapter)?.usedMs ?? nowMs;
-        return [adapter, { usedMs, isInFlight: false }] as const;
+        const entry = known.get(name)?.adapters.get(adapter);
+        const isLeaving = report.isBusy && entry?.state === 'leaving';
+        const state: AdapterEntry['state'] = isLeaving ? 'leaving' : 'ready';
+        return [adapter, { usedMs: entry?.usedMs ?? nowMs, state }] as const;
       });
       this.#models.set(name, { adapters: new Map(entries), state: 'ready' });
     });
     report.pendingAdapters.forEach(({ model, adapter }) => {
       const entry = this.#models.get(model);
-      entry?.adapters.set(adapter, { usedMs: nowMs, isInFlight: true });
+      entry?.adapters.set(adapter, { usedMs: nowMs, state: 'in-flight' });
     });
     unconfirmed.forEach((pending) => this.#reserve(pending, nowMs));
     // A report says that the engine is loading or unloading a model, but not which one.
@@ -227,17 +240,24 @@
    */
   markAdapterReady(model: string, adapter: string): void {
     const entry = this.#models.get(model)?.adapters.get(adapter);
-    if (entry) entry.isInFlight = false;
+    if (entry?.state === 'in-flight') entry.state = 'ready';
   }
 
   /**
-   * Removes an adapter that the engine reported as missing.
+   * Records that the engine denied to have an adapter, so that it may be loaded again. It stays accounted
+   * for, since it may be on its way to the engine.
    *
    * @param model - the adapter's model
    * @param adapter - an adapter
    */
-  removeAdapter(model: string, adapter: string): void {
-    this.#models.get(model)?.adapters.delete(adapter);
+  markAdapterDenied(model: string, adapter: string): void {
+    const entry = this.#models.get(model)?.adapters.get(adapter);
+    if (entry?.state === 'ready') entry.state = 'denied';
+  }
+
+  /** @returns whether an adapter takes a slot, whatever its state */
+  holdsSlot(model: string, adapter: string): boolean {
+    return this.#models.get(model)?.adapters.has(adapter) === true;
   }
 
   /** Records that a request uses an adapter. */
@@ -247,13 +267,12 @@
   }
 
   /**
-   * @returns state of an adapter on the engine, or `undefined` when it is neither resident nor
-   *   loading
+   * @returns state of an adapter on the engine, or `undefined` when it neither serves requests nor is
+   *   being loaded
    */
   adapterState(model: string, adapter: string): 'ready' | 'in-flight' | undefined {
     const entry = this.#models.get(model)?.adapters.get(adapter);
-    if (!entry) return undefined;
-    return entry.isInFlight ? 'in-flight' : 'ready';
+    return entry?.state === 'ready' || entry?.state === 'in-flight' ? entry.state : undefined;
   }
 
   /**
@@ -263,7 +282,7 @@
    */
   idleAdapterUnload(idleBeforeMs: number): EngineOrder | undefined {
     const [oldest] = this.#adapterEntries
-      .filter(({ entry }) => !entry.isInFlight && entry.usedMs < idleBeforeMs)
+      .filter(({ entry }) => evictableStates.has(entry.state) && entry.usedMs < idleBeforeMs)
       .sort((left, right) => left.entry.usedMs - right.entry.usedMs);
     return oldest && { action: 'unload', model: oldest.model, adapter: oldest.adapter };
   }
@@ -277,13 +296,15 @@
   #adapterWithholdReason({ action, model, adapter }: EngineOrder, entry: ModelEntry | undefined) {
     if (entry?.state !== 'ready') return 'the adapter’s model is not ready';
     if (this.isBusy) return 'a model is being loaded or unloaded';
-    const isHeld = entry.adapters.has(adapter as string);
-    if (action === 'unload') return isHeld ? undefined : 'the adapter is not resident';
-    if (isHeld) return 'the adapter is already resident';
+    const known = entry.adapters.get(adapter as string);
+    if (action === 'unload') return known ? undefined : 'the adapter is not resident';
+    // A denied adapter is accounted for already.
+    if (known?.state === 'denied') return undefined;
+    if (known) return 'the adapter is already resident';
     const adapterMb = this.#spec.models.get(model)?.adapterMb ?? Infinity;
     if (this.memoryMb + adapterMb + RESERVED_MB > this.#spec.memoryMb) return 'not enough memory';
     if (this.adapterCount >= this.#spec.adapterSlotCount) return 'all adapter slots are taken';
-    const inFlight = this.#adapterEntries.filter((one) => one.entry.isInFlight).length;
+    const inFlight = this.#adapterEntries.filter((one) => one.entry.state === 'in-flight').length;
     if (inFlight >= ADAPTERS_LOADING_MAX) return 'too many adapters are loading';
     return undefined;
   }
@@ -299,8 +320,7 @@
       this.#models.set(model, { adapters: new Map(), state: 'loading' });
       return;
     }
-    const fresh = { usedMs: nowMs, isInFlight: true };
-    entry?.adapters.set(adapter, fresh);
+    entry?.adapters.set(adapter, { usedMs: nowMs, state: 'in-flight' });
   }
 
   #countAcceptedOrder(): void {
@@ -316,17 +336,18 @@
     unconfirmed.filter((pending) => pending !== order).forEach((pending) => this.#undo(pending));
   }
 
+  // The engine has accepted to unload the adapter, and holds it while requests use it.
   #applyAdapterUnload({ action, model, adapter }: EngineOrder): void {
-    if (action === 'unload' && adapter !== undefined) {
-      this.#models.get(model)?.adapters.delete(adapter);
-    }
+    if (action !== 'unload' || adapter === undefined) return;
+    const entry = this.#models.get(model)?.adapters.get(adapter);
+    if (entry) entry.state = 'leaving';
   }
 
   // The engine answered that the ordered state is in effect already.
   #confirm({ action, model, adapter }: EngineOrder): void {
     if (adapter !== undefined) {
       if (action === 'load') this.markAdapterReady(model, adapter);
-      else this.removeAdapter(model, adapter);
+      else this.#models.get(model)?.adapters.delete(adapter);
       return;
     }
     if (action === 'unload') {
--- a/packages/decisions/src/test/serving/engine-inventory_test.ts
+++ b/packages/decisions/src/test/serving/engine-inventory_test.ts
@@ -107,4 +107,58 @@
     expect(inventory.idleAdapterUnload(80)).to.equal(undefined);
     expect(inventory.idleAdapterUnload(100)).to.include({ action: 'unload', adapter: 'x' });
   });
+
+  const loadOf = (adapter: string): EngineOrder => ({ action: 'load', model: 'a', adapter });
+  const unloadX: EngineOrder = { action: 'unload', model: 'a', adapter: 'x' };
+  const adapterReport = (
+    orderCount: number,
+    adapters: readonly string[],
+    isBusy: boolean,
+  ): EngineStateReport => ({
+    orderCount,
+    isBusy,
+    models: [{ name: 'a', adapters }],
+    pendingAdapters: [],
+  });
+
+  const fillSlots = (): void =>
+    ['x', 'y'].forEach((adapter) => {
+      inventory.recordSent(loadOf(adapter), 1);
+      inventory.applyOutcome(loadOf(adapter), OrderOutcome.accepted);
+      inventory.markAdapterReady('a', adapter);
+    });
+
+  // An engine accepts the unload of an adapter that a request still uses, and holds it until that ends.
+  it('accounts for an adapter until a report shows that it was unloaded', () => {
+    fillSlots();
+    inventory.recordSent(unloadX, 2);
+    inventory.applyOutcome(unloadX, OrderOutcome.accepted);
+    expect(inventory.adapterState('a', 'x')).to.equal(undefined);
+    expect(inventory.hasLeavingAdapters).to.equal(true);
+    expect(inventory.withholdReason(loadOf('z'))).to.equal('all adapter slots are taken');
+    inventory.applyReport(adapterReport(3, ['x', 'y'], true), 300);
+    expect(inventory.hasLeavingAdapters).to.equal(true);
+    inventory.applyReport(adapterReport(3, ['y'], false), 600);
+    expect(inventory.hasLeavingAdapters).to.equal(false);
+    expect(inventory.withholdReason(loadOf('z'))).to.equal(undefined);
+  });
+
+  it('counts an adapter whose unload was not carried out as present', () => {
+    fillSlots();
+    inventory.recordSent(unloadX, 2);
+    inventory.applyOutcome(unloadX, OrderOutcome.accepted);
+    inventory.applyReport(adapterReport(3, ['x', 'y'], false), 300);
+    expect(inventory.adapterState('a', 'x')).to.equal('ready');
+  });
+
+  // A denied adapter may still be on its way to the engine, where it takes a slot.
+  it('accounts for an adapter that the engine denied, and allows only that to be loaded', () => {
+    fillSlots();
+    inventory.markAdapterDenied('a', 'x');
+    expect(inventory.adapterState('a', 'x')).to.equal(undefined);
+    expect(inventory.withholdReason(loadOf('z'))).to.equal('all adapter slots are taken');
+    expect(inventory.withholdReason(loadOf('x'))).to.equal(undefined);
+    inventory.recordAdapterUse('a', 'y', 90);
+    expect(inventory.idleAdapterUnload(80)).to.include({ action: 'unload', adapter: 'x' });
+  });
 });
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -138,7 +138,7 @@
   tick(): void {
     const { nowMs, token } = this.#context;
     if (token() === undefined || this.#queuedCount > 0) return;
-    const needsReport = !this.isKnown || this.#isChangeDue();
+    const needsReport = !this.isKnown || this.#isChangeDue() || this.#engine.hasLeavingAdapters;
     if (needsReport && nowMs() >= this.#nextReportMs) {
       void this.#enqueue(() => this.#readReport());
       return;
@@ -190,7 +190,7 @@
     if (this.#context.token() === undefined || !this.isKnown || this.#engine.isBusy) return false;
     const known = this.#engine.adapterState(model, adapter);
     if (known === 'ready' && !wasDenied) return true;
-    if (known === 'ready') this.#engine.removeAdapter(model, adapter);
+    if (known === 'ready') this.#engine.markAdapterDenied(model, adapter);
     await this.#enqueue(() => this.#orderAdapterLoad(model, adapter));
     if (this.#engine.adapterState(model, adapter) === 'in-flight') {
       await sleep(ADAPTER_LOAD_MS);
@@ -202,10 +202,14 @@
   async #orderAdapterLoad(model: string, adapter: string): Promise<void> {
     if (this.#engine.adapterState(model, adapter)) return;
     const load: EngineOrder = { action: 'load', model, adapter };
-    if (this.#engine.adapterCount >= this.#spec.adapterSlotCount) {
+    const needsSlot = !this.#engine.holdsSlot(model, adapter);
+    if (needsSlot && this.#engine.adapterCount >= this.#spec.adapterSlotCount) {
+      // Its slot becomes free once no request uses it any more.
+      if (this.#engine.hasLeavingAdapters) return;
       const unload = this.#engine.idleAdapterUnload(this.#context.nowMs() - ADAPTER_IDLE_MIN_MS);
       if (!unload) return;
       await this.#order(unload);
+      if (this.#engine.hasLeavingAdapters) return;
     }
     await this.#order(load);
   }
--- /dev/null
+++ b/packages/gateway/src/test/engine-owner_test.ts
@@ -0,0 +1,126 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { OrderOutcome } from '@chervilseam/decisions';
+import type { EngineOrder, EngineStateReport } from '@chervilseam/decisions';
+import type { EngineSpec } from '@chervilseam/model';
+import { PartLogger } from '@chervilseam/observe';
+import { expect } from 'chai';
+import { Endpoint } from '../lib/feed/endpoint.js';
+import { EngineOwner } from '../lib/owner/engine-owner.js';
+import type { EngineCalls } from '../lib/ports/engine-calls.js';
+
+const SLOT_COUNT = 2;
+/** Longer than an adapter has to be idle before it is evicted, in milliseconds. */
+const IDLE_MS = 250;
+
+const spec: EngineSpec = {
+  slotCount: 8,
+  kvTokenCount: 1_000,
+  memoryMb: 150,
+  adapterSlotCount: SLOT_COUNT,
+  storeLoadsPerSecond: 1,
+  models: new Map([
+    ['m', { name: 'm', sizeMb: 70, storeLoadMs: 1, diskLoadMs: 1, hostLoadMs: 1, adapterMb: 1 }],
+  ]),
+};
+
+/** An engine with one model, which keeps an adapter that is in use until the use ends. */
+class FakeEngine implements EngineCalls {
+  readonly adapters = new Set(['a1', 'a2']);
+  readonly inUse = new Set<string>();
+  readonly leaving = new Set<string>();
+  adapterCountMax = 0;
+  orderCount = 0;
+
+  async order(_: unknown, { action, adapter = '' }: EngineOrder): Promise<OrderOutcome> {
+    await sleep(2);
+    this.#dropUnused();
+    this.orderCount += 1;
+    if (action === 'load') {
+      this.adapters.add(adapter);
+      this.adapterCountMax = Math.max(this.adapterCountMax, this.adapters.size);
+      return OrderOutcome.accepted;
+    }
+    this.leaving.add(adapter);
+    this.#dropUnused();
+    return this.adapters.has(adapter) ? OrderOutcome.accepted : OrderOutcome.holds;
+  }
+
+  async report(): Promise<EngineStateReport> {
+    this.#dropUnused();
+    return Promise.resolve({
+      orderCount: this.orderCount,
+      isBusy: this.leaving.size > 0,
+      models: [{ name: 'm', adapters: [...this.adapters] }],
+      pendingAdapters: [],
+    });
+  }
+
+  #dropUnused(): void {
+    this.leaving.forEach((adapter) => {
+      if (this.inUse.has(adapter)) return;
+      this.leaving.delete(adapter);
+      this.adapters.delete(adapter);
+    });
+  }
+}
+
+// An engine that is ordered to load more adapters than it has slots for crashes.
+describe('EngineOwner: adapters of one engine', () => {
+  let engine: FakeEngine;
+  let owner: EngineOwner;
+  let timer: NodeJS.Timeout;
+
+  beforeEach(async () => {
+    engine = new FakeEngine();
+    const endpoint = new Endpoint({
+      id: 'i-1',
+      service: 's',
+      host: '127.0.0.1',
+      port: 1,
+      failureDomain: 'a',
+      slotCount: 8,
+      isDraining: false,
+      bornMs: 1,
+      models: [],
+      hostModels: [],
+      diskModels: [],
+    });
+    owner = new EngineOwner(
+      {
+        instance: 'self',
+        calls: engine,
+        logger: PartLogger.forInstance('self', 'fatal')('engine'),
+        nowMs: () => performance.now(),
+        token: () => 1,
+        onOrder: () => undefined,
+      },
+      endpoint,
+      spec,
+    );
+    timer = setInterval(() => owner.tick(), 10);
+    await sleep(IDLE_MS);
+  });
+
+  afterEach(() => clearInterval(timer));
+
+  it('never exceed its slots while one that the engine denied is loaded again', async () => {
+    await Promise.all([
+      owner.loadAdapter('m', 'a3', false),
+      owner.loadAdapter('m', 'a1', true),
+      owner.loadAdapter('m', 'a4', false),
+    ]);
+    expect(engine.adapterCountMax).to.be.at.most(SLOT_COUNT);
+  });
+
+  it('never exceed its slots while one that is unloaded is still in use', async () => {
+    engine.inUse.add('a1');
+    owner.recordUse(['m/a2']);
+    await owner.loadAdapter('m', 'a3', false);
+    await owner.loadAdapter('m', 'a4', false);
+    expect(engine.adapterCountMax).to.be.at.most(SLOT_COUNT);
+    engine.inUse.clear();
+    await sleep(2 * IDLE_MS);
+    expect(await owner.loadAdapter('m', 'a3', false)).to.equal(true);
+    expect(engine.adapterCountMax).to.be.at.most(SLOT_COUNT);
+  });
+});
