--- a/packages/gateway/src/test/endpoint-feed_test.ts
+++ b/packages/gateway/src/test/endpoint-feed_test.ts
@@ -1,29 +1,15 @@
-import type { EndpointRecord } from '@chervilseam/model';
 import { PartLogger } from '@chervilseam/observe';
 import { expect } from 'chai';
 import { EndpointFeed } from '../lib/feed/endpoint-feed.js';
 import { EndpointRegistry } from '../lib/feed/endpoint-registry.js';
 import type { EndpointPage } from '../lib/ports/endpoint-page.js';
 import type { StateStore } from '../lib/ports/state-store.js';
+import { endpointRecordOf } from './endpoint-record-of.js';
 
 type RelayedPage = EndpointPage & { readonly fromOffset?: number };
 
 const ENDPOINT_COUNT = 100;
 
-const recordOf = (id: string): EndpointRecord => ({
-  id,
-  service: 'assistant',
-  host: '127.0.0.1',
-  port: 1,
-  failureDomain: 'a',
-  slotCount: 8,
-  isDraining: false,
-  bornMs: 1,
-  models: [],
-  hostModels: [],
-  diskModels: [],
-});
-
 const logger = PartLogger.forInstance('self', 'fatal')('list');
 
 describe('EndpointFeed: a read of the whole list', () => {
@@ -36,7 +22,7 @@
   const store = {
     readEndpoints: (): Promise<EndpointPage> => {
       offset += 1;
-      const changes = isExpired ? ids.map((id) => ({ id, record: recordOf(id) })) : [];
+      const changes = isExpired ? ids.map((id) => ({ id, record: endpointRecordOf(id) })) : [];
       return Promise.resolve({ isWhole: isExpired, changes, nextOffset: offset });
     },
   } as unknown as StateStore;
--- a/packages/gateway/src/test/engine-owner_test.ts
+++ b/packages/gateway/src/test/engine-owner_test.ts
@@ -7,6 +7,7 @@
 import { Endpoint } from '../lib/feed/endpoint.js';
 import { EngineOwner } from '../lib/owner/engine-owner.js';
 import type { EngineCalls } from '../lib/ports/engine-calls.js';
+import { endpointRecordOf } from './endpoint-record-of.js';
 
 const SLOT_COUNT = 2;
 /** Longer than an adapter has to be idle before it is evicted, in milliseconds. */
@@ -72,19 +73,7 @@
 
   beforeEach(async () => {
     engine = new FakeEngine();
-    const endpoint = new Endpoint({
-      id: 'i-1',
-      service: 's',
-      host: '127.0.0.1',
-      port: 1,
-      failureDomain: 'a',
-      slotCount: 8,
-      isDraining: false,
-      bornMs: 1,
-      models: [],
-      hostModels: [],
-      diskModels: [],
-    });
+    const endpoint = new Endpoint(endpointRecordOf('i-1'));
     owner = new EngineOwner(
       {
         instance: 'self',
