Listen for signals before the daemon starts to serve

Traced: the daemon accepted requests before it listened for SIGTERM; one that came in between ended the process, and requests just accepted with it.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -47,6 +47,13 @@
       peerKey: await readSecret('peer key', peerKeyFile, peerKeyEnv),
       operatorKey: await readSecret('operator key', operatorKeyFile, operatorKeyEnv),
     });
+    // A signal may come while the daemon starts, when it accepts requests already.
+    const stopRequest = new Promise<void>((resolve) => {
+      process.once('SIGTERM', resolve);
+      process.once('SIGINT', resolve);
+      // Without a listener, a second SIGTERM would end the process while requests are in progress.
+      process.on('SIGTERM', () => {});
+    });
     try {
       await daemon.start();
     } catch (error) {
@@ -54,15 +61,8 @@
       daemon.kill();
       return EXIT_FAILED;
     }
-    await new Promise<void>((resolve) => {
-      const stop = (): void => {
-        daemon.stop().then(resolve);
-      };
-      process.once('SIGTERM', stop);
-      process.once('SIGINT', stop);
-      // Without a listener, a second SIGTERM would end the process while requests are in progress.
-      process.on('SIGTERM', () => {});
-    });
+    await stopRequest;
+    await daemon.stop();
     return 0;
   }
 }
--- a/packages/embedded/src/test/process_test.ts
+++ b/packages/embedded/src/test/process_test.ts
@@ -152,6 +152,18 @@
     expect(await closed).to.equal(0);
   });
 
+  // The process accepted requests before it listened for signals, and was ended by one that came then.
+  it('exits with code 0 on a SIGTERM that comes while it starts', async () => {
+    const file = await write('starting.toml', settings('instance-9'));
+    const child = spawn(process.execPath, [daemonBinary, '--settings', file], { env });
+    children.push(child);
+    const closed = new Promise<number | null>((resolve) => {
+      child.on('close', resolve);
+    });
+    child.stdout.once('data', () => child.kill('SIGTERM'));
+    expect(await closed).to.equal(0);
+  });
+
   it('answers idempotent requests while an owner is suspended (SIGSTOP), and after it resumes', async () => {
     const { child, port } = await startProcess('instance-7');
     await deployment.waitFor('instance-7 alive at every instance', () =>
