Keep the limit of adapters in loading for a denied one

Found by reading the change again: an adapter that the engine denied skipped every check before it was loaded again, so also the limit of four in loading at a time. It skips only those of memory and slots, which it takes already. A load of an adapter that is being unloaded is withheld with that reason. Both tests failed before.

--- a/packages/decisions/src/lib/serving/engine-inventory.ts
+++ b/packages/decisions/src/lib/serving/engine-inventory.ts
@@ -298,17 +298,23 @@
     if (this.isBusy) return 'a model is being loaded or unloaded';
     const known = entry.adapters.get(adapter as string);
     if (action === 'unload') return known ? undefined : 'the adapter is not resident';
+    if (known?.state === 'leaving') return 'the adapter is being unloaded';
+    if (known && known.state !== 'denied') return 'the adapter is already resident';
     // A denied adapter is accounted for already.
-    if (known?.state === 'denied') return undefined;
-    if (known) return 'the adapter is already resident';
-    const adapterMb = this.#spec.models.get(model)?.adapterMb ?? Infinity;
-    if (this.memoryMb + adapterMb + RESERVED_MB > this.#spec.memoryMb) return 'not enough memory';
-    if (this.adapterCount >= this.#spec.adapterSlotCount) return 'all adapter slots are taken';
+    const roomReason = known ? undefined : this.#roomReason(model);
+    if (roomReason !== undefined) return roomReason;
     const inFlight = this.#adapterEntries.filter((one) => one.entry.state === 'in-flight').length;
     if (inFlight >= ADAPTERS_LOADING_MAX) return 'too many adapters are loading';
     return undefined;
   }
 
+  #roomReason(model: string): string | undefined {
+    const adapterMb = this.#spec.models.get(model)?.adapterMb ?? Infinity;
+    if (this.memoryMb + adapterMb + RESERVED_MB > this.#spec.memoryMb) return 'not enough memory';
+    const hasSlot = this.adapterCount < this.#spec.adapterSlotCount;
+    return hasSlot ? undefined : 'all adapter slots are taken';
+  }
+
   // Accounts for what an order may do once the engine accepts it.
   #reserve({ action, model, adapter }: EngineOrder, nowMs: number): void {
     const entry = this.#models.get(model);
--- a/packages/decisions/src/test/serving/engine-inventory_test.ts
+++ b/packages/decisions/src/test/serving/engine-inventory_test.ts
@@ -151,6 +151,26 @@
     expect(inventory.adapterState('a', 'x')).to.equal('ready');
   });
 
+  // The accounting of a denied adapter skipped this limit too.
+  it('loads a denied adapter again only while few others are being loaded', () => {
+    const names = ['v', 'w', 'x', 'y', 'z'];
+    inventory = new EngineInventory({ ...spec, adapterSlotCount: names.length });
+    inventory.applyReport(adapterReport(0, ['v'], false), 0);
+    names.slice(1).forEach((adapter) => {
+      inventory.recordSent(loadOf(adapter), 1);
+      inventory.applyOutcome(loadOf(adapter), OrderOutcome.accepted);
+    });
+    inventory.markAdapterDenied('a', 'v');
+    expect(inventory.withholdReason(loadOf('v'))).to.equal('too many adapters are loading');
+  });
+
+  it('does not load an adapter that is being unloaded', () => {
+    fillSlots();
+    inventory.recordSent(unloadX, 2);
+    inventory.applyOutcome(unloadX, OrderOutcome.accepted);
+    expect(inventory.withholdReason(loadOf('x'))).to.equal('the adapter is being unloaded');
+  });
+
   // A denied adapter may still be on its way to the engine, where it takes a slot.
   it('accounts for an adapter that the engine denied, and allows only that to be loaded', () => {
     fillSlots();
