Answer with a transfer in one place, and build the routes before a configuration counts as in force

Found by reading the change again. The daemon and the gateway each caught a failed encoding and failed the stream (answerInParts does it now); calls armed a second timer that could never fire first; one name meant two things (ConfigSource); a configuration whose routes cannot be indexed replaced the former one before it failed.

--- a/packages/daemon/src/lib/daemon.ts
+++ b/packages/daemon/src/lib/daemon.ts
@@ -2,7 +2,7 @@
 import { loadChart, Random, RouteTable } from '@chervilseam/decisions';
 import type { ConfigSnapshot, Member, MembershipMessage } from '@chervilseam/decisions';
 import { createDrivers } from '@chervilseam/endpoints';
-import { compressedCbor, sendInParts } from '@chervilseam/peer';
+import { answerInParts, compressedCbor } from '@chervilseam/peer';
 import type { PeerStream } from '@chervilseam/peer';
 import { HttpInstanceList, HttpLog } from '@chervilseam/ports';
 import { PartLogger } from '@chervilseam/observe';
@@ -262,9 +262,7 @@
       secret: this.#secrets.peerKey,
       handlers: {
         dispatch: (params, stream) => this.#owner.dispatch(params as DispatchParams, stream),
-        config: (params, stream) => {
-          void this.#answerConfig(params, stream);
-        },
+        config: (params, stream) => this.#answerConfig(params, stream),
         ...this.#group.handlers,
         keyClaim: (params, stream) => this.#keys.handlers.keyClaim(params, stream),
         keySettle: (params, stream) => this.#keys.handlers.keySettle(params, stream),
@@ -472,15 +470,11 @@
   }
 
   // Sends nothing when the other instance has everything.
-  async #answerConfig(params: unknown, stream: PeerStream): Promise<void> {
+  #answerConfig(params: unknown, stream: PeerStream): void {
     const { fromOffset } = params as { fromOffset: number };
     const { fold } = this.config;
-    try {
-      if (fold.offset <= fromOffset) stream.end();
-      else sendInParts(stream, await compressedCbor.encode(fold.snapshot()));
-    } catch (error) {
-      stream.fail({ code: 'not_encoded', message: (error as Error).message });
-    }
+    if (fold.offset <= fromOffset) stream.end();
+    else void answerInParts(stream, compressedCbor.encode(fold.snapshot()));
   }
 
   /** @returns number of requests and entries of idempotency keys that a shutdown waits for */
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -37,7 +37,8 @@
 /** Upper bound of the backoff, in milliseconds. */
 const BACKOFF_MAX_MS = 800;
 
-type ConfigSource = 'store' | 'peer';
+/** Where a configuration comes from. */
+type ConfigOrigin = 'store' | 'peer';
 
 /** Dependencies of the feed. */
 interface ConfigFeedContext {
@@ -56,14 +57,14 @@
   /** Reads the configuration from another instance, given its address as `host:port`. */
   readonly readPeer: (address: string) => Promise<ServingConfig>;
   /** Called after each read of the configuration. */
-  readonly onRead: (source: ConfigSource, outcome: 'read' | 'failed', durationMs: number) => void;
+  readonly onRead: (source: ConfigOrigin, outcome: 'read' | 'failed', durationMs: number) => void;
   /** Called when a newer configuration is in force. */
   readonly onChange: (config: ServingConfig) => void;
 }
 
 /** Where and when a configuration was read. */
 interface ConfigRead {
-  readonly source: ConfigSource;
+  readonly source: ConfigOrigin;
   /** Address of the instance that it was read from. */
   readonly from?: string;
   /** When the read began, in milliseconds; a read of the store includes the wait for a change. */
@@ -104,9 +105,13 @@
     return this.#config;
   }
 
-  /** The configuration in force, encoded for other instances; `undefined` before the first one was read. */
-  get encoded(): Promise<Buffer> | undefined {
-    this.#encoded ??= this.#config && packedConfig.encode(this.#config);
+  /**
+   * @returns the configuration in force, encoded for other instances
+   * @throws before the first configuration was read
+   */
+  async encoded(): Promise<Buffer> {
+    if (!this.#config) throw new Error('no configuration is in force');
+    this.#encoded ??= packedConfig.encode(this.#config);
     return this.#encoded;
   }
 
@@ -265,9 +270,9 @@
     const nowMs = this.#context.nowMs();
     const previous = this.version;
     const behindMs = Math.round(this.#behindMs);
+    this.#routes = new RouteIndex(config);
     this.#config = config;
     this.#encoded = undefined;
-    this.#routes = new RouteIndex(config);
     this.#behindSinceMs = this.reportedVersion > config.version ? nowMs : undefined;
     this.#context.logger.info('config_in_force', 'a newer configuration is in force', {
       version: config.version,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -140,7 +140,7 @@
       ownState: () => this.#ownState(),
       state: () => this.#state(),
       loadAdapter: (request) => this.#fleet.loadAdapter(request),
-      config: () => this.#config.encoded,
+      config: () => this.#config.encoded(),
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
       onEndpoints: (page) => this.#endpointFeed.applyPeerRead(page),
       onState: (state) => this.#onPeerState(state),
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,5 +1,4 @@
-import { PeerPool, PeerServer, sendInParts } from '@chervilseam/peer';
-import type { PeerStream } from '@chervilseam/peer';
+import { answerInParts, PeerPool, PeerServer } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
 import type { ServingConfig } from '@chervilseam/model';
 import { packedConfig } from '../feed/packed-config.js';
@@ -77,8 +76,11 @@
   readonly loadAdapter: (request: AdapterLoadRequest) => Promise<boolean>;
   /** Begins a change of the models on an engine that this instance owns. */
   readonly beginMove: (endpoint: string, move: EngineMove) => boolean;
-  /** The configuration in force here, encoded for instances that do not read it from the store. */
-  readonly config: () => Promise<Buffer> | undefined;
+  /**
+   * The configuration in force here, encoded for instances that do not read it from the store; rejects
+   * when there is none.
+   */
+  readonly config: () => Promise<Buffer>;
   /** Receives a page of the endpoints' list that another instance read. */
   readonly onEndpoints: (page: ListPage) => void;
   /** Receives each state of another instance. */
@@ -138,7 +140,7 @@
         stream.end({});
       },
       config: (_, stream) => {
-        void this.#sendConfig(stream);
+        void answerInParts(stream, context.config());
       },
       move: (params, stream) => {
         const { endpoint, move } = params as { endpoint: string; move: EngineMove };
@@ -299,16 +301,6 @@
     this.#transfers.close();
   }
 
-  async #sendConfig(stream: PeerStream): Promise<void> {
-    try {
-      const bytes = await this.#context.config();
-      if (bytes) sendInParts(stream, bytes);
-      else stream.fail({ code: 'no_config', message: 'peer has no configuration' });
-    } catch (error) {
-      stream.fail({ code: 'not_encoded', message: (error as Error).message });
-    }
-  }
-
   get #ownerLinks(): PeerLink[] {
     return [...this.#links.values()].filter(({ isFollower }) => !isFollower);
   }
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -44,7 +44,7 @@
       }),
       loadAdapter: () => Promise.resolve(false),
       beginMove: () => false,
-      config: () => undefined,
+      config: () => Promise.reject(new Error('no configuration is in force')),
       onEndpoints: (page) => this.pages.push(page),
       onState: () => {
         this.stateCount += 1;
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -3,9 +3,9 @@
  *
  * @packageDocumentation
  */
+export { answerInParts } from './lib/answer-in-parts.js';
 export { compressedCbor } from './lib/compressed-cbor.js';
 export { PeerPool } from './lib/peer-pool.js';
 export { PeerServer } from './lib/peer-server.js';
 export type { PeerStream } from './lib/peer-stream.js';
-export { sendInParts } from './lib/send-in-parts.js';
 export { createStreamPair } from './lib/create-stream-pair.js';
--- a/packages/peer/src/lib/peer-pool.ts
+++ b/packages/peer/src/lib/peer-pool.ts
@@ -74,8 +74,7 @@
     timeoutMs: number,
   ): Promise<unknown> {
     const stream = await this.open(address, method, params);
-    const bounds = { totalMs: timeoutMs, silenceMs: timeoutMs, bytesMax: 0 };
-    return (await settleStream(stream, method, bounds)).params;
+    return (await settleStream(stream, method, { totalMs: timeoutMs, bytesMax: 0 })).params;
   }
 
   /**
--- a/packages/peer/src/lib/settle-stream.ts
+++ b/packages/peer/src/lib/settle-stream.ts
@@ -4,8 +4,8 @@
 interface AnswerBounds {
   /** Longest time for the whole answer. */
   readonly totalMs: number;
-  /** Longest time without data. */
-  readonly silenceMs: number;
+  /** Longest time without data; by default only the total is bounded. */
+  readonly silenceMs?: number;
   /** Largest amount of data that is kept. */
   readonly bytesMax: number;
 }
@@ -33,19 +33,21 @@
   return new Promise((resolve, reject) => {
     const parts: Uint8Array[] = [];
     let bytes = 0;
-    let timers: NodeJS.Timeout[] = [];
+    const timers: NodeJS.Timeout[] = [];
     const stopTimers = (): void => timers.forEach((timer) => clearTimeout(timer));
     const cancel = (code: string, message: string): void => {
       stopTimers();
       stream.fail({ code, message });
       reject(new Error(`${method} ${message}`));
     };
-    const abortAfter = (delayMs: number, text: string): NodeJS.Timeout =>
-      setTimeout(() => cancel('timeout', `${text} ${delayMs} ms`), delayMs);
-    const total = abortAfter(totalMs, 'timed out after');
+    const cancelAfter = (delayMs: number, text: string): NodeJS.Timeout => {
+      const timer = setTimeout(() => cancel('timeout', `${text} ${delayMs} ms`), delayMs);
+      timers.push(timer);
+      return timer;
+    };
+    cancelAfter(totalMs, 'timed out after');
     const silence =
-      silenceMs < totalMs ? abortAfter(silenceMs, 'delivered nothing for') : undefined;
-    timers = [total, ...(silence ? [silence] : [])];
+      silenceMs === undefined ? undefined : cancelAfter(silenceMs, 'delivered nothing for');
     // A stream calls the listener that is assigned to it.
     // eslint-disable-next-line no-param-reassign
     stream.listener = {
