--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -78,6 +78,8 @@
   #sentMs = 0;
   /** Whether the current attempt has received the head of its answer. */
   #hasHead = false;
+  /** Whether the current attempt has received a complete event of its stream. */
+  #hasEvent = false;
   #hasResetTried = false;
   #waitReason: PickReason = PickReason.full;
   /** Time until another replica of the model is ready as of the last pick, in milliseconds. */
@@ -271,6 +273,7 @@
     this.#endpoint = endpoint;
     this.#sentMs = nowMs();
     this.#hasHead = false;
+    this.#hasEvent = false;
     this.#readTokenCount = readTokenCount;
     endpoint.requestSent(this.#head.promptTokenCount);
     onSent(endpoint, this.#head);
@@ -284,6 +287,7 @@
       readTokenCount,
       remainingMs,
       lastEvent: this.#relay.lastEvent,
+      parts: this.#head.promptParts.map(({ id }) => id),
     });
     const { lastEvent: lastRelayed } = this.#relay;
     const lastEvent = lastRelayed === undefined ? this.#head.lastEvent : `${lastRelayed}`;
@@ -372,7 +376,10 @@
       return true;
     }
     // A stream that sends bytes but completes no event is stalled.
-    if (eventCount > 0) this.#silenceTimer?.refresh();
+    if (eventCount > 0) {
+      this.#hasEvent = true;
+      this.#silenceTimer?.refresh();
+    }
     if (gapMs !== undefined) this.#endpoint?.health.recordEventGap(gapMs, this.#context.nowMs());
     return isWritable;
   }
@@ -482,6 +489,9 @@
       endpoint: this.#lastEndpoint?.id,
       afterMs: Math.round(nowMs() - this.#sentMs),
       lastEvent: this.#relay.lastEvent,
+      hadHead: this.#hasHead,
+      hadEvent: this.#hasEvent,
+      parts: this.#head.promptParts.map(({ id }) => id),
       mayHaveRun: this.#mayHaveRun,
     });
   }
