Withhold requests with a part under which engines end

Cause: nothing was remembered by what a request held. A broken answer was charged to the engine alone, the request went on to the next engine, and the next one with the same part was as welcome as any, at each instance. Class: a failure is charged to the one that shows it, not to what caused it.

Ruled out by logs with parts and progress: engines that end for reasons of their own (one part, and no other uncleared one, is in a run without events at all 28 ends).

Why it works: the effect is certain, so one answer past its beginning clears its parts, and further ends narrow the rest. Ends travel with the states of instances, mergeable, bounded, with an age. A broken connection counts only once the engine is known to be gone.

--- a/packages/decisions/src/lib/serving/endpoint-health.ts
+++ b/packages/decisions/src/lib/serving/endpoint-health.ts
@@ -120,6 +120,16 @@
     this.#downUntilMs = nowMs + DOWN_MS;
   }
 
+  /**
+   * Records that the endpoint's process has ended: it gets no requests until it counts as up again.
+   *
+   * @param nowMs - current time of a monotonic clock, in milliseconds
+   */
+  recordEnd(nowMs: number): void {
+    this.recordConnectFailure(nowMs);
+    this.#unreachableUntilMs = this.#downUntilMs;
+  }
+
   /**
    * @returns whether a connection attempt failed within the last `DOWN_MS` and no answer came since
    */
--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -22,6 +22,8 @@
   [AnswerFraming.connection]: [ConnectionEnding.closed, ConnectionEnding.reset],
 };
 
+/** Code of the error of a connection attempt to a port where no process listens. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
 /** Lower status codes are interim responses (1xx). */
 const FIRST_FINAL_STATUS = 200;
 
@@ -121,6 +123,8 @@
   onError(error: Error): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    this.#listener.onFail({ wasSent: this.#abort !== undefined, reason: error.message });
+    const wasSent = this.#abort !== undefined;
+    const isRefused = !wasSent && (error as { code?: string }).code === CONNECTION_REFUSED;
+    this.#listener.onFail({ wasSent, isBroken: wasSent, isRefused, reason: error.message });
   }
 }
--- a/packages/gateway/src/lib/dispatch/pick-requirements.ts
+++ b/packages/gateway/src/lib/dispatch/pick-requirements.ts
@@ -11,6 +11,8 @@
   readonly promptTokenCount: number;
   /** Longest time to the first event that meets the route's objective, in milliseconds. */
   readonly objectiveMs: number;
+  /** Whether an engine may end under the request: it is sent where it would take the fewest runs with it. */
+  readonly isSuspect: boolean;
   /** Identities of the endpoints that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
 }
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -13,6 +13,7 @@
 import type { RunContext } from './run-context.js';
 import type { RunTarget } from './run-target.js';
 import { StreamRelay } from './stream-relay.js';
+import { suspectPartsOf } from './suspect-parts.js';
 
 /** Shortest time before the deadline in which an answer is possible, in milliseconds. */
 const REMAINING_MIN_MS = 15;
@@ -38,6 +39,8 @@
  * refused together do not retry together.
  */
 const RETRY_AFTER_SPREAD_MS = 1_200;
+/** Number of events after which an answer has got past its beginning. */
+const BEGINNING_EVENT_COUNT = 3;
 /** Number of engines that are asked in turn to load an adapter before the request is queued. */
 const ADAPTER_LOAD_ATTEMPTS = 3;
 const OK_MAX = 299;
@@ -52,6 +55,14 @@
   [PickReason.adapter]: 'model',
 } as const;
 
+// An attempt that this instance gave up after it was sent.
+const givenUp = (reason: string): AttemptFailure => ({
+  wasSent: true,
+  isBroken: false,
+  isRefused: false,
+  reason,
+});
+
 // A success status without the endpoint's signature may come from another server at its address.
 const isSuccess = ({ status, isSigned }: AnswerHead): boolean => isSigned && status <= OK_MAX;
 
@@ -64,6 +75,8 @@
   readonly #target: RunTarget;
   readonly #head: CallerHead;
   readonly #body: Buffer;
+  /** Ids of what the request holds and what may end an engine. */
+  readonly #parts: readonly string[];
   readonly #deadlineMs: number;
   readonly #relay: StreamRelay;
   /** Identities of the endpoints that the request was sent to and is not sent to again. */
@@ -78,8 +91,12 @@
   #sentMs = 0;
   /** Whether the current attempt has received the head of its answer. */
   #hasHead = false;
-  /** Whether the current attempt has received a complete event of its stream. */
-  #hasEvent = false;
+  /** Number of complete events of its stream that the current attempt has received. */
+  #eventCount = 0;
+  /** Whether an answer to this request has got past its beginning: it does not end engines. */
+  #isProven = false;
+  /** Whether the current attempt was sent although the request was suspected to end engines. */
+  #isTest = false;
   #hasResetTried = false;
   #waitReason: PickReason = PickReason.full;
   /** Time until another replica of the model is ready as of the last pick, in milliseconds. */
@@ -111,6 +128,7 @@
     this.#target = target;
     this.#head = head;
     this.#body = body;
+    this.#parts = suspectPartsOf(head, exchange.method, exchange.path, body);
     this.#relay = new StreamRelay(exchange, context.nowMs);
     const waitMs = Math.min(head.waitMs ?? Infinity, target.route.timeoutMs);
     this.#deadlineMs = exchange.receivedMs + waitMs;
@@ -144,6 +162,7 @@
    */
   #tryDispatch(): boolean {
     if (this.#isOver) return true;
+    if (this.#failIfWithheld()) return true;
     const pick = this.#pick();
     const handlers: Record<PickResult['kind'], () => boolean> = {
       send: () => {
@@ -171,6 +190,13 @@
     return handlers[pick.kind]();
   }
 
+  // Engines end under requests like this one: it has not run on them and will not.
+  #failIfWithheld(): boolean {
+    const withheld = this.#context.crashGuard.withheld(this.#parts);
+    if (!withheld) return false;
+    return this.#fail('engines ended under requests like this', withheld.trialInMs);
+  }
+
   #pick(): PickResult {
     return this.#context.picker.pick(this.#requirements);
   }
@@ -183,6 +209,7 @@
       paceMaxMs: this.#route.paceMaxMs,
       promptTokenCount: this.#head.promptTokenCount,
       objectiveMs: this.#route.objectiveMs,
+      isSuspect: this.#context.crashGuard.isSuspect(this.#parts),
       tried: this.#tried,
     };
   }
@@ -237,6 +264,7 @@
       // eslint-disable-next-line no-await-in-loop
       const isReady = await loadAdapter(endpoint, model, adapter);
       if (this.#isOver) return;
+      if (this.#failIfWithheld()) return;
       if (isReady) {
         endpoint.markPresent(item);
         endpoint.markPresent(`load ${item}`);
@@ -257,7 +285,8 @@
 
   #send(pick: Extract<PickResult, { kind: 'send' }>): void {
     const { endpoint, candidateCount, readTokenCount } = pick;
-    const { nowMs, codec, retryBudget, logDecision, instanceCount, onSent } = this.#context;
+    const { nowMs, codec, retryBudget, logDecision, instanceCount, onSent, crashGuard } =
+      this.#context;
     const remainingMs = Math.floor(this.#deadlineMs - nowMs());
     if (remainingMs < REMAINING_MIN_MS) {
       this.#fail('no time left');
@@ -273,7 +302,8 @@
     this.#endpoint = endpoint;
     this.#sentMs = nowMs();
     this.#hasHead = false;
-    this.#hasEvent = false;
+    this.#eventCount = 0;
+    this.#isTest = crashGuard.isSuspect(this.#parts);
     this.#readTokenCount = readTokenCount;
     endpoint.requestSent(this.#head.promptTokenCount);
     onSent(endpoint, this.#head);
@@ -287,7 +317,8 @@
       readTokenCount,
       remainingMs,
       lastEvent: this.#relay.lastEvent,
-      parts: this.#head.promptParts.map(({ id }) => id),
+      parts: this.#parts,
+      isSuspect: this.#isTest,
     });
     const { lastEvent: lastRelayed } = this.#relay;
     const lastEvent = lastRelayed === undefined ? this.#head.lastEvent : `${lastRelayed}`;
@@ -337,7 +368,7 @@
       return;
     }
     attempt.cancel();
-    this.#onFailure(attempt, { wasSent: true, reason: 'silent for too long' });
+    this.#onFailure(attempt, givenUp('silent for too long'));
   }
 
   #onHead(attempt: EndpointAttempt, answer: AnswerHead): void {
@@ -345,7 +376,7 @@
     const { nowMs } = this.#context;
     if (answer.requestId !== undefined && answer.requestId !== this.#head.requestId) {
       attempt.cancel();
-      this.#onFailure(attempt, { wasSent: true, reason: 'answer to another request' });
+      this.#onFailure(attempt, givenUp('answer to another request'));
       return;
     }
     this.#answer = answer;
@@ -363,7 +394,7 @@
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes <= BUFFERED_BYTES_MAX) return true;
     attempt.cancel();
-    this.#onFailure(attempt, { wasSent: true, reason: 'answer too large' });
+    this.#onFailure(attempt, givenUp('answer too large'));
     return true;
   }
 
@@ -372,18 +403,26 @@
     const { isWritable, eventCount, gapMs } = this.#relay.push(chunk);
     if (this.#relay.pendingBytes > EVENT_BYTES_MAX) {
       attempt.cancel();
-      this.#onFailure(attempt, { wasSent: true, reason: 'event too large' });
+      this.#onFailure(attempt, givenUp('event too large'));
       return true;
     }
     // A stream that sends bytes but completes no event is stalled.
     if (eventCount > 0) {
-      this.#hasEvent = true;
+      this.#eventCount += eventCount;
+      if (this.#eventCount >= BEGINNING_EVENT_COUNT) this.#prove();
       this.#silenceTimer?.refresh();
     }
     if (gapMs !== undefined) this.#endpoint?.health.recordEventGap(gapMs, this.#context.nowMs());
     return isWritable;
   }
 
+  // The request does not end engines: clears what it holds.
+  #prove(): void {
+    if (this.#isProven) return;
+    this.#isProven = true;
+    this.#context.crashGuard.proven(this.#parts);
+  }
+
   // The first data of a stream shows that the endpoint has finished the prefill of the prompt.
   #recordPrefill(): void {
     if (this.#readTokenCount === 0 || !this.#endpoint) return;
@@ -398,9 +437,10 @@
     const answer = this.#answer as AnswerHead;
     if (this.#relay.isOpen && isSuccess(answer)) {
       if (this.#relay.isWithinEvent) {
-        this.#onFailure(attempt, { wasSent: true, reason: 'ended within an event' });
+        this.#onFailure(attempt, givenUp('ended within an event'));
         return;
       }
+      this.#prove();
       this.#releaseEndpoint();
       this.#finish('ran', answer.status);
       this.#exchange.end();
@@ -416,7 +456,7 @@
       return;
     }
     if (!answer.isSigned) {
-      this.#onFailure(attempt, { wasSent: true, reason: `unsigned answer ${answer.status}` });
+      this.#onFailure(attempt, givenUp(`unsigned answer ${answer.status}`));
       return;
     }
     if (answer.status >= SERVER_ERROR) {
@@ -436,6 +476,7 @@
       this.#exchange.cut();
       return;
     }
+    this.#prove();
     this.#finish(isSuccess(answer) ? 'ran' : 'failed by endpoint', answer.status);
     this.#exchange.head(answer.status, answer.headers);
     this.#exchange.end(Buffer.concat(this.#buffered));
@@ -463,17 +504,30 @@
     else this.#dispatch();
   }
 
-  #onFailure(attempt: EndpointAttempt, { wasSent, reason }: AttemptFailure): void {
+  #onFailure(attempt: EndpointAttempt, failure: AttemptFailure): void {
     if (attempt !== this.#attempt) return;
-    const { nowMs } = this.#context;
-    if (wasSent) this.#endpoint?.health.recordNoAnswer(nowMs());
-    else this.#endpoint?.health.recordConnectFailure(nowMs());
+    const { nowMs, crashGuard } = this.#context;
+    const { wasSent, isBroken, isRefused, reason } = failure;
+    const endpoint = this.#endpoint as Endpoint;
+    if (wasSent) endpoint.health.recordNoAnswer(nowMs());
+    else endpoint.health.recordConnectFailure(nowMs());
+    if (isRefused) crashGuard.connectionRefused(endpoint);
     this.#releaseEndpoint();
     if (wasSent) {
       this.#runCount += 1;
       this.#mayHaveRun = true;
     }
     this.#logFailure(reason);
+    if (isBroken && !this.#isProven) {
+      const run = { parts: this.#parts, isTest: this.#isTest };
+      void crashGuard.brokeOff(endpoint, run).then(() => this.#retryOrFail(failure));
+      return;
+    }
+    this.#retryOrFail(failure);
+  }
+
+  #retryOrFail({ wasSent, reason }: AttemptFailure): void {
+    if (this.#isOver) return;
     const mayRetry = wasSent ? this.#mayRetry() : this.#sendCount < SEND_COUNT_MAX;
     if (mayRetry) this.#dispatch();
     else this.#fail(reason);
@@ -490,8 +544,8 @@
       afterMs: Math.round(nowMs() - this.#sentMs),
       lastEvent: this.#relay.lastEvent,
       hadHead: this.#hasHead,
-      hadEvent: this.#hasEvent,
-      parts: this.#head.promptParts.map(({ id }) => id),
+      eventCount: this.#eventCount,
+      parts: this.#parts,
       mayHaveRun: this.#mayHaveRun,
     });
   }
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -3,6 +3,7 @@
 import type { AnswerHead } from '../ports/answer-head.js';
 import type { CallerHead } from '../ports/caller-head.js';
 import type { EndpointCodec } from '../ports/endpoint-codec.js';
+import type { CrashGuard } from './crash-guard.js';
 import type { EndpointPicker } from './endpoint-picker.js';
 import type { RunEnd } from './run-end.js';
 import type { RunTarget } from './run-target.js';
@@ -10,6 +11,8 @@
 /** Dependencies of a request's run. */
 export interface RunContext {
   readonly picker: EndpointPicker;
+  /** Knows the parts of prompts under which engines end. */
+  readonly crashGuard: CrashGuard;
   readonly codec: EndpointCodec;
   readonly nowMs: () => number;
   /** @returns a random number from 0 up to 1 */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,8 +1,9 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { chooseTarget, Random } from '@chervilseam/decisions';
+import { chooseTarget, Random, weightedRendezvous } from '@chervilseam/decisions';
 import type { PartLogger } from '@chervilseam/observe';
+import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
 import { RequestRun } from './dispatch/request-run.js';
 import type { RunContext } from './dispatch/run-context.js';
@@ -63,6 +64,7 @@
   readonly #endpointFeed: EndpointFeed;
   readonly #fleet: EngineFleet;
   readonly #ingress: IngressServer;
+  readonly #crashGuard: CrashGuard;
   readonly #picker: EndpointPicker;
   readonly #runContext: RunContext;
   readonly #services: ServiceTable;
@@ -173,6 +175,16 @@
       awaited: () => this.#services.awaitedModels,
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
     });
+    this.#crashGuard = new CrashGuard({
+      nowMs,
+      logger: ports.logger('crash'),
+      probe: (endpoint) => ports.calls.report(endpoint),
+      endpoint: (id) => this.#registry.get(id),
+      isExaminer: (part) => this.#isExaminer(part),
+      onEnded: () => this.#metrics.engineEnds.inc(),
+      onWithheld: () => this.#metrics.withheld.inc(),
+      onNews: () => this.#peerSync.noteUrgent(),
+    });
     this.#picker = new EndpointPicker({
       failureDomain: settings.failureDomain,
       nowMs,
@@ -285,6 +297,7 @@
   #tick(): void {
     const nowMs = Gateway.nowMs();
     this.#peers.removeExpired(nowMs);
+    this.#crashGuard.expire();
     this.#instanceCountMax = this.#instanceCount;
     this.#member.tick();
     if (this.#peers.isUnanimous(this.#member.generation, nowMs)) this.#member.extendLease();
@@ -362,6 +375,7 @@
     const { codec } = this.#ports;
     return {
       picker: this.#picker,
+      crashGuard: this.#crashGuard,
       codec,
       nowMs: Gateway.nowMs,
       randomUnit: () => this.#random.unit(),
@@ -426,12 +440,29 @@
     return Array.from({ length: this.#settings.shareCount }, (_, share) => share).every(isKnown);
   }
 
+  // One owner of shares examines a part, so that the others need not; an instance that knows no owner
+  // examines for itself.
+  #isExaminer(part: string): boolean {
+    const self = this.#settings.instance;
+    const owners = this.#peers
+      .fresh(Gateway.nowMs())
+      .flatMap(({ instance, shares }) => (shares.length > 0 ? [instance] : []));
+    if (this.#member.shares.length > 0 || owners.length === 0) owners.push(self);
+    return (
+      weightedRendezvous(
+        part,
+        owners.map((name) => ({ name, size: 1 })),
+      )?.name === self
+    );
+  }
+
   #onPeerState(state: InstanceState): void {
     if (state.instance !== this.#settings.instance) {
       const { configVersion: version, failureDomain } = state;
       const isLocal = failureDomain === this.#settings.failureDomain;
       this.#config.onPeerVersion({ version, address: peerKey(state), isLocal });
     }
+    this.#crashGuard.merge(state.engineEnds);
     this.#fleet.receiveState(state);
     // Adapters that a follower used are passed on to the owners with this instance's next state.
     Object.entries(state.usedAdapters).forEach(([endpoint, items]) => {
@@ -485,6 +516,7 @@
       shares: this.#member.shares,
       orderAgesMs: this.#fleet.handover.orderAgesMs(nowMs),
       engines: this.#fleet.ownStates(),
+      engineEnds: this.#crashGuard.published(),
       owners: this.#peerSync.owners,
     };
   }
@@ -495,6 +527,8 @@
     this.#metrics.instances.set(this.#peers.instanceCount() + 1);
     this.#metrics.endpoints.set(this.#registry.all.length);
     this.#metrics.configVersionReported.set(this.#config.reportedVersion);
+    this.#metrics.suspectParts.set(this.#crashGuard.suspectCount);
+    this.#metrics.withheldParts.set(this.#crashGuard.withheldCount);
     this.#metrics.listAgeMs.set(this.#endpointFeed.ageMs(nowMs));
     this.#metrics.ownedEngines.set(Object.keys(this.#fleet.ownStates()).length);
     return this.#metrics.text();
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -25,6 +25,14 @@
     'source',
     'outcome',
   ]);
+  readonly engineEnds = this.counter('engine_ends_total', 'Engines that ended under runs.', []);
+  readonly withheld = this.counter(
+    'withheld_total',
+    'Requests withheld, as engines end under them.',
+    [],
+  );
+  readonly suspectParts = this.gauge('suspect_parts', 'Parts of prompts that are suspected.', []);
+  readonly withheldParts = this.gauge('withheld_parts', 'Parts of prompts that are withheld.', []);
   readonly listAgeMs = this.gauge('list_age_ms', 'Age of the list of endpoints.', []);
   readonly ownedEngines = this.gauge('owned_engines', 'Engines that may be ordered from here.', []);
 }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -1,3 +1,4 @@
+import type { EngineEnd } from '@chervilseam/decisions';
 import type { EndpointLoad } from './endpoint-load.js';
 import type { OwnedEngineState } from './owned-engine-state.js';
 
@@ -46,6 +47,8 @@
   readonly orderAgesMs: Readonly<Record<number, number>>;
   /** States of the engines that the instance owns, by endpoint. */
   readonly engines: Readonly<Record<string, OwnedEngineState>>;
+  /** Ends of engines that the instance knows of, by the ids of the ends. */
+  readonly engineEnds: Readonly<Record<string, EngineEnd>>;
   /** Addresses of the owners of shares that answer the instance, each as `host:port`. */
   readonly owners: readonly string[];
 }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -110,6 +110,8 @@
   #aggregator: PeerLink | undefined;
   /** When this instance last dispatched a request, in milliseconds. */
   #dispatchedMs = -Infinity;
+  /** Whether the other instances should have the next state at once. */
+  #isUrgent = false;
   /** When this instance last compared its aggregator with the other owners, in milliseconds. */
   #aggregatorCheckMs = -Infinity;
   /** Restores the overviews of the current aggregator. */
@@ -218,10 +220,17 @@
     this.#dispatchedMs = this.#context.nowMs();
   }
 
+  /** Sends the next state as soon as possible: other instances have to know of something in it at once. */
+  noteUrgent(): void {
+    this.#dispatchedMs = this.#context.nowMs();
+    this.#isUrgent = true;
+  }
+
   /** Sends this instance's state to each instance that it is due for. */
   tick(): void {
     if (this.#context.isOwner()) this.#sendToOwners();
     else this.#sendToAggregator();
+    this.#isUrgent = false;
   }
 
   /**
@@ -334,6 +343,7 @@
     const intervalMinMs = (MS_PER_SECOND * links.length) / statesPerSecondMax;
     return links.filter(({ isCalling, sentMs, retryMs }) => {
       const hasChanged = this.#dispatchedMs > sentMs;
+      if (this.#isUrgent && !isCalling && nowMs >= retryMs) return true;
       const intervalMs = Math.max(
         hasChanged ? CHANGED_INTERVAL_MS : STATE_INTERVAL_MS,
         intervalMinMs,
@@ -351,7 +361,8 @@
       this.#context.onNoOwner();
     }
     if (!link || link.isCalling) return;
-    if (nowMs < Math.max(link.sentMs + FOLLOWER_INTERVAL_MS, link.retryMs)) return;
+    const intervalMs = this.#isUrgent ? 0 : FOLLOWER_INTERVAL_MS;
+    if (nowMs < Math.max(link.sentMs + intervalMs, link.retryMs)) return;
     if (this.#aggregator !== link) {
       const fields = { speaker: peerKey(link.address) };
       this.#context.logger.info(
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -53,6 +53,8 @@
   ...noSums,
   sequence: 0,
   usedAdapters: {},
+  // The summary has them merged.
+  engineEnds: {},
   // Rounded down: an order that is taken for a later one only prolongs a hand-over.
   orderAgesMs: Object.fromEntries(
     Object.entries(state.orderAgesMs).map(([share, ageMs]) => [
--- a/packages/gateway/src/test/instance-state-of.ts
+++ b/packages/gateway/src/test/instance-state-of.ts
@@ -25,6 +25,7 @@
   shares: [],
   orderAgesMs: {},
   engines: {},
+  engineEnds: {},
   owners: [],
   ...more,
 });
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -95,6 +95,7 @@
       shares: this.shares,
       orderAgesMs: {},
       engines: {},
+      engineEnds: {},
       owners: this.sync.owners,
     };
   }
