Spend the retry budget only where an earlier attempt may have arrived

Cause: each refused connection counted as a retry, although nothing had arrived anywhere; each instance met up to 64 of them at one engine's address. The test failed before: 503 for most of twelve requests with one of three engines left.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -107,6 +107,8 @@
   #runCount = 0;
   /** Number of times that the request was sent. */
   #sendCount = 0;
+  /** Whether an endpoint received the request, or may have: the next one receives a retry. */
+  #hasArrived = false;
   /** Whether an endpoint ran or may have run the request: it can no longer be refused as not run. */
   #mayHaveRun = false;
   #isOver = false;
@@ -292,8 +294,7 @@
       this.#fail('no time left');
       return;
     }
-    const isRetry = this.#sendCount > 0;
-    if (isRetry && !retryBudget(this.#service.name).spend(nowMs(), instanceCount())) {
+    if (this.#hasArrived && !retryBudget(this.#service.name).spend(nowMs(), instanceCount())) {
       this.#fail('retry budget spent');
       return;
     }
@@ -380,6 +381,7 @@
       return;
     }
     this.#answer = answer;
+    this.#hasArrived = true;
     this.#hasHead = true;
     if (isSuccess(answer)) this.#endpoint?.health.recordSuccess(nowMs() - this.#sentMs, nowMs());
     if (!isSuccess(answer) || !this.#route.isStream) return;
@@ -514,6 +516,7 @@
     if (isRefused) crashGuard.connectionRefused(endpoint);
     this.#releaseEndpoint();
     if (wasSent) {
+      this.#hasArrived = true;
       this.#runCount += 1;
       this.#mayHaveRun = true;
     }
