Believe a refusal only with the request's own id, and not on a connection that has carried one

Report: a faulty engine wrote an earlier refusal once more on a kept connection; callers were told "not run" for a request that ran (REFUSED), or it ran twice (TWICE). It can happen here. Cause: ids were compared only where the answer has one; and an id does not tell two refusals of the same request apart, which is sent to the same engine again once that has the model. Tests failed before: 503 in place of 502, and two runs of one request; for the same request, 503 after it had run, three of three by hand.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -375,7 +375,8 @@
   #onHead(attempt: EndpointAttempt, answer: AnswerHead): void {
     if (attempt !== this.#attempt) return;
     const { nowMs } = this.#context;
-    if (answer.requestId !== undefined && answer.requestId !== this.#head.requestId) {
+    // An endpoint may write an answer once more on a kept connection; only the id tells whose it is.
+    if ((answer.requestId ?? '') !== this.#head.requestId) {
       attempt.cancel();
       this.#onFailure(attempt, givenUp('answer to another request'));
       return;
@@ -383,6 +384,13 @@
     this.#answer = answer;
     this.#hasArrived = true;
     this.#hasHead = true;
+    if (answer.isMisdirected) {
+      // The request may be sent to this endpoint again: a repeat of this refusal, which has the same id,
+      // must not come on the same connection.
+      attempt.cancel();
+      this.#onCompleteAnswer(attempt, answer);
+      return;
+    }
     if (isSuccess(answer)) this.#endpoint?.health.recordSuccess(nowMs() - this.#sentMs, nowMs());
     if (!isSuccess(answer) || !this.#route.isStream) return;
     this.#startSilenceTimer();
