Pass on answers that end with their connection, once their engine is known to run

Cause: every end of the connection counted as a truncation, since a crash was seen to close in good order. Now a reset, an end inside an event and a stream without any event are failures; after a normal close the engine is asked whether it runs, and only then is the answer complete. The test of such a stream failed before; those of an engine that ended pass.

--- a/packages/gateway/src/lib/dispatch/attempt-listener.ts
+++ b/packages/gateway/src/lib/dispatch/attempt-listener.ts
@@ -6,6 +6,10 @@
   onHead(head: AnswerHead): void;
   /** @returns whether to continue reading; if `false`, reading pauses until `resume` is called */
   onData(chunk: Buffer): boolean;
-  onEnd(): void;
+  /**
+   * @param isCertain - whether the framing of the answer shows that it is complete; `false` when the end
+   *   of the connection ended it, which may as well have been the end of the endpoint's process
+   */
+  onEnd(isCertain: boolean): void;
   onFail(failure: AttemptFailure): void;
 }
--- a/packages/gateway/src/lib/dispatch/crash-guard.ts
+++ b/packages/gateway/src/lib/dispatch/crash-guard.ts
@@ -130,6 +130,19 @@
     await broken.probed;
   }
 
+  /**
+   * @param endpoint - an endpoint whose connection was just closed
+   * @returns whether its process is known to run still
+   */
+  async isRunning(endpoint: Endpoint): Promise<boolean> {
+    const { probe } = this.#context;
+    const answered = probe(endpoint.record).then(
+      () => true,
+      () => false,
+    );
+    return Promise.race([answered, sleep(PROBE_TIMEOUT_MS).then(() => false)]);
+  }
+
   /** @param endpoint - an endpoint where no process listens */
   connectionRefused(endpoint: Endpoint): void {
     const broken = this.#broken.get(endpoint);
--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -17,9 +17,9 @@
   // The HTTP client compares the length itself and reports an error.
   [AnswerFraming.length]: [],
   [AnswerFraming.chunks]: [ConnectionEnding.closed, ConnectionEnding.reset],
-  // An endpoint that crashed within such an answer was seen to close the connection normally (FIN), so
-  // nothing shows that the body is complete, and it is never relayed as complete.
-  [AnswerFraming.connection]: [ConnectionEnding.closed, ConnectionEnding.reset],
+  // A normal close ends such an answer, but is also how the system closes the connections of a process
+  // that has crashed.
+  [AnswerFraming.connection]: [ConnectionEnding.reset],
 };
 
 /** Code of the error of a connection attempt to a port where no process listens. */
@@ -117,7 +117,7 @@
       return;
     }
     this.#isOver = true;
-    this.#listener.onEnd();
+    this.#listener.onEnd(this.#framing !== AnswerFraming.connection);
   }
 
   onError(error: Error): void {
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -63,6 +63,9 @@
   reason,
 });
 
+// An attempt whose answer ended too soon.
+const brokenOff = (reason: string): AttemptFailure => ({ ...givenUp(reason), isBroken: true });
+
 // A success status without the endpoint's signature may come from another server at its address.
 const isSuccess = ({ status, isSigned }: AnswerHead): boolean => isSigned && status <= OK_MAX;
 
@@ -334,7 +337,7 @@
       {
         onHead: (answer) => this.#onHead(attempt, answer),
         onData: (chunk) => this.#onData(attempt, chunk),
-        onEnd: () => this.#onEnd(attempt),
+        onEnd: (isCertain) => this.#onEnd(attempt, isCertain),
         onFail: (failure) => this.#onFailure(attempt, failure),
       },
       (status, raw) => codec.readAnswer(status, raw),
@@ -442,12 +445,38 @@
     this.#readTokenCount = 0;
   }
 
-  #onEnd(attempt: EndpointAttempt): void {
+  #onEnd(attempt: EndpointAttempt, isCertain: boolean): void {
     if (attempt !== this.#attempt) return;
+    if (isCertain || this.#relay.isWithinEvent) this.#onAnswerEnd(attempt);
+    else void this.#onConnectionEnd(attempt);
+  }
+
+  // The answer has no length and ended with its connection: it is complete if the endpoint closed it, and
+  // broken off if its process has ended.
+  async #onConnectionEnd(attempt: EndpointAttempt): Promise<void> {
+    const { crashGuard, logDecision } = this.#context;
+    const endpoint = this.#endpoint as Endpoint;
+    clearTimeout(this.#silenceTimer);
+    const isRunning = await crashGuard.isRunning(endpoint);
+    logDecision(this.#head.requestId, 'connection_end', 'the end of a connection ended an answer', {
+      endpoint: endpoint.id,
+      isRunning,
+      eventCount: this.#eventCount,
+    });
+    if (attempt !== this.#attempt) return;
+    if (isRunning) this.#onAnswerEnd(attempt);
+    else this.#onFailure(attempt, brokenOff('the endpoint ended within the answer'));
+  }
+
+  #onAnswerEnd(attempt: EndpointAttempt): void {
     const answer = this.#answer as AnswerHead;
     if (this.#relay.isOpen && isSuccess(answer)) {
       if (this.#relay.isWithinEvent) {
-        this.#onFailure(attempt, givenUp('ended within an event'));
+        this.#onFailure(attempt, brokenOff('ended within an event'));
+        return;
+      }
+      if (this.#eventCount === 0) {
+        this.#onFailure(attempt, brokenOff('ended without an event'));
         return;
       }
       this.#prove();
