--- a/packages/gateway/src/lib/dispatch/crash-guard.ts
+++ b/packages/gateway/src/lib/dispatch/crash-guard.ts
@@ -3,22 +3,19 @@
 import type { EndpointRecord } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
+import { ProcessState } from './process-state.js';
 
-/** Longest time to find out whether an engine has ended, in milliseconds. */
-const PROBE_TIMEOUT_MS = 250;
 /** Time for which a broken run waits for a sign that its engine has ended, in milliseconds. */
 const BROKEN_RUN_TTL_MS = 4_000;
 /** Time between two trials of the same part by this instance, in milliseconds. */
 const TRIAL_INTERVAL_MS = 10_000;
-/** Code of the error of a connection attempt to a port where no process listens. */
-const REFUSED_CODE = 'ECONNREFUSED';
 
 /** Dependencies of the guard. */
 interface CrashGuardContext {
   readonly nowMs: () => number;
   readonly logger: PartLogger;
-  /** Asks an engine for its state; rejects with the network's error when it cannot be reached. */
-  readonly probe: (endpoint: EndpointRecord) => Promise<unknown>;
+  /** Finds out whether an endpoint's process runs; never rejects. */
+  readonly probe: (endpoint: EndpointRecord) => Promise<ProcessState>;
   /** @returns an endpoint by its identity */
   readonly endpoint: (id: string) => Endpoint | undefined;
   /** @returns whether this instance is the one that tries a withheld part again */
@@ -40,11 +37,6 @@
 
 const endIdOf = ({ id, bornMs }: EndpointRecord): string => `${id}@${bornMs}`;
 
-const sleep = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs).unref();
-  });
-
 /**
  * Collects which prompts this instance's runs had when an engine ended, exchanges that with the other
  * instances, and says which requests must not be sent because engines end under them.
@@ -109,7 +101,7 @@
    *
    * @param endpoint - the engine
    * @param run - the run
-   * @returns resolves when that is known, or after `PROBE_TIMEOUT_MS`
+   * @returns resolves when that is known, or no sign of it came in time
    */
   async brokeOff(endpoint: Endpoint, run: SuspectRun): Promise<void> {
     const { nowMs } = this.#context;
@@ -124,7 +116,7 @@
       sinceMs: nowMs(),
       runs: [run],
       hasEnded: false,
-      probed: Promise.race([this.#probe(endpoint), sleep(PROBE_TIMEOUT_MS)]),
+      probed: this.#probe(endpoint),
     };
     this.#broken.set(endpoint, broken);
     await broken.probed;
@@ -135,12 +127,8 @@
    * @returns whether its process is known to run still
    */
   async isRunning(endpoint: Endpoint): Promise<boolean> {
-    const { probe } = this.#context;
-    const answered = probe(endpoint.record).then(
-      () => true,
-      () => false,
-    );
-    return Promise.race([answered, sleep(PROBE_TIMEOUT_MS).then(() => false)]);
+    const state = await this.#context.probe(endpoint.record);
+    return state === ProcessState.running;
   }
 
   /** @param endpoint - an endpoint where no process listens */
@@ -206,12 +194,9 @@
   // A connection that breaks does not mean that the engine has ended: the link may be cut, and a faulty
   // engine resets single connections.
   async #probe(endpoint: Endpoint): Promise<void> {
-    try {
-      await this.#context.probe(endpoint.record);
-      this.#broken.delete(endpoint);
-    } catch (error) {
-      if ((error as { code?: string }).code === REFUSED_CODE) this.connectionRefused(endpoint);
-    }
+    const state = await this.#context.probe(endpoint.record);
+    if (state === ProcessState.running) this.#broken.delete(endpoint);
+    if (state === ProcessState.ended) this.connectionRefused(endpoint);
   }
 
   #record(endpoint: Endpoint, runs: readonly SuspectRun[]): void {
--- /dev/null
+++ b/packages/gateway/src/lib/dispatch/probe-process.ts
@@ -0,0 +1,34 @@
+import { connect } from 'node:net';
+import { ProcessState } from './process-state.js';
+
+/** Longest time that the connection attempt may take, in milliseconds. */
+const TIMEOUT_MS = 250;
+/** Code of the error of a connection attempt to a port where no process listens. */
+const REFUSED_CODE = 'ECONNREFUSED';
+
+/**
+ * Finds out whether an endpoint's process runs, by a connection that carries no request: it works for every
+ * kind of endpoint and takes none of its slots.
+ *
+ * @param address - where the endpoint listens
+ * @returns the state of the process; never rejects
+ */
+export const probeProcess = ({
+  host,
+  port,
+}: {
+  readonly host: string;
+  readonly port: number;
+}): Promise<ProcessState> =>
+  new Promise((resolve) => {
+    const socket = connect({ host, port });
+    const settle = (state: ProcessState): void => {
+      socket.destroy();
+      resolve(state);
+    };
+    socket.setTimeout(TIMEOUT_MS, () => settle(ProcessState.unknown));
+    socket.once('connect', () => settle(ProcessState.running));
+    socket.on('error', ({ code }: NodeJS.ErrnoException) =>
+      settle(code === REFUSED_CODE ? ProcessState.ended : ProcessState.unknown),
+    );
+  });
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -451,9 +451,14 @@
     else void this.#onConnectionEnd(attempt);
   }
 
-  // The answer has no length and ended with its connection: it is complete if the endpoint closed it, and
-  // broken off if its process has ended.
+  // The answer has no length and ended with its connection. A stream that ended between two events is
+  // complete if the endpoint closed it, and broken off if its process has ended. Of any other body nothing
+  // shows that it is whole: faulty endpoints were seen to break off bodies and close in good order.
   async #onConnectionEnd(attempt: EndpointAttempt): Promise<void> {
+    if (!this.#route.isStream) {
+      this.#onFailure(attempt, brokenOff('the answer has no length and may be cut short'));
+      return;
+    }
     const { crashGuard, logDecision } = this.#context;
     const endpoint = this.#endpoint as Endpoint;
     clearTimeout(this.#silenceTimer);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -5,6 +5,7 @@
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
+import { probeProcess } from './dispatch/probe-process.js';
 import { RequestRun } from './dispatch/request-run.js';
 import type { RunContext } from './dispatch/run-context.js';
 import { ServiceTable } from './dispatch/service-table.js';
@@ -178,7 +179,7 @@
     this.#crashGuard = new CrashGuard({
       nowMs,
       logger: ports.logger('crash'),
-      probe: (endpoint) => ports.calls.report(endpoint),
+      probe: probeProcess,
       endpoint: (id) => this.#registry.get(id),
       isExaminer: (part) => this.#isExaminer(part),
       onEnded: () => this.#metrics.engineEnds.inc(),
