--- a/packages/gateway/src/lib/dispatch/crash-guard.ts
+++ b/packages/gateway/src/lib/dispatch/crash-guard.ts
@@ -179,6 +179,9 @@
     this.#withheldParts.forEach((part) => {
       if (!this.#suspects.isSuspect([part])) this.#withheldParts.delete(part);
     });
+    this.#triedMs.forEach((triedMs, part) => {
+      if (nowMs > triedMs + TRIAL_INTERVAL_MS) this.#triedMs.delete(part);
+    });
     this.#broken.forEach(({ sinceMs }, endpoint) => {
       if (nowMs > sinceMs + BROKEN_RUN_TTL_MS) this.#broken.delete(endpoint);
     });
