--- a/packages/decisions/src/lib/crashes/crash-suspects.ts
+++ b/packages/decisions/src/lib/crashes/crash-suspects.ts
@@ -85,8 +85,8 @@
  * answer that got past its beginning clears all parts of its prompt, and what remains suspect is narrowed
  * by each further end. A request is withheld when at least three engines ended under one of its parts, one
  * of them under a request that was sent in spite of the suspicion, and no parts outside the request explain
- * these ends. Where engines often end by themselves, up to five are needed. Engines that crash together by themselves are no test, and the next answer clears the
- * parts that they had in common.
+ * these ends. Where engines often end by themselves, up to five are needed. Engines that crash together by
+ * themselves are no test, and the next answer clears the parts that they had in common.
  *
  * Ends and clearances of all instances are merged, so each instance comes to the same result.
  */
@@ -151,7 +151,7 @@
   merge(ends: Readonly<Record<string, EngineEnd>>, nowMs: number): string[] {
     const entries = Object.entries(ends).filter(([, end]) => !this.#merged.has(end));
     if (entries.length === 0) return [];
-    const news = entries.flatMap(([end, received]) => {
+    const newEnds = entries.flatMap(([end, received]) => {
       this.#merged.add(received);
       const { ageS, runs, clearedParts } = received;
       const isNew = !this.#ends.has(end);
@@ -162,7 +162,7 @@
       return isNew ? [end] : [];
     });
     this.#index(nowMs);
-    return news;
+    return newEnds;
   }
 
   /**
@@ -248,9 +248,7 @@
         end,
         {
           ageS: publishedAgeS(nowMs + PUBLISHED_TTL_MS - atMs),
-          runs: Object.fromEntries(
-            [...runs].filter(([, { parts }]) => parts.some((part) => !clearedParts.has(part))),
-          ),
+          runs: Object.fromEntries(runs),
           clearedParts: [...clearedParts],
         },
       ]),
--- a/packages/decisions/src/lib/crashes/engine-end.ts
+++ b/packages/decisions/src/lib/crashes/engine-end.ts
@@ -1,7 +1,7 @@
 import type { SuspectRun } from './suspect-run.js';
 
 /**
- * The end of an engine, as instances tell it to each other. What two instances saw of the same end can be
+ * The end of an engine, as instances exchange it. What two instances observed of the same end can be
  * merged in any order and any number of times: runs and cleared parts are united.
  */
 export interface EngineEnd {
--- a/packages/decisions/src/test/crashes/crash-suspects_test.ts
+++ b/packages/decisions/src/test/crashes/crash-suspects_test.ts
@@ -114,7 +114,7 @@
   });
 
   // A clearance must win over an end that another instance still reports as open.
-  it('comes to the same result whatever the order in which instances hear of each other', () => {
+  it('comes to the same result in whatever order instances receive each other’s ends', () => {
     const action = fc.record({
       instance: fc.nat(2),
       end: fc.constantFrom('a@1', 'b@1', 'c@1', 'd@1'),
--- a/packages/decisions/src/test/crashes/simulated-fleet.ts
+++ b/packages/decisions/src/test/crashes/simulated-fleet.ts
@@ -3,7 +3,7 @@
 /** Number of requests that begin on an engine at a time, at most. */
 const BEGINNING_COUNT = 4;
 
-/** What the fleet tells its observer, and asks before it sends a request. */
+/** Policy that is asked before a request is sent and notified of what happened to it. */
 export interface FleetObserver {
   readonly isWithheld: (parts: readonly string[], nowMs: number) => boolean;
   readonly isSuspect: (parts: readonly string[]) => boolean;
@@ -28,7 +28,7 @@
   readonly crashShare: number;
 }
 
-/** What became of the requests. */
+/** Outcome of the requests. */
 interface Outcome {
   /** Number of engines that ended under a fatal part. */
   fatalEndCount: number;
@@ -52,7 +52,7 @@
  *
  * @param history - what is generated
  * @param observer - the policy that is judged
- * @returns what became of the requests
+ * @returns the outcome of the requests
  */
 export const simulateFleet = (history: History, observer: FleetObserver): Outcome => {
   const random = new Random(history.seed);
--- a/packages/gateway/src/lib/dispatch/crash-guard.ts
+++ b/packages/gateway/src/lib/dispatch/crash-guard.ts
@@ -27,7 +27,7 @@
   /** Called when a request is withheld. */
   readonly onWithheld: () => void;
   /** Called when this instance saw something that the others should know soon. */
-  readonly onNews: () => void;
+  readonly onEvidence: () => void;
 }
 
 interface BrokenRuns {
@@ -146,14 +146,14 @@
 
   /** @param parts - parts of a prompt on which an answer got past its beginning */
   proven(parts: readonly string[]): void {
-    const { nowMs, logger, onNews } = this.#context;
+    const { nowMs, logger, onEvidence } = this.#context;
     const cleared = this.#suspects.clear(parts, nowMs());
     if (cleared.length === 0) return;
     cleared.forEach((part) => {
       if (!this.#withheldParts.delete(part)) return;
       logger.warn('part_cleared', 'a part that was withheld is no longer', { promptPart: part });
     });
-    onNews();
+    onEvidence();
   }
 
   /**
@@ -208,7 +208,7 @@
   }
 
   #record(endpoint: Endpoint, runs: readonly SuspectRun[]): void {
-    const { nowMs, logger, onNews } = this.#context;
+    const { nowMs, logger, onEvidence } = this.#context;
     const end = endIdOf(endpoint.record);
     this.#suspects.record(end, runs, nowMs());
     logger.warn('engine_ended', 'an engine ended while it began to answer', {
@@ -216,6 +216,6 @@
       runs: runs.map(({ parts, isTest }) => ({ parts, isTest })),
       suspects: this.#suspects.suspects.slice(0, 8),
     });
-    onNews();
+    onEvidence();
   }
 }
--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -3,6 +3,7 @@
 import { AnswerFraming } from '../ports/answer-framing.js';
 import type { AnswerHead } from '../ports/answer-head.js';
 import type { AttemptListener } from './attempt-listener.js';
+import { CONNECTION_REFUSED } from './connection-refused.js';
 
 /** Request that an attempt sends. */
 interface AttemptRequest {
@@ -22,8 +23,6 @@
   [AnswerFraming.connection]: [ConnectionEnding.reset],
 };
 
-/** Code of the error of a connection attempt to a port where no process listens. */
-const CONNECTION_REFUSED = 'ECONNREFUSED';
 /** Lower status codes are interim responses (1xx). */
 const FIRST_FINAL_STATUS = 200;
 
--- a/packages/gateway/src/lib/dispatch/probe-process.ts
+++ b/packages/gateway/src/lib/dispatch/probe-process.ts
@@ -1,10 +1,9 @@
 import { connect } from 'node:net';
+import { CONNECTION_REFUSED } from './connection-refused.js';
 import { ProcessState } from './process-state.js';
 
 /** Longest time that the connection attempt may take, in milliseconds. */
 const TIMEOUT_MS = 250;
-/** Code of the error of a connection attempt to a port where no process listens. */
-const REFUSED_CODE = 'ECONNREFUSED';
 
 /**
  * Finds out whether an endpoint's process runs, by a connection that carries no request: it works for every
@@ -29,6 +28,6 @@
     socket.setTimeout(TIMEOUT_MS, () => settle(ProcessState.unknown));
     socket.once('connect', () => settle(ProcessState.running));
     socket.on('error', ({ code }: NodeJS.ErrnoException) =>
-      settle(code === REFUSED_CODE ? ProcessState.ended : ProcessState.unknown),
+      settle(code === CONNECTION_REFUSED ? ProcessState.ended : ProcessState.unknown),
     );
   });
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -184,7 +184,7 @@
       isExaminer: (part) => this.#isExaminer(part),
       onEnded: () => this.#metrics.engineEnds.inc(),
       onWithheld: () => this.#metrics.withheld.inc(),
-      onNews: () => this.#peerSync.noteUrgent(),
+      onEvidence: () => this.#peerSync.noteUrgent(),
     });
     this.#picker = new EndpointPicker({
       failureDomain: settings.failureDomain,
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -220,9 +220,9 @@
     this.#dispatchedMs = this.#context.nowMs();
   }
 
-  /** Sends the next state as soon as possible: other instances have to know of something in it at once. */
+  /** Records that the state has changed in a way that other instances need at once. */
   noteUrgent(): void {
-    this.#dispatchedMs = this.#context.nowMs();
+    this.noteDispatch();
     this.#isUrgent = true;
   }
 
--- a/packages/gateway/src/test/crash-guard_test.ts
+++ b/packages/gateway/src/test/crash-guard_test.ts
@@ -11,7 +11,7 @@
   let nowMs: number;
   let state: ProcessState;
   let isExaminer: boolean;
-  let newsCount: number;
+  let evidenceCount: number;
   const endpoints = new Map<string, Endpoint>();
 
   const createGuard = (): CrashGuard =>
@@ -23,8 +23,8 @@
       isExaminer: () => isExaminer,
       onEnded: () => {},
       onWithheld: () => {},
-      onNews: () => {
-        newsCount += 1;
+      onEvidence: () => {
+        evidenceCount += 1;
       },
     });
 
@@ -38,7 +38,7 @@
 
   beforeEach(() => {
     nowMs = 1_000;
-    newsCount = 0;
+    evidenceCount = 0;
     state = ProcessState.ended;
     isExaminer = false;
     ['a', 'b', 'c', 'd'].forEach((id) => endpoints.set(id, new Endpoint(endpointRecordOf(id))));
@@ -55,7 +55,7 @@
     expect(guard.withheld(PARTS)).to.equal(undefined);
     await breakOff(guard, ['c']);
     expect(guard.withheld(PARTS)).to.include({ endCount: 3 });
-    expect(newsCount).to.equal(3);
+    expect(evidenceCount).to.equal(3);
   });
 
   // A faulty engine resets single connections, and a cut link breaks or silences them: neither ends engines.
