Weigh a suspect request's risk in the cost of endpoints instead of a filter before it

The filter kept only the endpoints with the fewest requests, before costs were compared: a paused endpoint, which does not answer and so has none, got every suspect request, the sound repeats among them. The risk is now a cost like the others, and a paused endpoint stays the dearest; the filter is gone.

--- a/packages/decisions/src/lib/serving/choose-endpoint.ts
+++ b/packages/decisions/src/lib/serving/choose-endpoint.ts
@@ -34,14 +34,20 @@
  * Waiting time for a slot when all are taken, in milliseconds for each request beyond the slots.
  */
 const SLOT_WAIT_MS = 30;
+/**
+ * Cost of each request in progress at an endpoint that may end under the new one, in milliseconds: more
+ * than the other costs, and a full endpoint still costs less than a paused one.
+ */
+const LOST_REQUEST_COST_MS = 100;
 /** Costs within this distance of the lowest count as equal, in milliseconds. */
 const TIE_MS = 6;
 
 /**
  * @param candidate - an endpoint
+ * @param isSuspect - whether the endpoint may end under the request
  * @returns expected delay of a request at the endpoint, in milliseconds
  */
-function costMs(candidate: EndpointCandidate): number {
+function costMs(candidate: EndpointCandidate, isSuspect: boolean): number {
   const { outstandingCount, slotCount, latencyMs, failureCount } = candidate;
   const occupancy = outstandingCount / Math.max(1, slotCount);
   const queuedMs = SLOT_WAIT_MS * Math.max(0, outstandingCount + 1 - slotCount);
@@ -53,6 +59,7 @@
     queuedMs +
     FAILURE_COST_MS * failureCount +
     (candidate.isPaused ? PAUSED_COST_MS : 0) +
+    (isSuspect ? LOST_REQUEST_COST_MS * outstandingCount : 0) +
     (candidate.isLocal ? 0 : REMOTE_COST_MS)
   );
 }
@@ -63,14 +70,16 @@
  *
  * @param candidates - endpoints that could serve the request
  * @param unit - random number in [0, 1)
+ * @param isSuspect - whether the endpoint may end under the request, which would break off the others there
  * @returns the chosen endpoint, or `undefined` when `candidates` is empty
  */
 export function chooseEndpoint(
   candidates: readonly EndpointCandidate[],
   unit: number,
+  isSuspect = false,
 ): EndpointCandidate | undefined {
   const costed = candidates
-    .map((candidate) => ({ candidate, cost: costMs(candidate) }))
+    .map((candidate) => ({ candidate, cost: costMs(candidate, isSuspect) }))
     .sort((left, right) => left.cost - right.cost);
   if (costed.length === 0) return undefined;
   const costMax = costed[0].cost + TIE_MS;
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -127,10 +127,7 @@
   #choose(candidates: readonly Endpoint[], requirements: PickRequirements): PickResult {
     const { nowMs, randomUnit, failureDomain } = this.#context;
     const untried = candidates.filter(({ id }) => !requirements.tried.has(id));
-    const available = this.#leastHarmed(
-      untried.filter((endpoint) => this.#isAvailable(endpoint, requirements)),
-      requirements,
-    );
+    const available = untried.filter((endpoint) => this.#isAvailable(endpoint, requirements));
     const choice = chooseEndpoint(
       available.map((endpoint) => ({
         id: endpoint.id,
@@ -144,6 +141,7 @@
         isLocal: endpoint.record.failureDomain === failureDomain,
       })),
       randomUnit(),
+      requirements.isSuspect,
     );
     const endpoint = choice && available.find(({ id }) => id === choice.id);
     if (endpoint) {
@@ -158,17 +156,6 @@
     };
   }
 
-  // Among the endpoints that a suspect request could use, those with the fewest requests.
-  #leastHarmed(
-    available: readonly Endpoint[],
-    { isSuspect }: PickRequirements,
-  ): readonly Endpoint[] {
-    if (!isSuspect) return available;
-    const counts = available.map((endpoint) => this.#outstandingCount(endpoint));
-    const least = Math.min(...counts);
-    return available.filter((_, index) => counts[index] === least);
-  }
-
   /** @returns number of prompt tokens that an endpoint prefills before a request's first event */
   readTokenCount(endpoint: Endpoint, { promptTokenCount }: PickRequirements): number {
     const { unreadTokenCount } = this.#context.peerLoad(endpoint.id);
