Measure the lag of the event loop, and log it beside each dispatch

The logs could not tell a request that lay unread in its socket from one that waited in the instance: dispatch now has sentAfterMs, readLagMs (when its head was read) and lagMs (now), work_slow names the parts of the periodic work that took over 50 ms together, and the metrics have event_loop_lag and plan.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -290,7 +290,7 @@
 
   #send(pick: Extract<PickResult, { kind: 'send' }>): void {
     const { endpoint, candidateCount, readTokenCount } = pick;
-    const { nowMs, codec, retryBudget, logDecision, instanceCount, onSent, crashGuard } =
+    const { nowMs, lagMs, codec, retryBudget, logDecision, instanceCount, onSent, crashGuard } =
       this.#context;
     const remainingMs = Math.floor(this.#deadlineMs - nowMs());
     if (remainingMs < REMAINING_MIN_MS) {
@@ -320,6 +320,9 @@
       offer: this.#sendCount,
       readTokenCount,
       remainingMs,
+      sentAfterMs: Math.round(nowMs() - this.#exchange.receivedMs),
+      readLagMs: Math.round(this.#exchange.readLagMs),
+      lagMs: Math.round(lagMs()),
       lastEvent: this.#relay.lastEvent,
       parts: this.#parts,
       isSuspect: this.#isTest,
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -15,6 +15,8 @@
   readonly crashGuard: CrashGuard;
   readonly codec: EndpointCodec;
   readonly nowMs: () => number;
+  /** Longest time that bytes read now may have waited to be read, in milliseconds. */
+  readonly lagMs: () => number;
   /** @returns a random number from 0 up to 1 */
   readonly randomUnit: () => number;
   /** Lower bound of `Retry-After`, in milliseconds. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -16,7 +16,9 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import type { CallerExchange } from './ingress/caller-exchange.js';
 import { IngressServer } from './ingress/ingress-server.js';
+import { EventLoopLag } from './observe/event-loop-lag.js';
 import { GatewayMetrics } from './observe/gateway-metrics.js';
+import { PeriodicWork } from './observe/periodic-work.js';
 import { RequestLog } from './observe/request-log.js';
 import { EngineFleet } from './owner/engine-fleet.js';
 import { GroupMember } from './owner/group-member.js';
@@ -56,6 +58,8 @@
   readonly #ports: GatewayPorts;
   readonly #logger: PartLogger;
   readonly #metrics = new GatewayMetrics();
+  readonly #loopLag = new EventLoopLag(TICK_MS);
+  readonly #periodicWork: PeriodicWork;
   readonly #random = new Random(Date.now() >>> 0);
   readonly #registry = new EndpointRegistry();
   readonly #peers = new PeerTable();
@@ -198,9 +202,11 @@
     this.#runContext = this.#createRunContext();
     this.#ingress = new IngressServer({
       nowMs,
+      lagMs: () => this.#loopLag.lagMs(nowMs()),
       limits: () => this.#config.config?.limits,
       onRequest: (exchange, body) => this.#onRequest(exchange, body),
     });
+    this.#periodicWork = this.#createPeriodicWork();
     this.#readyServer = createServer((_, response) => {
       response.statusCode = this.isReady ? 200 : 503;
       response.end();
@@ -296,21 +302,41 @@
   }
 
   #tick(): void {
-    const nowMs = Gateway.nowMs();
-    this.#peers.removeExpired(nowMs);
-    this.#crashGuard.expire();
-    this.#instanceCountMax = this.#instanceCount;
-    this.#member.tick();
-    if (this.#peers.isUnanimous(this.#member.generation, nowMs)) this.#member.extendLease();
-    this.#endpointFeed.tick();
-    this.#peerSync.tick();
-    this.#fleet.tick();
-    this.#logReadiness();
-    if (nowMs - this.#lastPlanMs >= PLAN_PERIOD_MS) {
-      this.#lastPlanMs = nowMs;
-      this.#fleet.plan();
-    }
-    this.#dispatchQueued();
+    this.#metrics.observe('event_loop_lag', this.#loopLag.tick(Gateway.nowMs()));
+    this.#periodicWork.run();
+  }
+
+  #createPeriodicWork(): PeriodicWork {
+    const { nowMs } = Gateway;
+    return new PeriodicWork({
+      nowMs,
+      logger: this.#logger,
+      parts: {
+        peers: () => {
+          this.#peers.removeExpired(nowMs());
+          this.#instanceCountMax = this.#instanceCount;
+        },
+        crashes: () => this.#crashGuard.expire(),
+        lease: () => {
+          this.#member.tick();
+          if (this.#peers.isUnanimous(this.#member.generation, nowMs())) this.#member.extendLease();
+        },
+        endpoints: () => this.#endpointFeed.tick(),
+        exchange: () => this.#peerSync.tick(),
+        engines: () => this.#fleet.tick(),
+        readiness: () => this.#logReadiness(),
+        plan: () => this.#plan(),
+        queue: () => this.#dispatchQueued(),
+      },
+    });
+  }
+
+  #plan(): void {
+    const startMs = Gateway.nowMs();
+    if (startMs - this.#lastPlanMs < PLAN_PERIOD_MS) return;
+    this.#lastPlanMs = startMs;
+    this.#fleet.plan();
+    this.#metrics.observe('plan', Gateway.nowMs() - startMs);
   }
 
   #logReadiness(): void {
@@ -379,6 +405,7 @@
       crashGuard: this.#crashGuard,
       codec,
       nowMs: Gateway.nowMs,
+      lagMs: () => this.#loopLag.lagMs(Gateway.nowMs()),
       randomUnit: () => this.#random.unit(),
       retryAfterMinMs: this.#settings.retryAfterMinMs,
       instanceCount: () => this.#instanceCount,
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -9,6 +9,8 @@
   readonly rawHeaders: readonly string[];
   /** When the head of the request was read, by the monotonic clock, in milliseconds. */
   readonly receivedMs: number;
+  /** Longest time that the head may have waited to be read, in milliseconds. */
+  readonly readLagMs: number;
   /** Called once when the connection closes before the answer is complete. */
   onGone: () => void = () => {};
   /** Called when the caller can take more data after `write` returned false. */
@@ -21,14 +23,21 @@
    * @param request - the request, with its head already read
    * @param response - the response to it
    * @param receivedMs - when the head was read, by the monotonic clock, in milliseconds
+   * @param readLagMs - longest time that the head may have waited to be read, in milliseconds
    */
-  constructor(request: IncomingMessage, response: ServerResponse, receivedMs: number) {
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    receivedMs: number,
+    readLagMs: number,
+  ) {
     this.#request = request;
     this.#response = response;
     this.method = request.method ?? 'GET';
     this.path = request.url ?? '/';
     this.rawHeaders = request.rawHeaders;
     this.receivedMs = receivedMs;
+    this.readLagMs = readLagMs;
     response.on('close', () => {
       if (this.#isOver) return;
       this.#isOver = true;
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -23,6 +23,8 @@
 /** Dependencies of the server. */
 interface IngressContext {
   readonly nowMs: () => number;
+  /** Longest time that bytes read now may have waited to be read, in milliseconds. */
+  readonly lagMs: () => number;
   /** Limits of the configuration in force; `undefined` before the first configuration. */
   readonly limits: () => CallerLimits | undefined;
   /** Called with a request whose body was read completely. */
@@ -93,7 +95,7 @@
 
   async #onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { socket } = request;
-    const { nowMs, limits, onRequest } = this.#context;
+    const { nowMs, lagMs, limits, onRequest } = this.#context;
     this.#sockets.set(socket, (this.#sockets.get(socket) ?? 0) + 1);
     response.on('close', () => {
       const count = this.#sockets.get(socket);
@@ -102,7 +104,7 @@
       if (this.#isStopping && count === 1) socket.destroySoon();
     });
     if (this.#isStopping) response.shouldKeepAlive = false;
-    const exchange = new CallerExchange(request, response, nowMs());
+    const exchange = new CallerExchange(request, response, nowMs(), lagMs());
     const { headerBytesMax = HEADER_BYTES_PARSED, bodyBytesMax = Infinity } = limits() ?? {};
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
     if (headerBytes + request.rawHeaders.length * SEPARATOR_BYTES > headerBytesMax) {
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -1,10 +1,11 @@
 import { MetricsRegistry } from '@chervilseam/observe';
 
 /**
- * What is timed: a request, its time to the first event, its time at an endpoint, and a read of the
- * configuration from another instance.
+ * What is timed: a request, its time to the first event, its time at an endpoint, a read of the
+ * configuration from another instance, a round of placement planning, and how late the periodic work runs.
  */
-type LatencyName = 'request' | 'first_event' | 'endpoint_hold' | 'config_read';
+type LatencyName =
+  'request' | 'first_event' | 'endpoint_hold' | 'config_read' | 'plan' | 'event_loop_lag';
 
 /** Metrics of an instance: counters, gauges and latency histograms. */
 export class GatewayMetrics extends MetricsRegistry<LatencyName> {
