After a stall of the event loop, read what has arrived before sending a request on

What callers saw: nothing, they had left; engines worked for them (GONE). Cause: after a stall the instance reads a request's head and sends it on in the same turn, while the close of its caller waits in the same socket and is read a turn later; the time limit counted from the reading. Now a stall, found by the periodic timer, makes each dispatch (new, queued, after an adapter's load, a repeat for silence) wait until the sockets were polled once more; a caller is gone when the end of its connection is read, and its time counts from the earliest moment at which its request can have arrived.

--- a/packages/decisions/src/lib/placement/plan-placement.ts
+++ b/packages/decisions/src/lib/placement/plan-placement.ts
@@ -43,6 +43,20 @@
   readonly gain: number;
 }
 
+/** A replica that may be unloaded, with what it is worth in tokens per second. */
+interface EvictableReplica {
+  readonly model: Model;
+  readonly value: number;
+}
+
+/** Replicas to unload for a load, with what they are worth together in tokens per second. */
+interface Eviction {
+  readonly models: readonly Model[];
+  readonly value: number;
+}
+
+const NO_EVICTION: Eviction = { models: [], value: 0 };
+
 const forecastOf = ({ demand, forecast = demand }: Model): number => forecast;
 
 // An engine that can load from a nearby copy serves seconds sooner than one that loads from the
@@ -65,6 +79,14 @@
   readonly #lastReplicaShare: number;
   readonly #idleReplicaShare: number;
   readonly #latencyTolerantLossShareMax: number;
+  /**
+   * Replicas that may be unloaded, by engine, for moves for reach and for all others: they are the same for
+   * every model to load, and kept until the next planned move.
+   */
+  readonly #evictableForReach = new Map<Engine, readonly EvictableReplica[]>();
+  readonly #evictableForOthers = new Map<Engine, readonly EvictableReplica[]>();
+  /** Free memory by engine, kept until the next planned move. */
+  readonly #freeBytesByEngine = new Map<Engine, number>();
   /** Allocation of the present demand. */
   #demandAllocation: DemandAllocation;
   /** Allocation of the forecast demand. */
@@ -132,12 +154,13 @@
 
   /** Engines that are not busy and have free memory for a replica of a model, the best first. */
   vacancies(model: Model): Option[] {
-    return this.options(model, MoveReason.reach).filter(
-      ({ engine, unload }) =>
-        unload.length === 0 &&
+    const vacant = [...this.#engines.values()].filter(
+      (engine) =>
+        this.#freeBytes(engine) >= model.bytes &&
         (this.#demandAllocation.loadByEngine.get(engine.name) ?? 0) <=
           RESIDENCE_LOAD_SHARE_MAX * engine.tokensPerSecond,
     );
+    return this.#optionsAmong(vacant, model, MoveReason.reach, this.#gainShareMin);
   }
 
   /** Tokens per second of the fastest engine, after the reserve for swings. */
@@ -159,13 +182,7 @@
 
   /** Engines that could take a further replica of a model, the best first. */
   options(model: Model, reason: MoveReason, gainShareMin = this.#gainShareMin): Option[] {
-    return [...this.#engines.values()]
-      .flatMap((engine) => this.#option(model, engine, reason, gainShareMin) ?? [])
-      .sort(
-        (left, right) =>
-          scoreOf(right, model) - scoreOf(left, model) ||
-          this.#freeBytesAfter(right) - this.#freeBytesAfter(left),
-      );
+    return this.#optionsAmong([...this.#engines.values()], model, reason, gainShareMin);
   }
 
   /** Updates the state by a planned move. */
@@ -177,6 +194,9 @@
     });
     this.#modelsByEngine.get(engine.name)?.add(model);
     this.#replicasByModel.get(model)?.add(engine.name);
+    this.#evictableForReach.clear();
+    this.#evictableForOthers.clear();
+    this.#freeBytesByEngine.clear();
     this.#demandAllocation = this.#allocate(({ demand }) => demand);
     this.#forecastAllocation = this.#allocate(forecastOf);
   }
@@ -185,7 +205,7 @@
   shortfall({ bytes }: Model): number {
     const reclaimableBytes = [...this.#engines.values()].map((engine) => {
       const evictable = this.#evictable(engine, MoveReason.reach).reduce(
-        (sum, other) => sum + other.bytes,
+        (sum, { model }) => sum + model.bytes,
         0,
       );
       return this.#freeBytes(engine) + evictable;
@@ -193,6 +213,25 @@
     return Math.max(0, bytes - Math.max(0, ...reclaimableBytes));
   }
 
+  #optionsAmong(
+    engines: readonly Engine[],
+    model: Model,
+    reason: MoveReason,
+    gainShareMin: number,
+  ): Option[] {
+    return engines
+      .flatMap((engine) => {
+        const option = this.#option(model, engine, reason, gainShareMin);
+        return option ? { option, score: scoreOf(option, model) } : [];
+      })
+      .sort(
+        (left, right) =>
+          right.score - left.score ||
+          this.#freeBytesAfter(right.option) - this.#freeBytesAfter(left.option),
+      )
+      .map(({ option }) => option);
+  }
+
   #allocate(demandOf: (model: Model) => number): DemandAllocation {
     const models = [...this.#models.values()];
     const modelsWithDemand = models.map((model) => ({ ...model, demand: demandOf(model) }));
@@ -212,21 +251,18 @@
     gainShareMin: number,
   ): Option | undefined {
     if (this.#modelsByEngine.get(engine.name)?.has(model.name)) return undefined;
-    const victims = this.#victims(model, engine, reason);
-    if (!victims) return undefined;
+    const eviction = this.#eviction(model, engine, reason);
+    if (!eviction) return undefined;
     const allocation = this.#allocationOf(reason === MoveReason.forecast);
     const unserved = allocation.unservedByModel.get(model.name) ?? 0;
-    const lost = victims.reduce(
-      (sum, victim) => sum + this.#replicaValue(victim, engine, reason),
-      0,
-    );
+    const lost = eviction.value;
     const gain = Math.min(unserved, allocation.spare(engine)) - lost;
     const isGainEnough = gain >= gainShareMin * engine.tokensPerSecond;
     if (reason !== MoveReason.reach && !isGainEnough) return undefined;
     const lossShareLimit =
       model.isLatencyTolerant === true ? this.#latencyTolerantLossShareMax : this.#lossShareMax;
     if (lost > lossShareLimit * engine.tokensPerSecond) return undefined;
-    return { engine, unload: victims.map(({ name }) => name), gain };
+    return { engine, unload: eviction.models.map(({ name }) => name), gain };
   }
 
   // Value of a replica in tokens per second: its part of the model's demand, less what the model's
@@ -252,30 +288,43 @@
 
   // Models to unload so that a model of `bytes` fits on an engine, the least valuable first;
   // `undefined` when it cannot fit.
-  #victims({ bytes }: Model, engine: Engine, reason: MoveReason): Model[] | undefined {
+  #eviction({ bytes }: Model, engine: Engine, reason: MoveReason): Eviction | undefined {
     let missing = bytes - this.#freeBytes(engine);
-    if (missing <= 0) return [];
-    // Of replicas with equal value, the one whose model has the most replicas is unloaded first.
-    const replicaCount = ({ name }: Model): number => this.#replicasByModel.get(name)?.size ?? 0;
-    const candidates = this.#evictable(engine, reason).sort(
-      (left, right) =>
-        this.#replicaValue(left, engine, reason) - this.#replicaValue(right, engine, reason) ||
-        replicaCount(right) - replicaCount(left),
-    );
-    const victims: Model[] = [];
-    candidates.forEach((candidate) => {
+    if (missing <= 0) return NO_EVICTION;
+    const models: Model[] = [];
+    let value = 0;
+    this.#evictable(engine, reason).forEach((replica) => {
       if (missing <= 0) return;
-      victims.push(candidate);
-      missing -= candidate.bytes;
+      models.push(replica.model);
+      value += replica.value;
+      missing -= replica.model.bytes;
     });
-    return missing <= 0 ? victims : undefined;
+    return missing <= 0 ? { models, value } : undefined;
+  }
+
+  // Replicas that may be unloaded from an engine, the least valuable first. Of replicas with equal value,
+  // the one whose model has the most replicas comes first.
+  #evictable(engine: Engine, reason: MoveReason): readonly EvictableReplica[] {
+    const cache =
+      reason === MoveReason.reach ? this.#evictableForReach : this.#evictableForOthers;
+    const known = cache.get(engine);
+    if (known) return known;
+    const replicaCount = ({ name }: Model): number => this.#replicasByModel.get(name)?.size ?? 0;
+    const replicas = this.#evictableModels(engine, reason)
+      .map((model) => ({ model, value: this.#replicaValue(model, engine, reason) }))
+      .sort(
+        (left, right) =>
+          left.value - right.value || replicaCount(right.model) - replicaCount(left.model),
+      );
+    cache.set(engine, replicas);
+    return replicas;
   }
 
   // The last ready replica of a model that a policy keeps resident is never unloaded, and a replica
   // that is still loading is not unloaded before it has served. The last ready replica of a model
   // that requests wait for is kept as well, unless the model is latency-tolerant and the move is
   // made for capacity or forecast.
-  #evictable(engine: Engine, reason: MoveReason): Model[] {
+  #evictableModels(engine: Engine, reason: MoveReason): Model[] {
     return [...(this.#modelsByEngine.get(engine.name) ?? [])]
       .flatMap((name) => this.#models.get(name) ?? [])
       .filter(({ name, mustStayResident, hasWaitingRequests, isLatencyTolerant }) => {
@@ -294,9 +343,13 @@
   }
 
   #freeBytes(engine: Engine): number {
+    const known = this.#freeBytesByEngine.get(engine);
+    if (known !== undefined) return known;
     const held = [...(this.#modelsByEngine.get(engine.name) ?? [])];
     const bytes = held.reduce((sum, name) => sum + (this.#models.get(name)?.bytes ?? 0), 0);
-    return engine.capacityBytes - engine.otherBytes - bytes;
+    const freeBytes = engine.capacityBytes - engine.otherBytes - bytes;
+    this.#freeBytesByEngine.set(engine, freeBytes);
+    return freeBytes;
   }
 }
 
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -115,6 +115,8 @@
   /** Whether an endpoint ran or may have run the request: it can no longer be refused as not run. */
   #mayHaveRun = false;
   #isOver = false;
+  /** Whether all that had arrived before the current decision has been read. */
+  #hasPolled = false;
   #answer: AnswerHead | undefined;
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
@@ -136,7 +138,8 @@
     this.#parts = suspectPartsOf(head, exchange.method, exchange.path, body);
     this.#relay = new StreamRelay(exchange, context.nowMs);
     const waitMs = Math.min(head.waitMs ?? Infinity, target.route.timeoutMs);
-    this.#deadlineMs = exchange.receivedMs + waitMs;
+    // The caller's time began when it sent the request, which may have waited to be read.
+    this.#deadlineMs = exchange.receivedMs - exchange.readLagMs + waitMs;
     const leftMs = Math.max(0, this.#deadlineMs - context.nowMs());
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), leftMs);
     Object.assign(exchange, {
@@ -162,11 +165,11 @@
   }
 
   /**
-   * @returns false when the request has to wait in the queue; true when it was sent, has ended, or
-   *   waits for an adapter to be loaded
+   * @returns false when the request has to wait in the queue; true when it was sent, has ended, waits
+   *   for an adapter to be loaded, or is dispatched after a stall of the event loop
    */
   #tryDispatch(): boolean {
-    if (this.#isOver) return true;
+    if (this.#isOver || this.#deferIfStalled()) return true;
     if (this.#failIfWithheld()) return true;
     const pick = this.#pick();
     const handlers: Record<PickResult['kind'], () => boolean> = {
@@ -195,6 +198,18 @@
     return handlers[pick.kind]();
   }
 
+  // After a stall of the event loop the caller may have left, and its close may not have been read yet.
+  #deferIfStalled(): boolean {
+    const { eventLoop } = this.#context;
+    if (this.#hasPolled || !eventLoop.isStalled) return false;
+    eventLoop.afterPoll(() => {
+      this.#hasPolled = true;
+      this.#dispatch();
+      this.#hasPolled = false;
+    });
+    return true;
+  }
+
   // Engines end under requests like this one: it has not run on them and will not.
   #failIfWithheld(): boolean {
     const withheld = this.#context.crashGuard.withheld(this.#parts);
@@ -273,6 +288,7 @@
       if (isReady) {
         endpoint.markPresent(item);
         endpoint.markPresent(`load ${item}`);
+        if (this.#deferIfStalled()) return;
         const readTokenCount = picker.readTokenCount(endpoint, this.#requirements);
         const candidateCount = endpoints.length;
         this.#send({ kind: 'send', endpoint, candidateCount, readTokenCount });
@@ -290,7 +306,7 @@
 
   #send(pick: Extract<PickResult, { kind: 'send' }>): void {
     const { endpoint, candidateCount, readTokenCount } = pick;
-    const { nowMs, lagMs, codec, retryBudget, logDecision, instanceCount, onSent, crashGuard } =
+    const { nowMs, eventLoop, codec, retryBudget, logDecision, instanceCount, onSent, crashGuard } =
       this.#context;
     const remainingMs = Math.floor(this.#deadlineMs - nowMs());
     if (remainingMs < REMAINING_MIN_MS) {
@@ -322,7 +338,7 @@
       remainingMs,
       sentAfterMs: Math.round(nowMs() - this.#exchange.receivedMs),
       readLagMs: Math.round(this.#exchange.readLagMs),
-      lagMs: Math.round(lagMs()),
+      lagMs: Math.round(eventLoop.lagMs),
       lastEvent: this.#relay.lastEvent,
       parts: this.#parts,
       isSuspect: this.#isTest,
@@ -369,6 +385,20 @@
   #retryElsewhereIfPossible(): void {
     const attempt = this.#attempt;
     if (!attempt || this.#isOver) return;
+    const { eventLoop } = this.#context;
+    if (eventLoop.isStalled) {
+      // The answer may have arrived during the stall and not have been read yet.
+      const [hadHead, eventCount] = [this.#hasHead, this.#eventCount];
+      eventLoop.afterPoll(() => {
+        const isSilent = hadHead === this.#hasHead && eventCount === this.#eventCount;
+        if (attempt === this.#attempt && isSilent) this.#retryElsewhere(attempt);
+      });
+      return;
+    }
+    this.#retryElsewhere(attempt);
+  }
+
+  #retryElsewhere(attempt: EndpointAttempt): void {
     // While no other endpoint can take the request, the attempt continues and is checked again later.
     if (this.#pick().kind !== 'send') {
       this.#silenceTimer = setTimeout(() => this.#retryElsewhereIfPossible(), STALL_TIMEOUT_MS);
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -1,5 +1,6 @@
 import type { SharedRetryBudget, WaitQueue } from '@chervilseam/decisions';
 import type { Endpoint } from '../feed/endpoint.js';
+import type { EventLoop } from '../observe/event-loop.js';
 import type { AnswerHead } from '../ports/answer-head.js';
 import type { CallerHead } from '../ports/caller-head.js';
 import type { EndpointCodec } from '../ports/endpoint-codec.js';
@@ -15,8 +16,7 @@
   readonly crashGuard: CrashGuard;
   readonly codec: EndpointCodec;
   readonly nowMs: () => number;
-  /** Longest time that bytes read now may have waited to be read, in milliseconds. */
-  readonly lagMs: () => number;
+  readonly eventLoop: EventLoop;
   /** @returns a random number from 0 up to 1 */
   readonly randomUnit: () => number;
   /** Lower bound of `Retry-After`, in milliseconds. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -16,7 +16,7 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import type { CallerExchange } from './ingress/caller-exchange.js';
 import { IngressServer } from './ingress/ingress-server.js';
-import { EventLoopLag } from './observe/event-loop-lag.js';
+import { EventLoop } from './observe/event-loop.js';
 import { GatewayMetrics } from './observe/gateway-metrics.js';
 import { PeriodicWork } from './observe/periodic-work.js';
 import { RequestLog } from './observe/request-log.js';
@@ -58,7 +58,7 @@
   readonly #ports: GatewayPorts;
   readonly #logger: PartLogger;
   readonly #metrics = new GatewayMetrics();
-  readonly #loopLag = new EventLoopLag(TICK_MS);
+  readonly #eventLoop = new EventLoop(Gateway.nowMs, TICK_MS);
   readonly #periodicWork: PeriodicWork;
   readonly #random = new Random(Date.now() >>> 0);
   readonly #registry = new EndpointRegistry();
@@ -202,7 +202,7 @@
     this.#runContext = this.#createRunContext();
     this.#ingress = new IngressServer({
       nowMs,
-      lagMs: () => this.#loopLag.lagMs(nowMs()),
+      lagMs: () => this.#eventLoop.lagMs,
       limits: () => this.#config.config?.limits,
       onRequest: (exchange, body) => this.#onRequest(exchange, body),
     });
@@ -302,7 +302,7 @@
   }
 
   #tick(): void {
-    this.#metrics.observe('event_loop_lag', this.#loopLag.tick(Gateway.nowMs()));
+    this.#metrics.observe('event_loop_lag', this.#eventLoop.tick());
     this.#periodicWork.run();
   }
 
@@ -405,7 +405,7 @@
       crashGuard: this.#crashGuard,
       codec,
       nowMs: Gateway.nowMs,
-      lagMs: () => this.#loopLag.lagMs(Gateway.nowMs()),
+      eventLoop: this.#eventLoop,
       randomUnit: () => this.#random.unit(),
       retryAfterMinMs: this.#settings.retryAfterMinMs,
       instanceCount: () => this.#instanceCount,
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -38,10 +38,17 @@
     this.rawHeaders = request.rawHeaders;
     this.receivedMs = receivedMs;
     this.readLagMs = readLagMs;
-    response.on('close', () => {
+    const { socket } = request;
+    const onGone = (): void => {
       if (this.#isOver) return;
       this.#isOver = true;
       this.onGone();
+    };
+    // A response closes some turns of the event loop after the end of its connection was read.
+    socket.once('end', onGone);
+    response.once('close', () => {
+      socket.off('end', onGone);
+      onGone();
     });
     response.on('drain', () => this.onDrain());
   }
