--- a/packages/decisions/src/lib/placement/demand-allocation.ts
+++ b/packages/decisions/src/lib/placement/demand-allocation.ts
@@ -25,10 +25,14 @@
   ) {
     engines.forEach((_, name) => this.loadByEngine.set(name, 0));
     models.forEach(({ name, demand }) => this.unservedByModel.set(name, demand));
+    const shares = models.flatMap(({ name, demand }) => {
+      const holders = [...(replicas.get(name) ?? [])].flatMap((id) => engines.get(id) ?? []);
+      return demand > 0 && holders.length > 0 ? [{ name, holders }] : [];
+    });
     // In each round every model allocates its remaining demand to its engines in proportion to
     // their spare capacity. The allocation settles within a few rounds.
     for (let round = 0; round < ROUND_COUNT; round += 1) {
-      models.forEach((model) => this.#allocate(model, engines, replicas.get(model.name)));
+      shares.forEach(({ name, holders }) => this.#allocate(name, holders));
     }
   }
 
@@ -42,19 +46,14 @@
     return Math.max(0, tokensPerSecond - (this.loadByEngine.get(name) ?? 0));
   }
 
-  #allocate(
-    { name }: Model,
-    engines: ReadonlyMap<string, Engine>,
-    replicas: ReadonlySet<string> | undefined,
-  ): void {
+  #allocate(name: string, holders: readonly Engine[]): void {
     const remaining = this.unservedByModel.get(name) ?? 0;
-    if (remaining <= 0 || !replicas) return;
-    const targets = [...replicas].flatMap((engine) => engines.get(engine) ?? []);
-    const spares = targets.map((engine) => this.spare(engine));
+    if (remaining <= 0) return;
+    const spares = holders.map((engine) => this.spare(engine));
     const total = spares.reduce((sum, spare) => sum + spare, 0);
     if (total <= 0) return;
     const allocated = Math.min(remaining, total);
-    targets.forEach((engine, index) => {
+    holders.forEach((engine, index) => {
       const part = (allocated * spares[index]) / total;
       this.loadByEngine.set(engine.name, (this.loadByEngine.get(engine.name) ?? 0) + part);
     });
--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -31,7 +31,7 @@
   /** Memory that the ledger counts for anything but `models`, in bytes. */
   readonly otherBytes: number;
   /** Load time of each model on this engine, in milliseconds; 0 for a missing model. */
-  readonly loadMsByModel?: ReadonlyMap<string, number>;
+  readonly loadMsByModel?: Pick<ReadonlyMap<string, number>, 'get'>;
 }
 
 /** Input of one placement round. */
--- /dev/null
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -0,0 +1,332 @@
+import { MoveReason } from './move-reason.js';
+import { DemandAllocation } from './demand-allocation.js';
+import type { PlacementInput } from './placement-input.js';
+import type { PlacementOption } from './placement-option.js';
+
+/**
+ * Share of an engine's tokens per second that is planned for: the rest absorbs swings during loads.
+ */
+const TARGET_SHARE = 0.9;
+/**
+ * Penalty for each second of load time when engines are ranked, as a share of the engine's tokens
+ * per second.
+ */
+const LOAD_SECOND_SHARE = 0.2;
+/**
+ * Share of an engine's tokens per second up to which it takes a model without demand: while it loads
+ * one it cannot load anything else.
+ */
+const RESIDENCE_LOAD_SHARE_MAX = 0.5;
+const MS_PER_SECOND = 1_000;
+
+type Engine = PlacementInput['engines'][number];
+type Model = PlacementInput['models'][number];
+
+/** A replica that may be unloaded, with what it is worth in tokens per second. */
+interface EvictableReplica {
+  readonly model: Model;
+  readonly value: number;
+}
+
+/** Replicas to unload for a load, with what they are worth together in tokens per second. */
+interface Eviction {
+  readonly models: readonly Model[];
+  readonly value: number;
+}
+
+const NO_EVICTION: Eviction = { models: [], value: 0 };
+
+const forecastOf = ({ demand, forecast = demand }: Model): number => forecast;
+
+// An engine that can load from a nearby copy serves seconds sooner than one that loads from the
+// weight store.
+const scoreOf = ({ engine, gain }: PlacementOption, { name }: Model): number => {
+  const loadMs = engine.loadMsByModel?.get(name) ?? 0;
+  return gain - (LOAD_SECOND_SHARE * engine.tokensPerSecond * loadMs) / MS_PER_SECOND;
+};
+
+/** The state of one planning round; each planned move updates it. */
+export class PlacementRound {
+  readonly #models: ReadonlyMap<string, Model>;
+  readonly #engines: ReadonlyMap<string, Engine>;
+  readonly #replicasByModel = new Map<string, Set<string>>();
+  readonly #modelsByEngine = new Map<string, Set<string>>();
+  /** Engines where each model can serve now: a replica that is still loading serves no request. */
+  readonly #readyByModel = new Map<string, Set<string>>();
+  readonly #gainShareMin: number;
+  readonly #lossShareMax: number;
+  readonly #lastReplicaShare: number;
+  readonly #idleReplicaShare: number;
+  readonly #latencyTolerantLossShareMax: number;
+  /**
+   * Replicas that may be unloaded, by engine, for moves for reach and for all others: they are the same for
+   * every model to load, and kept until the next planned move.
+   */
+  readonly #evictableForReach = new Map<Engine, readonly EvictableReplica[]>();
+  readonly #evictableForOthers = new Map<Engine, readonly EvictableReplica[]>();
+  /** Free memory by engine, kept until the next planned move. */
+  readonly #freeBytesByEngine = new Map<Engine, number>();
+  /** Allocation of the present demand. */
+  #demandAllocation: DemandAllocation;
+  /** Allocation of the forecast demand. */
+  #forecastAllocation: DemandAllocation;
+
+  constructor({
+    models,
+    engines,
+    gainShareMin,
+    lossShareMax = Infinity,
+    lastReplicaShare = 0,
+    idleReplicaShare = lastReplicaShare,
+    latencyTolerantLossShareMax = lossShareMax,
+  }: PlacementInput & Required<Pick<PlacementInput, 'gainShareMin'>>) {
+    this.#lastReplicaShare = lastReplicaShare;
+    this.#idleReplicaShare = idleReplicaShare;
+    this.#latencyTolerantLossShareMax = latencyTolerantLossShareMax;
+    this.#gainShareMin = gainShareMin;
+    this.#lossShareMax = lossShareMax;
+    this.#models = new Map(models.map((model) => [model.name, model]));
+    this.#engines = new Map(
+      engines.map((engine) => [
+        engine.name,
+        { ...engine, tokensPerSecond: engine.tokensPerSecond * TARGET_SHARE },
+      ]),
+    );
+    models.forEach(({ name }) => {
+      this.#replicasByModel.set(name, new Set());
+      this.#readyByModel.set(name, new Set());
+    });
+    engines.forEach((engine) => {
+      this.#modelsByEngine.set(engine.name, new Set(engine.models));
+      engine.models.forEach((model) => this.#replicasByModel.get(model)?.add(engine.name));
+      engine.ready.forEach((model) => this.#readyByModel.get(model)?.add(engine.name));
+    });
+    this.#demandAllocation = this.#allocate(({ demand }) => demand);
+    this.#forecastAllocation = this.#allocate(forecastOf);
+  }
+
+  get unserved(): number {
+    return this.#demandAllocation.unserved;
+  }
+
+  /**
+   * Models that need a replica and have none: latency-critical ones first, then those with the
+   * highest demand.
+   */
+  unreachable(): Model[] {
+    return [...this.#models.values()]
+      .filter(({ mustStayResident, hasWaitingRequests }) => mustStayResident || hasWaitingRequests)
+      .filter(({ name }) => this.#replicasByModel.get(name)?.size === 0)
+      .sort(
+        (left, right) =>
+          Number(left.isLatencyTolerant === true) - Number(right.isLatencyTolerant === true) ||
+          right.demand - left.demand,
+      );
+  }
+
+  /** Models without any replica, those with the highest demand first. */
+  absent(): Model[] {
+    return [...this.#models.values()]
+      .filter(({ name }) => this.#replicasByModel.get(name)?.size === 0)
+      .sort((left, right) => right.demand - left.demand);
+  }
+
+  /** Engines that are not busy and have free memory for a replica of a model, the best first. */
+  vacancies(model: Model): PlacementOption[] {
+    const vacant = [...this.#engines.values()].filter(
+      (engine) =>
+        this.#freeBytes(engine) >= model.bytes &&
+        (this.#demandAllocation.loadByEngine.get(engine.name) ?? 0) <=
+          RESIDENCE_LOAD_SHARE_MAX * engine.tokensPerSecond,
+    );
+    return this.#optionsAmong(vacant, model, MoveReason.reach, this.#gainShareMin);
+  }
+
+  /** Tokens per second of the fastest engine, after the reserve for swings. */
+  get fastestTokensPerSecond(): number {
+    return Math.max(
+      0,
+      ...[...this.#engines.values()].map(({ tokensPerSecond }) => tokensPerSecond),
+    );
+  }
+
+  /** Models whose unserved demand exceeds `unservedMin` tokens per second, the largest first. */
+  underserved(unservedMin: number, isForecast: boolean): Model[] {
+    const allocation = this.#allocationOf(isForecast);
+    const unserved = ({ name }: Model): number => allocation.unservedByModel.get(name) ?? 0;
+    return [...this.#models.values()]
+      .filter((model) => unserved(model) > unservedMin)
+      .sort((left, right) => unserved(right) - unserved(left));
+  }
+
+  /** Engines that could take a further replica of a model, the best first. */
+  options(model: Model, reason: MoveReason, gainShareMin = this.#gainShareMin): PlacementOption[] {
+    return this.#optionsAmong([...this.#engines.values()], model, reason, gainShareMin);
+  }
+
+  /** Updates the state by a planned move. */
+  apply(model: string, { engine, unload }: PlacementOption): void {
+    unload.forEach((other) => {
+      this.#modelsByEngine.get(engine.name)?.delete(other);
+      this.#replicasByModel.get(other)?.delete(engine.name);
+      this.#readyByModel.get(other)?.delete(engine.name);
+    });
+    this.#modelsByEngine.get(engine.name)?.add(model);
+    this.#replicasByModel.get(model)?.add(engine.name);
+    this.#evictableForReach.clear();
+    this.#evictableForOthers.clear();
+    this.#freeBytesByEngine.clear();
+    this.#demandAllocation = this.#allocate(({ demand }) => demand);
+    this.#forecastAllocation = this.#allocate(forecastOf);
+  }
+
+  /** Number of bytes by which a model exceeds the memory that the best engine could free for it. */
+  shortfall({ bytes }: Model): number {
+    const reclaimableBytes = [...this.#engines.values()].map((engine) => {
+      const evictable = this.#evictable(engine, MoveReason.reach).reduce(
+        (sum, { model }) => sum + model.bytes,
+        0,
+      );
+      return this.#freeBytes(engine) + evictable;
+    });
+    return Math.max(0, bytes - Math.max(0, ...reclaimableBytes));
+  }
+
+  #optionsAmong(
+    engines: readonly Engine[],
+    model: Model,
+    reason: MoveReason,
+    gainShareMin: number,
+  ): PlacementOption[] {
+    return engines
+      .flatMap((engine) => {
+        const option = this.#option(model, engine, reason, gainShareMin);
+        return option ? { option, score: scoreOf(option, model) } : [];
+      })
+      .sort(
+        (left, right) =>
+          right.score - left.score ||
+          this.#freeBytesAfter(right.option) - this.#freeBytesAfter(left.option),
+      )
+      .map(({ option }) => option);
+  }
+
+  #allocate(demandOf: (model: Model) => number): DemandAllocation {
+    const models = [...this.#models.values()];
+    const modelsWithDemand = models.map((model) => ({ ...model, demand: demandOf(model) }));
+    return new DemandAllocation(modelsWithDemand, this.#engines, this.#replicasByModel);
+  }
+
+  #allocationOf(isForecast: boolean): DemandAllocation {
+    return isForecast ? this.#forecastAllocation : this.#demandAllocation;
+  }
+
+  // A replica of a model on an engine, or `undefined` when it doesn't fit, gains too little or
+  // costs the unloaded models too much.
+  #option(
+    model: Model,
+    engine: Engine,
+    reason: MoveReason,
+    gainShareMin: number,
+  ): PlacementOption | undefined {
+    if (this.#modelsByEngine.get(engine.name)?.has(model.name)) return undefined;
+    const eviction = this.#eviction(model, engine, reason);
+    if (!eviction) return undefined;
+    const allocation = this.#allocationOf(reason === MoveReason.forecast);
+    const unserved = allocation.unservedByModel.get(model.name) ?? 0;
+    const lost = eviction.value;
+    const gain = Math.min(unserved, allocation.spare(engine)) - lost;
+    const isGainEnough = gain >= gainShareMin * engine.tokensPerSecond;
+    if (reason !== MoveReason.reach && !isGainEnough) return undefined;
+    const lossShareLimit =
+      model.isLatencyTolerant === true ? this.#latencyTolerantLossShareMax : this.#lossShareMax;
+    if (lost > lossShareLimit * engine.tokensPerSecond) return undefined;
+    return { engine, unload: eviction.models.map(({ name }) => name), gain };
+  }
+
+  // Value of a replica in tokens per second: its part of the model's demand, less what the model's
+  // other engines could take over. The last replica has a value even without demand, since the
+  // model's callers may turn out to be latency-critical. Requests that wait for another model outweigh
+  // most of that: they are certain.
+  #replicaValue(model: Model, engine: Engine, reason: MoveReason): number {
+    const { name } = model;
+    const others = [...(this.#replicasByModel.get(name) ?? [])].filter(
+      (other) => other !== engine.name,
+    );
+    const spare = others.reduce((sum, other) => {
+      const found = this.#engines.get(other);
+      return sum + (found ? this.#forecastAllocation.spare(found) : 0);
+    }, 0);
+    const demandPerReplica = forecastOf(model) / (others.length + 1);
+    const isIdle = reason === MoveReason.reach && forecastOf(model) === 0;
+    const lastReplicaShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
+    const isLastToKeep = others.length === 0 && model.isLatencyTolerant !== true;
+    const lastReplicaValue = isLastToKeep ? lastReplicaShare * engine.tokensPerSecond : 0;
+    return Math.max(0, demandPerReplica - spare) + lastReplicaValue;
+  }
+
+  // Models to unload so that a model of `bytes` fits on an engine, the least valuable first;
+  // `undefined` when it cannot fit.
+  #eviction({ bytes }: Model, engine: Engine, reason: MoveReason): Eviction | undefined {
+    let missing = bytes - this.#freeBytes(engine);
+    if (missing <= 0) return NO_EVICTION;
+    const models: Model[] = [];
+    let value = 0;
+    this.#evictable(engine, reason).forEach((replica) => {
+      if (missing <= 0) return;
+      models.push(replica.model);
+      value += replica.value;
+      missing -= replica.model.bytes;
+    });
+    return missing <= 0 ? { models, value } : undefined;
+  }
+
+  // Replicas that may be unloaded from an engine, the least valuable first. Of replicas with equal value,
+  // the one whose model has the most replicas comes first.
+  #evictable(engine: Engine, reason: MoveReason): readonly EvictableReplica[] {
+    const cache = reason === MoveReason.reach ? this.#evictableForReach : this.#evictableForOthers;
+    const known = cache.get(engine);
+    if (known) return known;
+    const replicaCount = ({ name }: Model): number => this.#replicasByModel.get(name)?.size ?? 0;
+    const replicas = this.#evictableModels(engine, reason)
+      .map((model) => ({ model, value: this.#replicaValue(model, engine, reason) }))
+      .sort(
+        (left, right) =>
+          left.value - right.value || replicaCount(right.model) - replicaCount(left.model),
+      );
+    cache.set(engine, replicas);
+    return replicas;
+  }
+
+  // The last ready replica of a model that a policy keeps resident is never unloaded, and a replica
+  // that is still loading is not unloaded before it has served. The last ready replica of a model
+  // that requests wait for is kept as well, unless the model is latency-tolerant and the move is
+  // made for capacity or forecast.
+  #evictableModels(engine: Engine, reason: MoveReason): Model[] {
+    return [...(this.#modelsByEngine.get(engine.name) ?? [])]
+      .flatMap((name) => this.#models.get(name) ?? [])
+      .filter(({ name, mustStayResident, hasWaitingRequests, isLatencyTolerant }) => {
+        const ready = this.#readyByModel.get(name);
+        const canYield = isLatencyTolerant === true && reason !== MoveReason.reach;
+        const isProtected = mustStayResident || (hasWaitingRequests === true && !canYield);
+        return ready?.has(engine.name) && (!isProtected || ready.size > 1);
+      });
+  }
+
+  // Breaks ties between engines with equal scores: the one with the most free memory wins, which
+  // leaves room to load a new version beside an old one.
+  #freeBytesAfter({ engine, unload }: PlacementOption): number {
+    const freed = unload.reduce((sum, name) => sum + (this.#models.get(name)?.bytes ?? 0), 0);
+    return this.#freeBytes(engine) + freed;
+  }
+
+  #freeBytes(engine: Engine): number {
+    const known = this.#freeBytesByEngine.get(engine);
+    if (known !== undefined) return known;
+    const held = [...(this.#modelsByEngine.get(engine.name) ?? [])];
+    const bytes = held.reduce((sum, name) => sum + (this.#models.get(name)?.bytes ?? 0), 0);
+    const freeBytes = engine.capacityBytes - engine.otherBytes - bytes;
+    this.#freeBytesByEngine.set(engine, freeBytes);
+    return freeBytes;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -0,0 +1,111 @@
+import { MoveReason } from './move-reason.js';
+import type { PlacementInput } from './placement-input.js';
+import type { PlacementMove } from './placement-move.js';
+import type { PlacementOption } from './placement-option.js';
+import type { PlacementPlan } from './placement-plan.js';
+import { PlacementRound } from './placement-round.js';
+
+/**
+ * Least gain of a move, as a share of the engine's tokens per second: less is not worth the load
+ * time.
+ */
+const GAIN_SHARE_MIN = 0.01;
+/**
+ * A move for present demand that gains this many times the least gain comes before moves for
+ * forecast demand.
+ */
+const LARGE_GAIN_FACTOR = 3;
+/** Largest number of alternative engines that a move lists. */
+const ALTERNATIVE_COUNT = 4;
+
+const toMove = (
+  model: string,
+  reason: MoveReason,
+  options: readonly PlacementOption[],
+): PlacementMove => ({
+  engine: options[0].engine.name,
+  load: model,
+  unload: options[0].unload,
+  gain: options[0].gain,
+  reason,
+  alternatives: options
+    .slice(1, 1 + ALTERNATIVE_COUNT)
+    .map(({ engine, gain }) => ({ engine: engine.name, gain })),
+});
+
+/**
+ * Plans like `planPlacement`, in steps of a few milliseconds each, between which the caller may do other
+ * work; the input is that of the beginning.
+ *
+ * @param input - models, engines and the number of moves that may begin
+ * @returns steps; the value of the last one is the plan
+ */
+export function* placementSteps(input: PlacementInput): Generator<void, PlacementPlan, void> {
+  const { gainShareMin = GAIN_SHARE_MIN } = input;
+  const round = new PlacementRound({ ...input, gainShareMin });
+  const moves: PlacementMove[] = [];
+  const shortfalls: { model: string; bytes: number }[] = [];
+  // Adds replicas of the models with the most unserved demand, as long as each move gains enough.
+  function* addReplicas(
+    reason: MoveReason,
+    unservedMin: number,
+    moveCountMax: number,
+    moveGainShareMin = gainShareMin,
+  ): Generator<void, void, void> {
+    const skipped = new Set<string>();
+    const isForecast = reason === MoveReason.forecast;
+    const end = Math.min(input.moveBudget, moves.length + moveCountMax);
+    while (moves.length < end) {
+      const model = round
+        .underserved(unservedMin, isForecast)
+        .find(({ name }) => !skipped.has(name));
+      if (!model) return;
+      const options = round.options(model, reason, moveGainShareMin);
+      if (options.length === 0) {
+        skipped.add(model.name);
+      } else {
+        moves.push(toMove(model.name, reason, options));
+        round.apply(model.name, options[0]);
+      }
+      yield;
+    }
+  }
+  // A model whose unserved demand exceeds a whole engine keeps more callers waiting than a rarely
+  // requested model without a replica, so up to half of the moves go to such models first.
+  yield* addReplicas(
+    MoveReason.capacity,
+    round.fastestTokensPerSecond,
+    Math.floor(input.moveBudget / 2),
+  );
+  const unreachable = round.unreachable();
+  for (let index = 0; index < unreachable.length; index += 1) {
+    const model = unreachable[index];
+    const options = round.options(model, MoveReason.reach);
+    if (options.length === 0) {
+      shortfalls.push({ model: model.name, bytes: round.shortfall(model) });
+    } else if (moves.length < input.moveBudget) {
+      moves.push(toMove(model.name, MoveReason.reach, options));
+      round.apply(model.name, options[0]);
+    }
+    yield;
+  }
+  // Moves with a small present gain come after those for the forecast: they must not take an engine
+  // that is needed within a few seconds.
+  const largeGainShareMin = LARGE_GAIN_FACTOR * gainShareMin;
+  yield* addReplicas(MoveReason.capacity, 0, input.moveBudget, largeGainShareMin);
+  yield* addReplicas(MoveReason.forecast, 0, input.moveBudget);
+  yield* addReplicas(MoveReason.capacity, 0, input.moveBudget);
+  const absent = round.absent();
+  for (let index = 0; index < absent.length && moves.length < input.moveBudget; index += 1) {
+    const model = absent[index];
+    const options = round.vacancies(model);
+    if (options.length > 0) {
+      moves.push(toMove(model.name, MoveReason.residence, options));
+      round.apply(model.name, options[0]);
+    }
+    yield;
+  }
+  const totalDemand = input.models.reduce((sum, { demand }) => sum + demand, 0);
+  const servedShare = totalDemand === 0 ? 1 : 1 - round.unserved / totalDemand;
+  return { moves, shortfalls, servedShare };
+}
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -12,6 +12,8 @@
   /** Where to listen for other instances. */
   readonly peerAddress: { readonly host: string; readonly port: number };
   readonly metricsPort: number;
+  /** Speed of the instance's processor as a share of a core. */
+  readonly processorShare: number;
   /** Shared secret with which instances authenticate to each other. */
   readonly peerSecret: string;
   /** Addresses of possible other instances, which are contacted first to find the rest. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -179,6 +179,7 @@
       config: () => this.#config.config,
       awaited: () => this.#services.awaitedModels,
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
+      onPlanned: (busyMs) => this.#metrics.observe('plan', busyMs),
     });
     this.#crashGuard = new CrashGuard({
       nowMs,
@@ -332,11 +333,10 @@
   }
 
   #plan(): void {
-    const startMs = Gateway.nowMs();
-    if (startMs - this.#lastPlanMs < PLAN_PERIOD_MS) return;
-    this.#lastPlanMs = startMs;
+    const nowMs = Gateway.nowMs();
+    if (nowMs - this.#lastPlanMs < PLAN_PERIOD_MS) return;
+    this.#lastPlanMs = nowMs;
     this.#fleet.plan();
-    this.#metrics.observe('plan', Gateway.nowMs() - startMs);
   }
 
   #logReadiness(): void {
@@ -527,6 +527,7 @@
       startedMs: this.#startedMs,
       uptimeMs: this.#fleet.handover.uptimeMs(nowMs),
       isStopping: this.#isStopping,
+      processorShare: this.#settings.processorShare,
       instanceCount: 1,
       configVersion: this.#config.version,
       loads: Object.fromEntries(
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -1,3 +1,4 @@
+import { isPlanner } from '@chervilseam/decisions';
 import type { OrderOutcome } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
@@ -46,6 +47,8 @@
   readonly awaited: () => readonly string[];
   /** Called with the outcome of each order that was sent. */
   readonly onOrder: (outcome: OrderOutcome) => void;
+  /** Called with the time that a round of placement planning took, in milliseconds. */
+  readonly onPlanned: (busyMs: number) => void;
 }
 
 /**
@@ -85,6 +88,7 @@
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
       loadWindowMs: settings.loadWindowMs,
       loadSlackRatio: settings.loadSlackRatio,
+      onPlanned: context.onPlanned,
     });
   }
 
@@ -116,7 +120,7 @@
     const config = this.#context.config();
     if (!config) return;
     this.#placement.observe(config);
-    if (this.#isPlanner()) this.#placement.tick(config);
+    if (this.#isPlanner()) void this.#placement.tick(config);
   }
 
   /**
@@ -236,14 +240,15 @@
     if (owner) sync.beginMove({ host: owner.host, port: owner.port }, endpoint, move);
   }
 
-  // The owner of the lowest share plans for all instances, since two planners would both react to the
-  // same demand.
   #isPlanner(): boolean {
-    const { nowMs, peers, member } = this.#context;
-    if (member.hasLapsed || member.shares.length === 0) return false;
-    const lowest = Math.min(...member.shares);
-    const others = peers.fresh(nowMs()).filter(({ hasLapsed }) => !hasLapsed);
-    return others.flatMap(({ shares }) => shares).every((share) => share > lowest);
+    const { nowMs, peers, member, settings } = this.#context;
+    const { shares } = member;
+    if (member.hasLapsed || shares.length === 0) return false;
+    const others = peers
+      .fresh(nowMs())
+      .filter((state) => !state.hasLapsed && state.shares.length > 0)
+      .map((state) => ({ ...state, processorShare: state.processorShare ?? 0 }));
+    return isPlanner({ processorShare: settings.processorShare, shares }, others);
   }
 
   // Makes pending shares usable as soon as their previous owners are known to have stopped.
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -1,10 +1,12 @@
-import { forecastDemand, MoveReason, planPlacement, RecentLoads } from '@chervilseam/decisions';
+import { forecastDemand, MoveReason, placementSteps, RecentLoads } from '@chervilseam/decisions';
+import type { PlacementInput } from '@chervilseam/decisions';
 import type { EngineSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
 import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
+import { runInSlices } from './run-in-slices.js';
 
 /**
  * Prompt tokens that an engine of typical speed reads per second: 38 per millisecond in the users' data
@@ -74,6 +76,10 @@
 /** Limits of an engine's speed as a ratio to the median engine. */
 const SPEED_MIN = 0.3;
 const SPEED_MAX = 1.5;
+/** Longest time for which planning holds up the event loop at a time, in milliseconds. */
+const SLICE_MS = 8;
+/** Greatest fraction of the processor's time that is spent on planning. */
+const PLANNING_SHARE_MAX = 0.2;
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
 
@@ -102,6 +108,8 @@
   readonly loadWindowMs: number;
   /** Factor that is applied to the number of loads that the store's rate allows in that window. */
   readonly loadSlackRatio: number;
+  /** Called with the time that a round of planning took, in milliseconds. */
+  readonly onPlanned: (busyMs: number) => void;
 }
 
 /**
@@ -115,6 +123,9 @@
   /** The same, rebuilt by the current round from the replicas that still exist. */
   #nextFirstSeenMs = new Map<string, number>();
   readonly #loads: RecentLoads;
+  #isPlanning = false;
+  /** When the next round may begin, in milliseconds. */
+  #nextRoundMs = -Infinity;
   /** Requested moves that the owner may not have published yet, by engine. */
   readonly #pending = new Map<string, EngineMove & { readonly untilMs: number }>();
 
@@ -143,21 +154,53 @@
   }
 
   /**
-   * Plans one round of moves and requests them from the engines' owners.
+   * Plans one round of moves and requests them from the engines' owners, unless a round is under way or
+   * planning has taken too much of the processor's time lately.
    *
    * @param config - the configuration in force
    */
-  tick(config: ServingConfig): void {
-    const demand = this.#context.demand();
+  async tick(config: ServingConfig): Promise<void> {
+    const { nowMs, demand, onPlanned } = this.#context;
+    if (this.#isPlanning || nowMs() < this.#nextRoundMs) return;
+    this.#isPlanning = true;
+    try {
+      const startMs = nowMs();
+      const busyMs = await this.#planServices(config, demand());
+      this.#nextRoundMs = startMs + busyMs / PLANNING_SHARE_MAX;
+      onPlanned(busyMs);
+    } finally {
+      this.#isPlanning = false;
+    }
+  }
+
+  // Returns the time that planning took, in milliseconds.
+  async #planServices(
+    { services }: ServingConfig,
+    demand: ReadonlyMap<string, number>,
+  ): Promise<number> {
+    let busyMs = 0;
     this.#nextFirstSeenMs = new Map();
-    config.services.forEach(({ name, engine }) => {
-      if (engine) this.#plan(name, engine, demand);
-    });
+    const withEngines = [...services.values()].flatMap(({ name, engine }) =>
+      engine ? [{ name, engine }] : [],
+    );
+    for (let index = 0; index < withEngines.length; index += 1) {
+      const { name, engine } = withEngines[index];
+      // eslint-disable-next-line no-await-in-loop
+      busyMs += await this.#plan(name, engine, demand);
+    }
     this.#firstSeenMs = this.#nextFirstSeenMs;
+    return busyMs;
   }
 
-  #plan(service: string, spec: EngineSpec, demand: ReadonlyMap<string, number>): void {
+  // Returns the time that planning took, in milliseconds. What the plan is made from may have changed by its
+  // end, so each move is checked again.
+  async #plan(
+    service: string,
+    spec: EngineSpec,
+    demand: ReadonlyMap<string, number>,
+  ): Promise<number> {
     const { nowMs, endpointsOf, requestMove, logger } = this.#context;
+    const startMs = nowMs();
     const endpoints = endpointsOf(service).filter(
       ({ isLeaving, health }) => !isLeaving && !health.isDown(nowMs()),
     );
@@ -171,7 +214,7 @@
     const latencyTolerant = new Set(
       models.filter(({ isLatencyTolerant }) => isLatencyTolerant).map(nameOf),
     );
-    const plan = planPlacement({
+    const input: PlacementInput = {
       models,
       engines,
       moveBudget: MOVE_MAX,
@@ -180,6 +223,11 @@
       latencyTolerantLossShareMax: TOLERANT_LOSS_SHARE_MAX,
       lastReplicaShare: LAST_REPLICA_SHARE,
       idleReplicaShare: IDLE_REPLICA_SHARE,
+    };
+    const preparedMs = nowMs() - startMs;
+    const { value: plan, busyMs } = await runInSlices(placementSteps(input), {
+      nowMs,
+      sliceMs: SLICE_MS,
     });
     plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
       const changingCount = endpoints.filter(({ id }) => this.#isFixed(id)).length;
@@ -199,6 +247,7 @@
         servedShare: plan.servedShare,
       });
     });
+    return preparedMs + busyMs;
   }
 
   #models(
@@ -247,9 +296,12 @@
       capacityBytes: capacityMb * BYTES_PER_MB,
       tokensPerSecond:
         ENGINE_TOKENS_PER_SECOND * UTILIZATION * this.#speed(endpoint, medianInterEventMs),
-      loadMsByModel: new Map(
-        [...spec.models.values()].map((model) => [model.name, loadTimeMs(endpoint.record, model)]),
-      ),
+      loadMsByModel: {
+        get: (name: string) => {
+          const model = spec.models.get(name);
+          return model && loadTimeMs(endpoint.record, model);
+        },
+      },
       models,
       ready: isFixed ? [] : models.filter((model) => this.#isSettled(endpoint.id, model)),
       otherBytes: 0,
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -19,6 +19,8 @@
   /** Age of the process in milliseconds, up to the age at which its orders are no longer published. */
   readonly uptimeMs: number;
   readonly isStopping: boolean;
+  /** Speed of its processor as a share of a core; `undefined` from an instance of an earlier version. */
+  readonly processorShare?: number;
   /** Number of instances that the sums cover, including this one. */
   readonly instanceCount: number;
   /** Version of the configuration in force at the instance. */
