Count models of unknown size as full, and tell an engine's owner of later configurations

The fuzz with changes of the configuration fails after 16 sequences without this (configure, then a load). Now a model that a later configuration drops keeps its size, one whose size was never known leaves no room for a load, and owners follow the configuration.

--- a/packages/decisions/src/lib/serving/engine-inventory.ts
+++ b/packages/decisions/src/lib/serving/engine-inventory.ts
@@ -1,4 +1,4 @@
-import type { EngineSpec } from '@chervilseam/model';
+import type { EngineSpec, ModelSpec } from '@chervilseam/model';
 import type { EngineOrder } from './engine-order.js';
 import type { EngineStateReport } from './engine-state-report.js';
 import { OrderOutcome } from './order-outcome.js';
@@ -40,7 +40,9 @@
  * it may still be accepted, but only until the engine accepts another order.
  */
 export class EngineInventory {
-  readonly #spec: EngineSpec;
+  #spec: EngineSpec;
+  /** Models of former configurations that the present one does not name: engines may still hold them. */
+  readonly #formerModels = new Map<string, ModelSpec>();
   readonly #models = new Map<string, ModelEntry>();
   /** Number of orders that the engine has accepted; `undefined` while it isn't known. */
   #orderCount: number | undefined;
@@ -74,6 +76,13 @@
     return this.#orderCount;
   }
 
+  /** @param spec - the engine's memory, slots and models by a newer configuration */
+  updateSpec(spec: EngineSpec): void {
+    this.#spec.models.forEach((model, name) => this.#formerModels.set(name, model));
+    spec.models.forEach((_, name) => this.#formerModels.delete(name));
+    this.#spec = spec;
+  }
+
   /** The latest unconfirmed order. */
   get unconfirmedOrder(): EngineOrder | undefined {
     return this.#unconfirmed.at(-1);
@@ -116,11 +125,14 @@
     return this.#adapterEntries.length;
   }
 
-  /** Most memory that the engine can come to use, unconfirmed loads included, in megabytes. */
+  /**
+   * Most memory that the engine can come to use, unconfirmed loads included, in megabytes; Infinity if it
+   * holds a model whose size is not known.
+   */
   get memoryMb(): number {
     return [...this.#models].reduce((sum, [name, { adapters }]) => {
-      const spec = this.#spec.models.get(name);
-      return sum + (spec?.sizeMb ?? 0) + adapters.size * (spec?.adapterMb ?? 0);
+      const spec = this.#spec.models.get(name) ?? this.#formerModels.get(name);
+      return sum + (spec ? spec.sizeMb + adapters.size * spec.adapterMb : Infinity);
     }, 0);
   }
 
--- a/packages/decisions/src/test/serving/engine-orders_fuzz_test.ts
+++ b/packages/decisions/src/test/serving/engine-orders_fuzz_test.ts
@@ -57,6 +57,7 @@
   { weight: 3, arbitrary: fc.record({ do: kind('finishLoad') }) },
   { weight: 1, arbitrary: fc.record({ do: kind('wait') }) },
   { weight: 1, arbitrary: fc.record({ do: kind('handOver') }) },
+  { weight: 1, arbitrary: fc.record({ do: kind('configure'), kept: fc.subarray(names) }) },
 );
 
 type Step = typeof steps extends fc.Arbitrary<infer T> ? T : never;
@@ -76,13 +77,15 @@
   finishLoad: (world) => world.finishLoad(),
   wait: (world) => world.wait(LONG_WAIT_MS),
   handOver: (world) => world.handOver(),
+  configure: (world, step) => world.configure(step.kept),
 };
 
 const perform = <K extends Step['do']>(world: OrderWorld, step: StepOf<K>): void =>
   (handlers[step.do] as (world: OrderWorld, step: StepOf<K>) => void)(world, step);
 
 // An engine that is ordered to hold more than it has room for crashes. Orders are lost, answered too late,
-// carried out seconds after they were given, repeated, and given by one owner after another.
+// carried out seconds after they were given, repeated, and given by one owner after another, while
+// configurations change which models are known.
 describe('orders to an engine', () => {
   it('never exceed its memory or its adapter slots', () => {
     fc.assert(
--- a/packages/decisions/src/test/serving/order-world.ts
+++ b/packages/decisions/src/test/serving/order-world.ts
@@ -28,6 +28,7 @@
   /** Orders that the engine accepted although it had no room for them. */
   readonly violations: string[] = [];
   readonly #engineSpec: EngineSpec;
+  #spec: EngineSpec;
   #nowMs = 0;
   #orderCount = 0;
   #models = new Map<string, Set<string>>();
@@ -45,6 +46,7 @@
    */
   constructor(spec: EngineSpec, models: readonly string[]) {
     this.#engineSpec = spec;
+    this.#spec = spec;
     models.forEach((model) => this.#models.set(model, new Set()));
     this.#inventory = new EngineInventory(spec);
     this.#snapshot();
@@ -82,7 +84,7 @@
 
   /** Has the owner make room for an adapter and load it. */
   swapAdapter(model: string, adapter: string, deliveries: readonly Delivery[]): void {
-    if (this.#inventory.adapterCount >= this.#engineSpec.adapterSlotCount) {
+    if (this.#inventory.adapterCount >= this.#spec.adapterSlotCount) {
       const unload = this.#inventory.idleAdapterUnload(Infinity);
       if (unload) this.order(unload, deliveries);
       if (this.#inventory.hasLeavingAdapters) return;
@@ -119,7 +121,14 @@
 
   /** Another instance takes the engine over: it knows only what reports show. */
   handOver(): void {
-    this.#inventory = new EngineInventory(this.#engineSpec);
+    this.#inventory = new EngineInventory(this.#spec);
+  }
+
+  /** A new configuration names other models; the engine keeps what it holds. */
+  configure(names: readonly string[]): void {
+    const models = [...this.#engineSpec.models].filter(([name]) => names.includes(name));
+    this.#spec = { ...this.#engineSpec, models: new Map(models) };
+    this.#inventory.updateSpec(this.#spec);
   }
 
   #send(order: EngineOrder, deliveries: readonly Delivery[]): void {
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -102,7 +102,9 @@
     this.#activatePendingShares();
     registry.all.forEach((endpoint) => {
       const spec = config()?.services.get(endpoint.record.service)?.engine;
-      const isManaged = this.#owners.get(endpoint.id)?.endpoint === endpoint;
+      const managed = this.#owners.get(endpoint.id);
+      const isManaged = managed?.endpoint === endpoint;
+      if (spec && isManaged) managed.owner.updateSpec(spec);
       if (!spec || isManaged || this.#token(endpoint.id) === undefined) return;
       const owner = new EngineOwner(this.#ownerContext(endpoint), endpoint, spec);
       this.#owners.set(endpoint.id, { endpoint, owner });
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -54,7 +54,7 @@
 export class EngineOwner {
   readonly #context: EngineOwnerContext;
   readonly #endpoint: Endpoint;
-  readonly #spec: EngineSpec;
+  #spec: EngineSpec;
   /** The engine's models and adapters, as counted from its reports and the orders sent to it. */
   readonly #engine: EngineInventory;
   #queue: Promise<unknown> = Promise.resolve();
@@ -81,6 +81,13 @@
     this.#engine = new EngineInventory(spec);
   }
 
+  /** @param spec - models and capacities by a newer configuration */
+  updateSpec(spec: EngineSpec): void {
+    if (spec === this.#spec) return;
+    this.#spec = spec;
+    this.#engine.updateSpec(spec);
+  }
+
   /** State of the engine that is published to the other instances. */
   get state(): OwnedEngineState {
     const nowMs = this.#context.nowMs();
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -290,6 +290,8 @@
     const models = [...new Set([...listed, ...loading])].filter((model) => !leaving.has(model));
     const isFixed = this.#isFixed(endpoint.id);
     const usedMb = models.reduce((sum, name) => sum + (spec.models.get(name)?.sizeMb ?? 0), 0);
+    // Nothing is placed beside a model whose size the configuration does not state.
+    const hasUnknownModel = models.some((name) => !spec.models.has(name));
     const capacityMb = isFixed ? usedMb : spec.memoryMb - PlacementLoop.#adapterMb(spec);
     return {
       name: endpoint.id,
@@ -304,7 +306,7 @@
       },
       models,
       ready: isFixed ? [] : models.filter((model) => this.#isSettled(endpoint.id, model)),
-      otherBytes: 0,
+      otherBytes: hasUnknownModel ? spec.memoryMb * BYTES_PER_MB : 0,
     };
   }
 
--- a/packages/gateway/src/test/engine-owner_test.ts
+++ b/packages/gateway/src/test/engine-owner_test.ts
@@ -113,3 +113,73 @@
     expect(engine.adapterCountMax).to.be.at.most(SLOT_COUNT);
   });
 });
+
+// An engine was ordered beyond its memory: its owner counted a model that a later configuration no longer
+// named as nothing, and did not learn of later configurations at all.
+describe('EngineOwner: an engine with models of an earlier configuration', () => {
+  const modelOf = (name: string) => ({
+    name,
+    sizeMb: 70,
+    storeLoadMs: 1,
+    diskLoadMs: 1,
+    hostLoadMs: 1,
+    adapterMb: 1,
+  });
+  const specOf = (...names: string[]): EngineSpec => ({
+    ...spec,
+    models: new Map(names.map((name) => [name, modelOf(name)])),
+  });
+  let timer: NodeJS.Timeout | undefined;
+
+  const ordersAfter = async (act: (owner: EngineOwner) => void): Promise<EngineOrder[]> => {
+    const orders: EngineOrder[] = [];
+    const calls: EngineCalls = {
+      order: (_, order) => {
+        orders.push(order);
+        return Promise.resolve(OrderOutcome.accepted);
+      },
+      report: () =>
+        Promise.resolve({
+          orderCount: 0,
+          isBusy: false,
+          models: ['old', 'older'].map((name) => ({ name, adapters: [] })),
+          pendingAdapters: [],
+        }),
+    };
+    const owner = new EngineOwner(
+      {
+        instance: 'self',
+        calls,
+        logger: PartLogger.forInstance('self', 'fatal')('engine'),
+        nowMs: () => performance.now(),
+        token: () => 1,
+        onOrder: () => undefined,
+      },
+      new Endpoint(endpointRecordOf('i-1')),
+      specOf('old', 'older'),
+    );
+    timer = setInterval(() => owner.tick(), 10);
+    await sleep(50);
+    act(owner);
+    await sleep(IDLE_MS);
+    return orders;
+  };
+
+  afterEach(() => clearInterval(timer));
+
+  it('gets no load beside models that the configuration no longer names', async () => {
+    const orders = await ordersAfter((owner) => {
+      owner.updateSpec(specOf('new'));
+      owner.beginMove({ load: 'new', unload: [] });
+    });
+    expect(orders).to.deep.equal([]);
+  });
+
+  it('gets a model that only a later configuration names', async () => {
+    const orders = await ordersAfter((owner) => {
+      owner.updateSpec(specOf('new'));
+      owner.beginMove({ load: 'new', unload: ['old', 'older'] });
+    });
+    expect(orders[0]).to.deep.equal({ action: 'unload', model: 'old' });
+  });
+});
