Believe no impossible value of another writer, and keep an odd entry to itself

Reported by others: one odd entry among those of the engines (deeply nested, a number too large, a port out of range), and machines stopped following the list. Here: a port or address out of range threw out of the registry after it had moved its offset, so the entries behind it on the page were never seen; a start time of 1e300 made every true entry of its engine count as outdated; slots and removal times were believed whatever they were; nesting was harmless. The same class: ends of engines in the states of peers without their shape threw in the handler of the state, addresses of peers were tried whatever they were, a count of orders of 1e300 in a report would have hidden all later ones, and a time limit above 2^31 ms ended requests at once.

--- a/packages/decisions/src/lib/crashes/crash-suspects.ts
+++ b/packages/decisions/src/lib/crashes/crash-suspects.ts
@@ -1,6 +1,7 @@
 import { hashOf } from '../ownership/hash-of.js';
 import { CaughtShare } from './caught-share.js';
 import type { EngineEnd } from './engine-end.js';
+import { isEngineEnd } from './is-engine-end.js';
 import type { SuspectRun } from './suspect-run.js';
 import type { Withheld } from './withheld.js';
 
@@ -149,7 +150,9 @@
    * @returns ids of the ends that were not known here
    */
   merge(ends: Readonly<Record<string, EngineEnd>>, nowMs: number): string[] {
-    const entries = Object.entries(ends).filter(([, end]) => !this.#merged.has(end));
+    const entries = Object.entries(ends).filter(
+      ([, end]) => isEngineEnd(end) && !this.#merged.has(end),
+    );
     if (entries.length === 0) return [];
     const newEnds = entries.flatMap(([end, received]) => {
       this.#merged.add(received);
--- a/packages/decisions/src/test/crashes/crash-suspects_test.ts
+++ b/packages/decisions/src/test/crashes/crash-suspects_test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { CrashSuspects } from '../../lib/crashes/crash-suspects.js';
+import type { EngineEnd } from '../../lib/crashes/engine-end.js';
 import type { SuspectRun } from '../../lib/crashes/suspect-run.js';
 import { simulateFleet } from './simulated-fleet.js';
 import type { FleetObserver } from './simulated-fleet.js';
@@ -215,3 +216,33 @@
     });
   });
 });
+
+// Ends of engines come from other instances; one that cannot be decoded threw in the handler of their state.
+describe('CrashSuspects: ends without the shape of one', () => {
+  const odd: Readonly<Record<string, unknown>> = {
+    null: null,
+    'a number': 7,
+    'no runs': { ageS: 1, clearedParts: [] },
+    'a run without parts': { ageS: 1, runs: { k: { isTest: false } }, clearedParts: [] },
+    'parts that are numbers': {
+      ageS: 1,
+      runs: { k: { parts: [1], isTest: false } },
+      clearedParts: [],
+    },
+    'a negative age': { ageS: -1, runs: {}, clearedParts: [] },
+    'no cleared parts': { ageS: 1, runs: {} },
+  };
+
+  Object.entries(odd).forEach(([name, end]) => {
+    it(`are ignored: ${name}`, () => {
+      const suspects = new CrashSuspects();
+      const sound = {
+        ageS: 1,
+        runs: { k: { parts: ['p'], isTest: false } },
+        clearedParts: [],
+      };
+      const ends = { 'i-1@1': end, 'i-2@1': sound } as Readonly<Record<string, EngineEnd>>;
+      expect(suspects.merge(ends, 0)).to.deep.equal(['i-2@1']);
+    });
+  });
+});
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -43,6 +43,8 @@
 const BEGINNING_EVENT_COUNT = 3;
 /** Number of engines that are asked in turn to load an adapter before the request is queued. */
 const ADAPTER_LOAD_ATTEMPTS = 3;
+/** Longest delay that a timer of Node.js can have, in milliseconds; a longer one would run at once. */
+const TIMER_MAX_MS = 2 ** 31 - 1;
 const OK_MAX = 299;
 const SERVER_ERROR = 500;
 
@@ -140,7 +142,7 @@
     const waitMs = Math.min(head.waitMs ?? Infinity, target.route.timeoutMs);
     // The caller's time began when it sent the request, which may have waited to be read.
     this.#deadlineMs = exchange.receivedMs - exchange.readLagMs + waitMs;
-    const leftMs = Math.max(0, this.#deadlineMs - context.nowMs());
+    const leftMs = Math.min(TIMER_MAX_MS, Math.max(0, this.#deadlineMs - context.nowMs()));
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), leftMs);
     Object.assign(exchange, {
       onGone: () => this.#onCallerGone(),
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -11,6 +11,11 @@
  * expired during an outage of the store is listed again within this time after the outage.
  */
 const SUSPICION_MS = 1_600;
+/**
+ * Number of entries in a row of an earlier run of an endpoint that are taken for late ones. A process that goes
+ * on writing such entries is the one that runs, and the later start was an odd value.
+ */
+const LATE_ENTRY_COUNT_MAX = 2;
 
 /** Endpoints by service, according to the platform's list of endpoints. */
 export class EndpointRegistry {
@@ -20,6 +25,8 @@
    * suspected when its entry vanishes while the store is unstable.
    */
   readonly #suspected = new Map<string, number>();
+  /** Number of entries in a row of an earlier run, by the endpoint's id. */
+  readonly #lateEntryCounts = new Map<string, number>();
   #offset: number | undefined;
   #byService = new Map<string, Endpoint[]>();
 
@@ -55,7 +62,7 @@
     if (!page.isWhole && this.#offset !== undefined && page.nextOffset < this.#offset) return [];
     this.#offset = page.nextOffset;
     const transitions = page.changes.flatMap(({ id, record }) =>
-      record ? this.#add(record) : this.#remove(id, nowMs, isStoreUnstable),
+      record ? this.#addIfUsable(record) : this.#remove(id, nowMs, isStoreUnstable),
     );
     if (page.isWhole) {
       const missing = this.#missingFrom(page);
@@ -101,6 +108,7 @@
       if (endpoint.leftMs === undefined || nowMs < endpoint.leftMs + LEFT_RETENTION_MS) return;
       endpoint.close();
       this.#endpoints.delete(id);
+      this.#lateEntryCounts.delete(id);
     });
     if (transitions.length > 0) this.#index();
     return transitions;
@@ -124,12 +132,21 @@
     return [...this.#endpoints.keys()].filter((id) => !listed.has(id));
   }
 
+  // One entry that cannot be used must not keep the others of its page from being applied.
+  #addIfUsable(record: EndpointRecord): EndpointTransition[] {
+    try {
+      return this.#add(record);
+    } catch {
+      return [{ id: record.id, service: record.service, what: 'refused' }];
+    }
+  }
+
   #add(record: EndpointRecord): EndpointTransition[] {
     this.#suspected.delete(record.id);
     const known = this.#endpoints.get(record.id);
     const { id, service } = record;
-    // Ignores a late record of an earlier run of the endpoint's process.
-    if (known && record.bornMs < known.record.bornMs) return [];
+    if (known && record.bornMs < known.record.bornMs && this.#isLate(id)) return [];
+    this.#lateEntryCounts.delete(id);
     const isSameRun =
       known?.record.bornMs === record.bornMs &&
       known.record.host === record.host &&
@@ -144,6 +161,13 @@
     return [{ id, service, what: 'joined' }];
   }
 
+  // Whether a record of an earlier run of the endpoint's process is taken for a late one.
+  #isLate(id: string): boolean {
+    const count = (this.#lateEntryCounts.get(id) ?? 0) + 1;
+    this.#lateEntryCounts.set(id, count);
+    return count <= LATE_ENTRY_COUNT_MAX;
+  }
+
   #remove(id: string, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
     const known = this.#endpoints.get(id);
     if (!known || known.leftMs !== undefined) return [];
--- /dev/null
+++ b/packages/gateway/src/test/odd-entries_test.ts
@@ -0,0 +1,73 @@
+import { expect } from 'chai';
+import { EndpointRegistry } from '../lib/feed/endpoint-registry.js';
+import type { EndpointPage } from '../lib/ports/endpoint-page.js';
+import { isPeerAddress } from '../lib/peer/is-peer-address.js';
+import { parsePeerKey } from '../lib/peer/parse-peer-key.js';
+import { endpointRecordOf } from './endpoint-record-of.js';
+
+const pageOf = (offset: number, ...changes: EndpointPage['changes']): EndpointPage => ({
+  isWhole: false,
+  changes,
+  nextOffset: offset,
+});
+
+const joinOf = (id: string, overrides = {}): EndpointPage['changes'][number] => ({
+  id,
+  record: { ...endpointRecordOf(id), ...overrides },
+});
+
+// Another writer left one odd entry in the list of endpoints: the entries behind it on the same page were never
+// seen, so engines that had joined stayed unknown and engines that had left went on being used.
+describe('EndpointRegistry with an odd entry', () => {
+  let registry: EndpointRegistry;
+
+  beforeEach(() => {
+    registry = new EndpointRegistry();
+    registry.apply(pageOf(1, joinOf('i-1')), 0, false);
+  });
+
+  it('applies the entries before and behind it', () => {
+    const page = pageOf(5, joinOf('i-2'), joinOf('odd', { port: 99_999 }), joinOf('i-3'), {
+      id: 'i-1',
+    });
+    const transitions = registry.apply(page, 0, false);
+    expect(transitions.map(({ id, what }) => [id, what])).to.deep.equal([
+      ['i-2', 'joined'],
+      ['odd', 'refused'],
+      ['i-3', 'joined'],
+      ['i-1', 'left'],
+    ]);
+    expect(registry.all.map(({ id }) => id)).to.deep.equal(['i-2', 'i-3']);
+  });
+
+  it('returns to the true entries of an engine whose odd entry names a later start', () => {
+    registry.apply(pageOf(2, joinOf('i-1', { bornMs: 9_000, host: '127.0.0.9' })), 0, false);
+    [3, 4, 5].forEach((offset) => registry.apply(pageOf(offset, joinOf('i-1')), 0, false));
+    expect(registry.get('i-1')?.record.host).to.equal('127.0.0.1');
+    registry.apply(pageOf(6, joinOf('i-1', { isDraining: true })), 0, false);
+    expect(registry.get('i-1')?.isLeaving).to.equal(true);
+  });
+
+  it('still ignores a late entry of an earlier run', () => {
+    registry.apply(pageOf(2, joinOf('i-1', { bornMs: 9_000, host: '127.0.0.9' })), 0, false);
+    registry.apply(pageOf(3, joinOf('i-1')), 0, false);
+    expect(registry.get('i-1')?.record.host).to.equal('127.0.0.9');
+  });
+});
+
+describe('isPeerAddress', () => {
+  it('accepts addresses that instances listen at', () =>
+    expect(isPeerAddress(parsePeerKey('10.1.0.38:8144'))).to.equal(true));
+
+  [
+    '',
+    '10.0.0.1',
+    '10.0.0.1:x',
+    '10.0.0.1:99999',
+    '10.0.0.1:0',
+    '999.1.1.1:80',
+    'nowhere:80',
+  ].forEach((key) => {
+    it(`refuses "${key}"`, () => expect(isPeerAddress(parsePeerKey(key))).to.equal(false));
+  });
+});
