In a planned stop, take only what surely ends in time, and answer what is still open

Reported by others: requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them such that may not be repeated (LOST). Here too: requests were accepted for 2.8 s after SIGTERM with their whole time limit, and whatever was open at 7.3 s was closed without a word. Now one that may not be repeated is accepted, and sent on from a queue, only if its time limit ends before the grace period does (else 503 at once: not run, never will); engines get no more time than is left until then; shortly before the end each open request gets a true answer, 503 if it has not run, 502 if it may have, and only answers that have begun are cut.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -8,6 +8,7 @@
 import type { AttemptFailure } from './attempt-failure.js';
 import { EndpointAttempt } from './endpoint-attempt.js';
 import { PickReason } from './pick-reason.js';
+import type { OpenRun } from './open-run.js';
 import type { PickRequirements } from './pick-requirements.js';
 import type { PickResult } from './pick-result.js';
 import type { RunContext } from './run-context.js';
@@ -72,7 +73,7 @@
 const isSuccess = ({ status, isSigned }: AnswerHead): boolean => isSigned && status <= OK_MAX;
 
 /** Handles one caller's request from its arrival to its end, over all attempts at endpoints. */
-export class RequestRun {
+export class RequestRun implements OpenRun {
   readonly #context: RunContext;
   readonly #exchange: CallerExchange;
   readonly #route: RouteSpec;
@@ -152,11 +153,25 @@
 
   /** Sends the request to an endpoint, queues it or refuses it. */
   start(): void {
+    this.#context.openRuns.add(this);
     this.#context.onReceived(this.#head, this.#target);
     this.#context.retryBudget(this.#service.name).earn(this.#context.nowMs());
     this.#dispatch();
   }
 
+  /**
+   * Gives the caller a true answer while there is still time to send one: 503 if the request has not run and
+   * never will, 502 if an endpoint may have run it. An answer that has begun is cut.
+   */
+  endForShutdown(): void {
+    if (this.#isOver) return;
+    const attempt = this.#attempt;
+    this.#releaseEndpoint();
+    attempt?.cancel();
+    this.#mayHaveRun ||= attempt !== undefined;
+    this.#fail('the instance stops');
+  }
+
   get #isSafeToRetry(): boolean {
     return this.#route.isIdempotent && (!this.#relay.isOpen || this.#route.isResumable);
   }
@@ -308,9 +323,22 @@
 
   #send(pick: Extract<PickResult, { kind: 'send' }>): void {
     const { endpoint, candidateCount, readTokenCount } = pick;
-    const { nowMs, eventLoop, codec, retryBudget, logDecision, instanceCount, onSent, crashGuard } =
-      this.#context;
-    const remainingMs = Math.floor(this.#deadlineMs - nowMs());
+    const {
+      nowMs,
+      endMs,
+      eventLoop,
+      codec,
+      retryBudget,
+      logDecision,
+      instanceCount,
+      onSent,
+      crashGuard,
+    } = this.#context;
+    if (!this.#route.isIdempotent && this.#deadlineMs > endMs()) {
+      this.#fail('the instance stops before the request may end');
+      return;
+    }
+    const remainingMs = Math.floor(Math.min(this.#deadlineMs, endMs()) - nowMs());
     if (remainingMs < REMAINING_MIN_MS) {
       this.#fail('no time left');
       return;
@@ -691,6 +719,7 @@
 
   #finish(outcome: string, status: number, reason = ''): void {
     this.#isOver = true;
+    this.#context.openRuns.delete(this);
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#silenceTimer);
     if (this.#waiter) this.#context.queue(this.#service.name).remove(this.#waiter);
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -6,6 +6,7 @@
 import type { EndpointCodec } from '../ports/endpoint-codec.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { EndpointPicker } from './endpoint-picker.js';
+import type { OpenRun } from './open-run.js';
 import type { RunEnd } from './run-end.js';
 import type { RunTarget } from './run-target.js';
 
@@ -19,6 +20,10 @@
   readonly eventLoop: EventLoop;
   /** @returns a random number from 0 up to 1 */
   readonly randomUnit: () => number;
+  /** Requests that have not been answered yet. */
+  readonly openRuns: Set<OpenRun>;
+  /** When this process ends the requests that are still open, in milliseconds; Infinity unless it stops. */
+  readonly endMs: () => number;
   /** Lower bound of `Retry-After`, in milliseconds. */
   readonly retryAfterMinMs: number;
   /** Number of instances that divide the retry budgets, including this one. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -5,6 +5,7 @@
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
+import type { OpenRun } from './dispatch/open-run.js';
 import { probeProcess } from './dispatch/probe-process.js';
 import { RequestRun } from './dispatch/request-run.js';
 import type { RunContext } from './dispatch/run-context.js';
@@ -45,10 +46,16 @@
 const ROTATION_MS = 2_600;
 /** Time left unused at the end of the grace period, in milliseconds. */
 const GRACE_MARGIN_MS = 700;
-/** Time after the start of a shutdown in which requests are still accepted, in milliseconds. */
+/**
+ * Time after the start of a shutdown in which requests are still accepted, in milliseconds: at most, and as a
+ * share of the grace period.
+ */
 const SHUTDOWN_ACCEPT_MS = 2_800;
+const SHUTDOWN_ACCEPT_SHARE = 0.5;
 /** Time before the end of a shutdown in which queued requests are refused, in milliseconds. */
 const SHUTDOWN_REFUSE_MS = 1_000;
+/** Time before the end of a shutdown that the answers to all open requests need, in milliseconds. */
+const FINAL_ANSWERS_MS = 250;
 /** Time between two checks of the open connections during a shutdown, in milliseconds. */
 const STOP_POLL_MS = 50;
 
@@ -88,6 +95,8 @@
   #timer: NodeJS.Timeout | undefined;
   #isStopping = false;
   #stoppingMs = 0;
+  /** Requests that have not been answered yet. */
+  readonly #openRuns = new Set<OpenRun>();
   #isDispatchScheduled = false;
   #wasReady = false;
   /** Peak of the number of known instances, including this one; it never falls. */
@@ -260,8 +269,9 @@
   }
 
   /**
-   * Stops the instance without cutting requests: it leaves rotation, then closes idle connections and
-   * waits for open requests, at most until the grace period is nearly over.
+   * Stops the instance: it leaves rotation, then closes idle connections and waits for open requests. Those
+   * that are still open when the grace period is nearly over get a true answer; only answers that have begun
+   * are cut.
    */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
@@ -269,6 +279,7 @@
     const startMs = Gateway.nowMs();
     this.#stoppingMs = startMs;
     const endMs = startMs + this.#settings.graceMs - GRACE_MARGIN_MS;
+    let hasEndedOpen = false;
     this.#logger.info('stopping', 'shutdown began: the instance leaves rotation', {
       open: this.#ingress.openCount,
       connections: this.#ingress.connectionCount,
@@ -279,6 +290,10 @@
       const isOutOfRotation = Gateway.nowMs() - startMs > ROTATION_MS;
       if (isOutOfRotation) this.#ingress.closeIdle();
       if (Gateway.nowMs() > endMs - SHUTDOWN_REFUSE_MS) this.#services.clear();
+      if (!hasEndedOpen && Gateway.nowMs() > this.#finalAnswersMs) {
+        hasEndedOpen = true;
+        this.#endOpenRequests();
+      }
       if (isOutOfRotation && this.#ingress.connectionCount === 0) break;
       // eslint-disable-next-line no-await-in-loop
       await sleep(STOP_POLL_MS);
@@ -298,6 +313,20 @@
     });
   }
 
+  // When the requests that are still open are answered; Infinity unless the instance stops.
+  get #finalAnswersMs(): number {
+    if (!this.#isStopping) return Infinity;
+    return this.#stoppingMs + this.#settings.graceMs - GRACE_MARGIN_MS - FINAL_ANSWERS_MS;
+  }
+
+  #endOpenRequests(): void {
+    this.#logger.info('grace_over', 'the requests that are still open are answered', {
+      open: this.#openRuns.size,
+    });
+    this.#ingress.refuseUnread();
+    [...this.#openRuns].forEach((run) => run.endForShutdown());
+  }
+
   get #instanceCount(): number {
     return Math.max(this.#peers.instanceCount() + 1, this.#instanceCountMax);
   }
@@ -395,7 +424,8 @@
 
   // A request that arrives late in a shutdown might not complete before the process exits.
   #isTooLateToAccept(): boolean {
-    return this.#isStopping && Gateway.nowMs() > this.#stoppingMs + SHUTDOWN_ACCEPT_MS;
+    const acceptMs = Math.min(SHUTDOWN_ACCEPT_MS, SHUTDOWN_ACCEPT_SHARE * this.#settings.graceMs);
+    return this.#isStopping && Gateway.nowMs() > this.#stoppingMs + acceptMs;
   }
 
   #createRunContext(): RunContext {
@@ -407,6 +437,8 @@
       nowMs: Gateway.nowMs,
       eventLoop: this.#eventLoop,
       randomUnit: () => this.#random.unit(),
+      openRuns: this.#openRuns,
+      endMs: () => this.#finalAnswersMs,
       retryAfterMinMs: this.#settings.retryAfterMinMs,
       instanceCount: () => this.#instanceCount,
       queue: (service) => this.#services.queue(service),
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -37,6 +37,8 @@
   readonly #server: Server;
   /** Number of open requests by connection. */
   readonly #sockets = new Map<Socket, number>();
+  /** Requests whose bodies have not been read completely. */
+  readonly #unread = new Set<CallerExchange>();
   #isStopping = false;
 
   /** @param context - dependencies of the server */
@@ -88,6 +90,11 @@
     });
   }
 
+  /** Refuses the requests whose bodies have not been read completely: they have not run and never will. */
+  refuseUnread(): void {
+    this.#unread.forEach((exchange) => exchange.refuse(503, 'stopping', 0));
+  }
+
   /** Accepts no new connections. */
   close(): void {
     this.#server.close();
@@ -111,7 +118,10 @@
       exchange.refuse(431, 'headers too large');
       return;
     }
+    this.#unread.add(exchange);
     const result = await readRequestBody(request, bodyBytesMax);
+    this.#unread.delete(exchange);
+    if (exchange.isOver) return;
     if (result.kind === 'whole') onRequest(exchange, result.body);
     if (result.kind === 'too-large') exchange.refuse(413, 'body too large');
   }
