Send no requests to engines that say they leave, or that ask for quiet

Server-Leaving: 1 in any answer or report of an engine is now a second source beside the list: from then on that run of the engine gets no new request, and the other instances learn of it with the states (at most 64 runs, and only while the engine is listed). A 503 with Retry-After holds this instance's requests to that engine for just that time (at most 30 s; negative times and dates are ignored, the longest of several headers counts); it does not count as a failure of the engine. A service all of whose engines ask for quiet refuses at once, with the shortest of the times left.

--- /dev/null
+++ b/packages/decisions/src/lib/limits/quiet-time.ts
@@ -0,0 +1,26 @@
+/** Longest quiet time that is granted at once, in milliseconds: an odd value must not exclude an endpoint. */
+const QUIET_MAX_MS = 30_000;
+
+/** The time for which an endpoint has asked for no requests. */
+export class QuietTime {
+  #untilMs = -Infinity;
+
+  /**
+   * Records that the endpoint asks for quiet; of several times that overlap, the one that ends last counts.
+   *
+   * @param durationMs - how long, in milliseconds; without effect unless it is more than 0
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  begin(durationMs: number, nowMs: number): void {
+    if (!(durationMs > 0)) return;
+    this.#untilMs = Math.max(this.#untilMs, nowMs + Math.min(durationMs, QUIET_MAX_MS));
+  }
+
+  /**
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns time until the endpoint takes requests again, in milliseconds; 0 when it does now
+   */
+  leftMs(nowMs: number): number {
+    return Math.max(0, this.#untilMs - nowMs);
+  }
+}
--- a/packages/decisions/src/lib/serving/engine-state-report.ts
+++ b/packages/decisions/src/lib/serving/engine-state-report.ts
@@ -4,6 +4,8 @@
   readonly orderCount: number;
   /** Whether a model is being loaded or unloaded. */
   readonly isBusy: boolean;
+  /** Whether the engine announces that it is about to exit. */
+  readonly isLeaving?: boolean;
   readonly models: readonly { readonly name: string; readonly adapters: readonly string[] }[];
   /** Adapters that are being loaded. */
   readonly pendingAdapters: readonly { readonly model: string; readonly adapter: string }[];
--- a/packages/gateway/src/lib/dispatch/crash-guard.ts
+++ b/packages/gateway/src/lib/dispatch/crash-guard.ts
@@ -3,6 +3,7 @@
 import type { EndpointRecord } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
+import { runIdOf } from '../feed/run-id-of.js';
 import { ProcessState } from './process-state.js';
 
 /** Time for which a broken run waits for a sign that its engine has ended, in milliseconds. */
@@ -37,8 +38,6 @@
   readonly probed: Promise<void>;
 }
 
-const endIdOf = ({ id, bornMs }: EndpointRecord): string => `${id}@${bornMs}`;
-
 /**
  * Collects which prompts this instance's runs had when an engine ended, exchanges that with the other
  * instances, and says which requests must not be sent because engines end under them.
@@ -165,7 +164,7 @@
     const { nowMs, endpoint: endpointOf } = this.#context;
     this.#suspects.merge(ends, nowMs()).forEach((end) => {
       const endpoint = endpointOf(end.slice(0, end.lastIndexOf('@')));
-      if (endpoint && endIdOf(endpoint.record) === end) endpoint.health.recordEnd(nowMs());
+      if (endpoint && runIdOf(endpoint.record) === end) endpoint.health.recordEnd(nowMs());
     });
   }
 
@@ -209,7 +208,7 @@
 
   #record(endpoint: Endpoint, runs: readonly SuspectRun[]): void {
     const { nowMs, logger, onEvidence } = this.#context;
-    const end = endIdOf(endpoint.record);
+    const end = runIdOf(endpoint.record);
     this.#suspects.record(end, runs, nowMs());
     logger.warn('engine_ended', 'an engine ended while it began to answer', {
       end,
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -69,7 +69,7 @@
       return { kind: 'refuse', reason: 'no endpoint', retryAfterMs: NO_ENDPOINT_RETRY_MS };
     }
     const { engine } = requirements.service;
-    if (!engine || requirements.model === undefined) return this.#choose(active, requirements);
+    if (!engine || requirements.model === undefined) return this.#chooseAwake(active, requirements);
     return this.#pickEngine(active, requirements, engine, requirements.model);
   }
 
@@ -96,8 +96,29 @@
         etaMs: this.#loadEtaMs(active, model, engine),
       };
     }
-    if (requirements.adapter === undefined) return this.#choose(holders, requirements);
-    return this.#pickAdapter(holders, requirements, `${model}/${requirements.adapter}`);
+    const { adapter } = requirements;
+    if (adapter === undefined) return this.#chooseAwake(holders, requirements);
+    const awake = this.#awake(holders);
+    if (awake.length === 0) return this.#quietWait(holders);
+    return this.#pickAdapter(awake, requirements, `${model}/${adapter}`);
+  }
+
+  // Those of some endpoints that have not asked for quiet.
+  #awake(endpoints: readonly Endpoint[]): readonly Endpoint[] {
+    const nowMs = this.#context.nowMs();
+    return endpoints.filter((endpoint) => endpoint.acceptsRequests(nowMs));
+  }
+
+  // All endpoints that could serve the request ask for quiet.
+  #quietWait(endpoints: readonly Endpoint[]): PickResult {
+    const nowMs = this.#context.nowMs();
+    const etaMs = Math.min(...endpoints.map(({ quietTime }) => quietTime.leftMs(nowMs)));
+    return { kind: 'wait', reason: PickReason.quiet, etaMs };
+  }
+
+  #chooseAwake(endpoints: readonly Endpoint[], requirements: PickRequirements): PickResult {
+    const awake = this.#awake(endpoints);
+    return awake.length > 0 ? this.#choose(awake, requirements) : this.#quietWait(endpoints);
   }
 
   #pickAdapter(
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -56,6 +56,7 @@
   [PickReason.tried]: 'model',
   [PickReason.model]: 'model',
   [PickReason.adapter]: 'model',
+  [PickReason.quiet]: 'slot',
 } as const;
 
 // An attempt that this instance gave up after it was sent.
@@ -298,6 +299,7 @@
     const item = `${model}/${adapter}`;
     for (let index = 0; index < Math.min(ADAPTER_LOAD_ATTEMPTS, endpoints.length); index += 1) {
       const endpoint = endpoints[index];
+      if (!endpoint.acceptsRequests(nowMs())) continue;
       // eslint-disable-next-line no-await-in-loop
       const isReady = await loadAdapter(endpoint, model, adapter);
       if (this.#isOver) return;
@@ -306,6 +308,7 @@
         endpoint.markPresent(item);
         endpoint.markPresent(`load ${item}`);
         if (this.#deferIfStalled()) return;
+        if (!endpoint.acceptsRequests(nowMs())) continue;
         const readTokenCount = picker.readTokenCount(endpoint, this.#requirements);
         const candidateCount = endpoints.length;
         this.#send({ kind: 'send', endpoint, candidateCount, readTokenCount });
@@ -450,6 +453,7 @@
     this.#answer = answer;
     this.#hasArrived = true;
     this.#hasHead = true;
+    if (answer.isLeaving) this.#context.onLeaving(this.#endpoint as Endpoint, answer);
     if (answer.isMisdirected) {
       // The request may be sent to this endpoint again: a repeat of this refusal, which has the same id,
       // must not come on the same connection.
@@ -591,7 +595,7 @@
 
   // Handles an answer in which the endpoint states that it did not run the request and never will.
   #onRejection(answer: AnswerHead): void {
-    const { nowMs, onMisdirected } = this.#context;
+    const { nowMs, onMisdirected, onQuiet } = this.#context;
     const endpoint = this.#endpoint as Endpoint;
     this.#releaseEndpoint();
     if (answer.isMisdirected) {
@@ -601,6 +605,8 @@
       if (answer.endpointId === undefined || answer.endpointId === endpoint.id) {
         this.#tried.delete(endpoint.id);
       }
+    } else if (answer.quietMs !== undefined) {
+      onQuiet(endpoint, answer.quietMs);
     } else {
       endpoint.health.recordFailure(nowMs());
     }
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -91,6 +91,21 @@
     this.#schedule();
   }
 
+  /**
+   * Records that runs of endpoints have announced that they are about to exit: an engine's own word may be
+   * known sooner than the list, and while the list cannot be read.
+   *
+   * @param runs - identities of the runs
+   * @param source - where that was learnt, for the log
+   */
+  announceLeaving(runs: readonly string[], source: 'answer' | 'peer'): void {
+    const { registry, onTransitions } = this.#context;
+    const transitions = runs.flatMap((run) => registry.announceLeaving(run));
+    if (transitions.length === 0) return;
+    this.#logTransitions(transitions, source);
+    onTransitions();
+  }
+
   /** Records a failed call of the store, which another part of the instance may have made. */
   noteStoreFailure(): void {
     this.#storeUnstableUntilMs = this.#context.nowMs() + STORE_UNSTABLE_MS;
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -2,6 +2,7 @@
 import type { EndpointRecord } from '@chervilseam/model';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import { Endpoint } from './endpoint.js';
+import { runIdOf } from './run-id-of.js';
 import type { EndpointTransition } from './endpoint-transition.js';
 
 /** Time that an endpoint that has left is kept, so that its last answers complete, in milliseconds. */
@@ -11,6 +12,8 @@
  * expired during an outage of the store is listed again within this time after the outage.
  */
 const SUSPICION_MS = 1_600;
+/** Greatest number of runs that other instances are told of as about to exit. */
+const ANNOUNCED_RUN_COUNT_MAX = 64;
 /**
  * Number of entries in a row of an earlier run of an endpoint that are taken for late ones. A process that goes
  * on writing such entries is the one that runs, and the later start was an odd value.
@@ -114,6 +117,28 @@
     return transitions;
   }
 
+  /** Runs of endpoints that have announced that they are about to exit and are still listed. */
+  get announcedRuns(): readonly string[] {
+    return this.all
+      .filter(({ hasAnnouncedLeaving }) => hasAnnouncedLeaving)
+      .slice(0, ANNOUNCED_RUN_COUNT_MAX)
+      .map(({ record }) => runIdOf(record));
+  }
+
+  /**
+   * Records that a run of an endpoint has announced that it is about to exit.
+   *
+   * @param run - identity of the run
+   * @returns the changes of endpoints
+   */
+  announceLeaving(run: string): EndpointTransition[] {
+    const known = this.#endpoints.get(run.slice(0, run.lastIndexOf('@')));
+    if (!known || runIdOf(known.record) !== run || known.hasAnnouncedLeaving) return [];
+    const wasLeaving = known.isLeaving;
+    known.announceLeaving();
+    return wasLeaving ? [] : [{ id: known.id, service: known.record.service, what: 'draining' }];
+  }
+
   /** Closes the connections to all endpoints. */
   close(): void {
     this.#endpoints.forEach((endpoint) => endpoint.close());
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -1,4 +1,4 @@
-import { EndpointHealth, PrefillSpeed } from '@chervilseam/decisions';
+import { EndpointHealth, PrefillSpeed, QuietTime } from '@chervilseam/decisions';
 import type { EndpointRecord } from '@chervilseam/model';
 import { buildConnector, Pool } from 'undici';
 import { ConnectionEnding } from './connection-ending.js';
@@ -25,6 +25,7 @@
 export class Endpoint {
   readonly health = new EndpointHealth();
   readonly prefillSpeed = new PrefillSpeed();
+  readonly quietTime = new QuietTime();
   readonly pool: Pool;
   /** Number of this instance's requests that are in flight there. */
   inFlightCount = 0;
@@ -32,6 +33,7 @@
   unreadTokenCount = 0;
   #record: EndpointRecord;
   #leftMs: number | undefined;
+  #hasAnnouncedLeaving = false;
   #connectionEnding: ConnectionEnding = ConnectionEnding.none;
   readonly #missingUntilMs = new Map<string, number>();
 
@@ -68,7 +70,22 @@
 
   /** Whether the endpoint is draining or has left: it gets no new requests. */
   get isLeaving(): boolean {
-    return this.#record.isDraining || this.#leftMs !== undefined;
+    return this.#record.isDraining || this.#hasAnnouncedLeaving || this.#leftMs !== undefined;
+  }
+
+  /** Whether the endpoint itself has announced that it is about to exit, which holds for the whole run. */
+  get hasAnnouncedLeaving(): boolean {
+    return this.#hasAnnouncedLeaving;
+  }
+
+  /** Records that the endpoint has announced that it is about to exit. */
+  announceLeaving(): void {
+    this.#hasAnnouncedLeaving = true;
+  }
+
+  /** @returns whether new requests may be sent to the endpoint now */
+  acceptsRequests(nowMs: number): boolean {
+    return !this.isLeaving && this.quietTime.leftMs(nowMs) === 0;
   }
 
   /** When the endpoint was found to have left, in milliseconds; `undefined` while it is listed. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -12,7 +12,9 @@
 import { ServiceTable } from './dispatch/service-table.js';
 import { ConfigFeed } from './feed/config-feed.js';
 import { EndpointFeed } from './feed/endpoint-feed.js';
+import type { Endpoint } from './feed/endpoint.js';
 import { EndpointRegistry } from './feed/endpoint-registry.js';
+import { runIdOf } from './feed/run-id-of.js';
 import type { GatewayPorts } from './gateway-ports.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { CallerExchange } from './ingress/caller-exchange.js';
@@ -188,6 +190,7 @@
       config: () => this.#config.config,
       awaited: () => this.#services.awaitedModels,
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
+      onLeaving: (endpoint) => this.#noteLeaving(endpoint),
       onPlanned: (busyMs) => this.#metrics.observe('plan', busyMs),
     });
     this.#crashGuard = new CrashGuard({
@@ -463,11 +466,31 @@
         if (isOtherEndpoint) endpoint.health.recordNoAnswer(Gateway.nowMs());
         else if (item !== undefined) endpoint.markMissing(item, Gateway.nowMs());
       },
+      onLeaving: (endpoint, { endpointId = endpoint.id }) => {
+        // Another endpoint may use the address by now.
+        if (endpointId === endpoint.id) this.#noteLeaving(endpoint);
+      },
+      onQuiet: (endpoint, quietMs) => {
+        endpoint.quietTime.begin(quietMs, Gateway.nowMs());
+        this.#metrics.quiet.inc();
+        this.#logger.info('endpoint_quiet', 'an endpoint asks for no requests for a time', {
+          endpoint: endpoint.id,
+          quietMs,
+          leftMs: Math.round(endpoint.quietTime.leftMs(Gateway.nowMs())),
+        });
+      },
       logDecision: (...args) => this.#requestLog.logDecision(...args),
       onFinished: (...args) => this.#requestLog.logEnd(...args),
     };
   }
 
+  #noteLeaving(endpoint: Endpoint): void {
+    if (endpoint.hasAnnouncedLeaving) return;
+    this.#metrics.leaving.inc();
+    this.#endpointFeed.announceLeaving([runIdOf(endpoint.record)], 'answer');
+    this.#peerSync.noteUrgent();
+  }
+
   #recordAdapterUse(endpoint: string, item: string): void {
     const used = this.#usedAdapters.get(endpoint) ?? new Set();
     used.add(item);
@@ -523,6 +546,7 @@
       this.#config.onPeerVersion({ version, address: peerKey(state), isLocal });
     }
     this.#crashGuard.merge(state.engineEnds);
+    this.#endpointFeed.announceLeaving(state.leavingRuns ?? [], 'peer');
     this.#fleet.receiveState(state);
     // Adapters that a follower used are passed on to the owners with this instance's next state.
     Object.entries(state.usedAdapters).forEach(([endpoint, items]) => {
@@ -578,6 +602,7 @@
       orderAgesMs: this.#fleet.handover.orderAgesMs(nowMs),
       engines: this.#fleet.ownStates(),
       engineEnds: this.#crashGuard.published(),
+      leavingRuns: this.#registry.announcedRuns,
       owners: this.#peerSync.owners,
     };
   }
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -26,6 +26,16 @@
     'source',
     'outcome',
   ]);
+  readonly leaving = this.counter(
+    'endpoints_leaving_total',
+    'Endpoints that announced here that they are about to exit.',
+    [],
+  );
+  readonly quiet = this.counter(
+    'quiet_total',
+    'Refusals with which endpoints asked for quiet.',
+    [],
+  );
   readonly engineEnds = this.counter('engine_ends_total', 'Engines that ended under runs.', []);
   readonly withheld = this.counter(
     'withheld_total',
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -47,6 +47,8 @@
   readonly awaited: () => readonly string[];
   /** Called with the outcome of each order that was sent. */
   readonly onOrder: (outcome: OrderOutcome) => void;
+  /** Called when an engine announced in a report that it is about to exit. */
+  readonly onLeaving: (endpoint: Endpoint) => void;
   /** Called with the time that a round of placement planning took, in milliseconds. */
   readonly onPlanned: (busyMs: number) => void;
 }
@@ -278,13 +280,14 @@
   }
 
   #ownerContext(endpoint: Endpoint): ConstructorParameters<typeof EngineOwner>[0] {
-    const { settings, calls, logger, nowMs, onOrder } = this.#context;
+    const { settings, calls, logger, nowMs, onOrder, onLeaving } = this.#context;
     return {
       instance: settings.instance,
       calls,
       logger,
       nowMs,
       token: () => this.#token(endpoint.id),
+      onLeaving: () => onLeaving(endpoint),
       onOrder: (outcome) => {
         this.handover.recordOrder(shareOf(endpoint.id, settings.shareCount), nowMs());
         onOrder(outcome);
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -46,6 +46,8 @@
   readonly nowMs: () => number;
   /** @returns the fencing token for orders, or `undefined` when this instance must not give any now */
   readonly token: () => number | undefined;
+  /** Called when the engine announced in a report that it is about to exit. */
+  readonly onLeaving: () => void;
   /** Called with the outcome of each order that was sent. */
   readonly onOrder: (outcome: OrderOutcome) => void;
 }
@@ -266,7 +268,7 @@
   }
 
   async #readReport(): Promise<void> {
-    const { calls, nowMs, logger } = this.#context;
+    const { calls, nowMs, logger, onLeaving } = this.#context;
     this.#nextReportMs = nowMs() + REPORT_INTERVAL_MS;
     const orderAgeMs = nowMs() - this.#lastOrderMs;
     if (orderAgeMs < REPORT_AGE_MAX_MS) {
@@ -275,6 +277,7 @@
     }
     try {
       const report = await calls.report(this.#endpoint.record);
+      if (report.isLeaving) onLeaving();
       if (!this.#engine.applyReport(report, nowMs())) return;
       this.#loadEndsMs.forEach((_, model) => {
         if (this.#engine.modelsIn('loading').includes(model)) return;
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -51,6 +51,11 @@
   readonly engines: Readonly<Record<string, OwnedEngineState>>;
   /** Ends of engines that the instance knows of, by the ids of the ends. */
   readonly engineEnds: Readonly<Record<string, EngineEnd>>;
+  /**
+   * Runs of endpoints that have announced that they are about to exit, as this instance knows; `undefined`
+   * from an instance of an earlier version.
+   */
+  readonly leavingRuns?: readonly string[];
   /** Addresses of the owners of shares that answer the instance, each as `host:port`. */
   readonly owners: readonly string[];
 }
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -55,6 +55,7 @@
   usedAdapters: {},
   // The summary has them merged.
   engineEnds: {},
+  leavingRuns: [],
   // Rounded down: an order that is taken for a later one only prolongs a hand-over.
   orderAgesMs: Object.fromEntries(
     Object.entries(state.orderAgesMs).map(([share, ageMs]) => [
--- a/packages/gateway/src/test/endpoint-attempt_test.ts
+++ b/packages/gateway/src/test/endpoint-attempt_test.ts
@@ -31,6 +31,7 @@
     isSigned: true,
     didNotRun: false,
     isMisdirected: false,
+    isLeaving: false,
     endpointId: undefined,
     framing,
     headers,
--- a/packages/gateway/src/test/odd-entries_test.ts
+++ b/packages/gateway/src/test/odd-entries_test.ts
@@ -55,6 +55,38 @@
   });
 });
 
+// What an engine says of itself holds for one run of its process.
+describe('EndpointRegistry with an engine that has announced its exit', () => {
+  let registry: EndpointRegistry;
+
+  beforeEach(() => {
+    registry = new EndpointRegistry();
+    registry.apply(pageOf(1, joinOf('i-1')), 0, false);
+  });
+
+  it('counts it as leaving, also after further entries of that run', () => {
+    expect(registry.announceLeaving('i-1@1').map(({ what }) => what)).to.deep.equal(['draining']);
+    expect(registry.announceLeaving('i-1@1')).to.deep.equal([]);
+    registry.apply(pageOf(2, joinOf('i-1')), 0, false);
+    expect(registry.get('i-1')?.isLeaving).to.equal(true);
+    expect(registry.announcedRuns).to.deep.equal(['i-1@1']);
+  });
+
+  it('starts clean with the next run under the same id', () => {
+    registry.announceLeaving('i-1@1');
+    registry.apply(pageOf(2, joinOf('i-1', { bornMs: 2 })), 0, false);
+    expect(registry.get('i-1')?.isLeaving).to.equal(false);
+    expect(registry.announcedRuns).to.deep.equal([]);
+    expect(registry.announceLeaving('i-1@1')).to.deep.equal([]);
+  });
+
+  it('ignores what others say of unknown runs', () => {
+    ['i-9@1', 'i-1@7', 'i-1', ''].forEach((run) =>
+      expect(registry.announceLeaving(run)).to.deep.equal([]),
+    );
+  });
+});
+
 describe('isPeerAddress', () => {
   it('accepts addresses that instances listen at', () =>
     expect(isPeerAddress(parsePeerKey('10.1.0.38:8144'))).to.equal(true));
