Refuse at once what might not end before a planned stop; keep a failing part of the periodic work to itself

A request that may not be repeated waited in the queue before it was refused for the stop; now it is refused when it arrives, and its caller may return to another instance at once.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -170,7 +170,7 @@
     this.#releaseEndpoint();
     attempt?.cancel();
     this.#mayHaveRun ||= attempt !== undefined;
-    this.#fail('the instance stops');
+    this.#failForShutdown('the instance stops');
   }
 
   get #isSafeToRetry(): boolean {
@@ -187,8 +187,7 @@
    *   for an adapter to be loaded, or is dispatched after a stall of the event loop
    */
   #tryDispatch(): boolean {
-    if (this.#isOver || this.#deferIfStalled()) return true;
-    if (this.#failIfWithheld()) return true;
+    if (this.#isOver || this.#deferIfStalled() || this.#failIfUnservable()) return true;
     const pick = this.#pick();
     const handlers: Record<PickResult['kind'], () => boolean> = {
       send: () => {
@@ -228,9 +227,14 @@
     return true;
   }
 
-  // Engines end under requests like this one: it has not run on them and will not.
-  #failIfWithheld(): boolean {
-    const withheld = this.#context.crashGuard.withheld(this.#parts);
+  // Fails a request that must not be sent to any endpoint: one that may not be repeated and might not end
+  // before this process does, or one like those under which engines end.
+  #failIfUnservable(): boolean {
+    const { endMs, crashGuard } = this.#context;
+    if (!this.#route.isIdempotent && this.#deadlineMs > endMs()) {
+      return this.#failForShutdown('the instance stops before the request may end');
+    }
+    const withheld = crashGuard.withheld(this.#parts);
     if (!withheld) return false;
     return this.#fail('engines ended under requests like this', withheld.trialInMs);
   }
@@ -303,7 +307,7 @@
       // eslint-disable-next-line no-await-in-loop
       const isReady = await loadAdapter(endpoint, model, adapter);
       if (this.#isOver) return;
-      if (this.#failIfWithheld()) return;
+      if (this.#failIfUnservable()) return;
       if (isReady) {
         endpoint.markPresent(item);
         endpoint.markPresent(`load ${item}`);
@@ -337,10 +341,6 @@
       onSent,
       crashGuard,
     } = this.#context;
-    if (!this.#route.isIdempotent && this.#deadlineMs > endMs()) {
-      this.#fail('the instance stops before the request may end');
-      return;
-    }
     const remainingMs = Math.floor(Math.min(this.#deadlineMs, endMs()) - nowMs());
     if (remainingMs < REMAINING_MIN_MS) {
       this.#fail('no time left');
@@ -681,13 +681,23 @@
     }
     const spreadMs = randomUnit() * RETRY_AFTER_SPREAD_MS;
     const baseMs = etaMs === undefined || etaMs === 0 ? RETRY_AFTER_MS : etaMs;
-    const retryAfterMs = Math.max(retryAfterMinMs, baseMs + spreadMs);
+    return this.#refuse(reason, Math.max(retryAfterMinMs, baseMs + spreadMs));
+  }
+
+  // Ends a request that has not run and never will.
+  #refuse(reason: string, retryAfterMs: number): true {
     this.#context.onRefused(this.#head, this.#target);
     this.#finish('refused', 503, reason);
     this.#exchange.refuse(503, reason, retryAfterMs);
     return true;
   }
 
+  // Another instance can serve a request that has not run, so its caller need not wait.
+  #failForShutdown(reason: string): true {
+    if (this.#relay.isOpen || this.#mayHaveRun) return this.#fail(reason);
+    return this.#refuse(reason, this.#context.retryAfterMinMs);
+  }
+
   #onDeadline(): void {
     if (this.#isOver) return;
     const attempt = this.#attempt;
--- a/packages/gateway/src/lib/observe/periodic-work.ts
+++ b/packages/gateway/src/lib/observe/periodic-work.ts
@@ -13,10 +13,15 @@
   readonly parts: Readonly<Record<string, () => void>>;
 }
 
-/** Runs the parts of an instance's periodic work, and logs which of them held up the event loop. */
+/**
+ * Runs the parts of an instance's periodic work, and logs which of them held up the event loop. A part that
+ * throws does not keep the others from running.
+ */
 export class PeriodicWork {
   readonly #context: PeriodicWorkContext;
   #loggedMs = -Infinity;
+  /** When a failure of each part was last logged, in milliseconds. */
+  readonly #failedMs = new Map<string, number>();
 
   /** @param context - the parts, and what they are measured with */
   constructor(context: PeriodicWorkContext) {
@@ -29,7 +34,7 @@
     const startMs = nowMs();
     let partStartMs = startMs;
     const durationsMs = Object.entries(parts).map(([name, part]) => {
-      part();
+      this.#runPart(name, part);
       const durationMs = nowMs() - partStartMs;
       partStartMs += durationMs;
       return [name, Math.round(durationMs)] as const;
@@ -37,6 +42,18 @@
     if (partStartMs - startMs > SLOW_MS) this.#log(durationsMs, partStartMs - startMs);
   }
 
+  #runPart(name: string, part: () => void): void {
+    try {
+      part();
+    } catch (error) {
+      const { nowMs, logger } = this.#context;
+      if (nowMs() < (this.#failedMs.get(name) ?? -Infinity) + LOG_INTERVAL_MS) return;
+      this.#failedMs.set(name, nowMs());
+      const { message, stack } = error as Error;
+      logger.error('work_failed', 'a part of the periodic work failed', { name, message, stack });
+    }
+  }
+
   #log(durationsMs: readonly (readonly [string, number])[], totalMs: number): void {
     const { nowMs, logger } = this.#context;
     if (nowMs() < this.#loggedMs + LOG_INTERVAL_MS) return;
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -124,7 +124,11 @@
     const config = this.#context.config();
     if (!config) return;
     this.#placement.observe(config);
-    if (this.#isPlanner()) void this.#placement.tick(config);
+    if (!this.#isPlanner()) return;
+    this.#placement.tick(config).catch((error: Error) => {
+      const fields = { error: error.message };
+      this.#context.logger.error('plan_fault', 'a round of placement planning failed', fields);
+    });
   }
 
   /**
