Split the times of a planned stop and the watch for silence out of the gateway and the request's run

No change of behaviour: ShutdownTimes holds when each step of a stop is due, SilenceWatch reports an attempt that brings nothing for too long, also after a stall.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -13,6 +13,7 @@
 import type { PickResult } from './pick-result.js';
 import type { RunContext } from './run-context.js';
 import type { RunTarget } from './run-target.js';
+import { SilenceWatch } from './silence-watch.js';
 import { StreamRelay } from './stream-relay.js';
 import { suspectPartsOf } from './suspect-parts.js';
 
@@ -94,7 +95,7 @@
   #endpoint: Endpoint | undefined;
   /** Endpoint of the last attempt that ended, for the log. */
   #lastEndpoint: Endpoint | undefined;
-  #silenceTimer: NodeJS.Timeout | undefined;
+  readonly #silence: SilenceWatch;
   #sentMs = 0;
   /** Whether the current attempt has received the head of its answer. */
   #hasHead = false;
@@ -141,6 +142,7 @@
     this.#body = body;
     this.#parts = suspectPartsOf(head, exchange.method, exchange.path, body);
     this.#relay = new StreamRelay(exchange, context.nowMs);
+    this.#silence = new SilenceWatch(context.eventLoop, () => this.#retryElsewhereIfPossible());
     const waitMs = Math.min(head.waitMs ?? Infinity, target.route.timeoutMs);
     // The caller's time began when it sent the request, which may have waited to be read.
     this.#deadlineMs = exchange.receivedMs - exchange.readLagMs + waitMs;
@@ -399,42 +401,29 @@
     this.#answer = undefined;
     this.#buffered = [];
     this.#bufferedBytes = 0;
-    this.#startSilenceTimer();
+    this.#watchSilence();
     const { method, path } = this.#exchange;
     attempt.send(endpoint.pool, { method, path, headers, body: this.#body });
   }
 
-  // Starts the timer that retries the request at another endpoint if this one is silent, unless the
-  // request is unsafe to retry or this is its last attempt.
-  #startSilenceTimer(): void {
-    clearTimeout(this.#silenceTimer);
+  // Starts the time after which the request is retried at another endpoint if this one is silent, unless
+  // the request is unsafe to retry or this is its last attempt.
+  #watchSilence(): void {
+    this.#silence.stop();
     if (!this.#isSafeToRetry || this.#runCount + 1 >= this.#route.attemptCountMax) return;
-    const timeoutMs = this.#hasHead
-      ? STALL_TIMEOUT_MS
-      : Math.max(HEAD_TIMEOUT_MIN_MS, this.#route.objectiveMs * HEAD_TIMEOUT_OBJECTIVES);
-    this.#silenceTimer = setTimeout(() => this.#retryElsewhereIfPossible(), timeoutMs);
+    const headTimeoutMs = Math.max(
+      HEAD_TIMEOUT_MIN_MS,
+      this.#route.objectiveMs * HEAD_TIMEOUT_OBJECTIVES,
+    );
+    this.#silence.start(this.#hasHead ? STALL_TIMEOUT_MS : headTimeoutMs);
   }
 
   #retryElsewhereIfPossible(): void {
     const attempt = this.#attempt;
     if (!attempt || this.#isOver) return;
-    const { eventLoop } = this.#context;
-    if (eventLoop.isStalled) {
-      // The answer may have arrived during the stall and not have been read yet.
-      const [hadHead, eventCount] = [this.#hasHead, this.#eventCount];
-      eventLoop.afterPoll(() => {
-        const isSilent = hadHead === this.#hasHead && eventCount === this.#eventCount;
-        if (attempt === this.#attempt && isSilent) this.#retryElsewhere(attempt);
-      });
-      return;
-    }
-    this.#retryElsewhere(attempt);
-  }
-
-  #retryElsewhere(attempt: EndpointAttempt): void {
     // While no other endpoint can take the request, the attempt continues and is checked again later.
     if (this.#pick().kind !== 'send') {
-      this.#silenceTimer = setTimeout(() => this.#retryElsewhereIfPossible(), STALL_TIMEOUT_MS);
+      this.#silence.start(STALL_TIMEOUT_MS);
       return;
     }
     attempt.cancel();
@@ -463,7 +452,7 @@
     }
     if (isSuccess(answer)) this.#endpoint?.health.recordSuccess(nowMs() - this.#sentMs, nowMs());
     if (!isSuccess(answer) || !this.#route.isStream) return;
-    this.#startSilenceTimer();
+    this.#watchSilence();
     this.#relay.open(answer);
   }
 
@@ -490,7 +479,7 @@
     if (eventCount > 0) {
       this.#eventCount += eventCount;
       if (this.#eventCount >= BEGINNING_EVENT_COUNT) this.#prove();
-      this.#silenceTimer?.refresh();
+      this.#silence.refresh();
     }
     if (gapMs !== undefined) this.#endpoint?.health.recordEventGap(gapMs, this.#context.nowMs());
     return isWritable;
@@ -528,7 +517,7 @@
     }
     const { crashGuard, logDecision } = this.#context;
     const endpoint = this.#endpoint as Endpoint;
-    clearTimeout(this.#silenceTimer);
+    this.#silence.stop();
     const isRunning = await crashGuard.isRunning(endpoint);
     logDecision(this.#head.requestId, 'connection_end', 'the end of a connection ended an answer', {
       endpoint: endpoint.id,
@@ -721,7 +710,7 @@
   }
 
   #releaseEndpoint(): void {
-    clearTimeout(this.#silenceTimer);
+    this.#silence.stop();
     const endpoint = this.#endpoint;
     this.#attempt = undefined;
     this.#endpoint = undefined;
@@ -737,7 +726,7 @@
     this.#isOver = true;
     this.#context.openRuns.delete(this);
     clearTimeout(this.#deadlineTimer);
-    clearTimeout(this.#silenceTimer);
+    this.#silence.stop();
     if (this.#waiter) this.#context.queue(this.#service.name).remove(this.#waiter);
     this.#context.onFinished(
       { requestId: this.#head.requestId, route: this.#route.name, outcome, status, reason },
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -19,6 +19,7 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import type { CallerExchange } from './ingress/caller-exchange.js';
 import { IngressServer } from './ingress/ingress-server.js';
+import { ShutdownTimes } from './ingress/shutdown-times.js';
 import { EventLoop } from './observe/event-loop.js';
 import { GatewayMetrics } from './observe/gateway-metrics.js';
 import { PeriodicWork } from './observe/periodic-work.js';
@@ -44,20 +45,6 @@
  * configuration lacks the service, in milliseconds.
  */
 const NOT_READY_RETRY_MS = 500;
-/** Time that the load balancer needs to take an instance out of rotation, in milliseconds. */
-const ROTATION_MS = 2_600;
-/** Time left unused at the end of the grace period, in milliseconds. */
-const GRACE_MARGIN_MS = 700;
-/**
- * Time after the start of a shutdown in which requests are still accepted, in milliseconds: at most, and as a
- * share of the grace period.
- */
-const SHUTDOWN_ACCEPT_MS = 2_800;
-const SHUTDOWN_ACCEPT_SHARE = 0.5;
-/** Time before the end of a shutdown in which queued requests are refused, in milliseconds. */
-const SHUTDOWN_REFUSE_MS = 1_000;
-/** Time before the end of a shutdown that the answers to all open requests need, in milliseconds. */
-const FINAL_ANSWERS_MS = 250;
 /** Time between two checks of the open connections during a shutdown, in milliseconds. */
 const STOP_POLL_MS = 50;
 
@@ -95,8 +82,8 @@
   #peerLoadsMs = -Infinity;
   #lastPlanMs = 0;
   #timer: NodeJS.Timeout | undefined;
-  #isStopping = false;
-  #stoppingMs = 0;
+  /** Set once the instance stops. */
+  #shutdown: ShutdownTimes | undefined;
   /** Requests that have not been answered yet. */
   readonly #openRuns = new Set<OpenRun>();
   #isDispatchScheduled = false;
@@ -236,7 +223,7 @@
 
   /** Whether the instance can serve callers. */
   get isReady(): boolean {
-    return !this.#isStopping && this.#config.config !== undefined && this.#endpointFeed.isLoaded;
+    return !this.#shutdown && this.#config.config !== undefined && this.#endpointFeed.isLoaded;
   }
 
   /** Starts the servers, the reads of the store and the periodic work. */
@@ -277,23 +264,21 @@
    * are cut.
    */
   async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
-    const startMs = Gateway.nowMs();
-    this.#stoppingMs = startMs;
-    const endMs = startMs + this.#settings.graceMs - GRACE_MARGIN_MS;
-    let hasEndedOpen = false;
+    if (this.#shutdown) return;
+    const times = new ShutdownTimes(Gateway.nowMs(), this.#settings.graceMs);
+    this.#shutdown = times;
     this.#logger.info('stopping', 'shutdown began: the instance leaves rotation', {
       open: this.#ingress.openCount,
       connections: this.#ingress.connectionCount,
     });
     this.#ingress.startStopping();
     void this.#member.leave();
-    while (Gateway.nowMs() < endMs) {
-      const isOutOfRotation = Gateway.nowMs() - startMs > ROTATION_MS;
+    let hasEndedOpen = false;
+    while (Gateway.nowMs() < times.endMs) {
+      const isOutOfRotation = Gateway.nowMs() > times.outOfRotationMs;
       if (isOutOfRotation) this.#ingress.closeIdle();
-      if (Gateway.nowMs() > endMs - SHUTDOWN_REFUSE_MS) this.#services.clear();
-      if (!hasEndedOpen && Gateway.nowMs() > this.#finalAnswersMs) {
+      if (Gateway.nowMs() > times.refuseQueuedMs) this.#services.clear();
+      if (!hasEndedOpen && Gateway.nowMs() > times.finalAnswersMs) {
         hasEndedOpen = true;
         this.#endOpenRequests();
       }
@@ -312,16 +297,10 @@
     this.#registry.close();
     this.#logger.info('stopped', 'the instance has stopped', {
       open: this.#ingress.openCount,
-      afterMs: Math.round(Gateway.nowMs() - startMs),
+      afterMs: Math.round(Gateway.nowMs() - times.startMs),
     });
   }
 
-  // When the requests that are still open are answered; Infinity unless the instance stops.
-  get #finalAnswersMs(): number {
-    if (!this.#isStopping) return Infinity;
-    return this.#stoppingMs + this.#settings.graceMs - GRACE_MARGIN_MS - FINAL_ANSWERS_MS;
-  }
-
   #endOpenRequests(): void {
     this.#logger.info('grace_over', 'the requests that are still open are answered', {
       open: this.#openRuns.size,
@@ -427,8 +406,7 @@
 
   // A request that arrives late in a shutdown might not complete before the process exits.
   #isTooLateToAccept(): boolean {
-    const acceptMs = Math.min(SHUTDOWN_ACCEPT_MS, SHUTDOWN_ACCEPT_SHARE * this.#settings.graceMs);
-    return this.#isStopping && Gateway.nowMs() > this.#stoppingMs + acceptMs;
+    return this.#shutdown !== undefined && Gateway.nowMs() > this.#shutdown.acceptUntilMs;
   }
 
   #createRunContext(): RunContext {
@@ -441,7 +419,7 @@
       eventLoop: this.#eventLoop,
       randomUnit: () => this.#random.unit(),
       openRuns: this.#openRuns,
-      endMs: () => this.#finalAnswersMs,
+      endMs: () => this.#shutdown?.finalAnswersMs ?? Infinity,
       retryAfterMinMs: this.#settings.retryAfterMinMs,
       instanceCount: () => this.#instanceCount,
       queue: (service) => this.#services.queue(service),
@@ -582,7 +560,7 @@
       sequence: this.#sequence,
       startedMs: this.#startedMs,
       uptimeMs: this.#fleet.handover.uptimeMs(nowMs),
-      isStopping: this.#isStopping,
+      isStopping: this.#shutdown !== undefined,
       processorShare: this.#settings.processorShare,
       instanceCount: 1,
       configVersion: this.#config.version,
--- /dev/null
+++ b/packages/gateway/src/lib/ingress/shutdown-times.ts
@@ -0,0 +1,42 @@
+/** Time that the load balancer needs to take an instance out of rotation, in milliseconds. */
+const ROTATION_MS = 2_600;
+/**
+ * Time after the start of a shutdown in which requests are still accepted, in milliseconds: at most, and as a
+ * share of the grace period.
+ */
+const ACCEPT_MAX_MS = 2_800;
+const ACCEPT_SHARE = 0.5;
+/** Time left unused at the end of the grace period, in milliseconds. */
+const GRACE_MARGIN_MS = 700;
+/** Time before the end of a shutdown in which queued requests are refused, in milliseconds. */
+const REFUSE_QUEUED_MS = 1_000;
+/** Time before the end of a shutdown that the answers to all open requests need, in milliseconds. */
+const FINAL_ANSWERS_MS = 250;
+
+/** When the steps of a planned stop are due, by the monotonic clock, in milliseconds. */
+export class ShutdownTimes {
+  readonly startMs: number;
+  /** From then on the load balancer sends no new connections, and idle ones are closed. */
+  readonly outOfRotationMs: number;
+  /** Until then new requests are accepted. */
+  readonly acceptUntilMs: number;
+  /** From then on queued requests are refused. */
+  readonly refuseQueuedMs: number;
+  /** The requests that are still open are answered. */
+  readonly finalAnswersMs: number;
+  /** The process exits. */
+  readonly endMs: number;
+
+  /**
+   * @param startMs - when the stop was asked for
+   * @param graceMs - time until the process is killed, in milliseconds
+   */
+  constructor(startMs: number, graceMs: number) {
+    this.startMs = startMs;
+    this.outOfRotationMs = startMs + ROTATION_MS;
+    this.acceptUntilMs = startMs + Math.min(ACCEPT_MAX_MS, ACCEPT_SHARE * graceMs);
+    this.endMs = startMs + graceMs - GRACE_MARGIN_MS;
+    this.refuseQueuedMs = this.endMs - REFUSE_QUEUED_MS;
+    this.finalAnswersMs = this.endMs - FINAL_ANSWERS_MS;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/test/shutdown-times_test.ts
@@ -0,0 +1,25 @@
+import { expect } from 'chai';
+import { ShutdownTimes } from '../lib/ingress/shutdown-times.js';
+
+// Requests were accepted until an instance was about to exit, and cut when it did.
+describe('ShutdownTimes', () => {
+  [3_000, 8_000, 30_000].forEach((graceMs) => {
+    it(`leave time to answer what is accepted within a grace period of ${graceMs} ms`, () => {
+      const times = new ShutdownTimes(1_000, graceMs);
+      const steps = [
+        times.startMs,
+        times.acceptUntilMs,
+        times.finalAnswersMs,
+        times.endMs,
+        times.startMs + graceMs,
+      ];
+      expect(steps).to.deep.equal([...steps].sort((left, right) => left - right));
+      expect(times.acceptUntilMs - times.startMs).to.be.at.most(graceMs / 2);
+    });
+  });
+
+  it('accept requests until the load balancer sends no more, if the grace period allows it', () => {
+    const times = new ShutdownTimes(0, 8_000);
+    expect(times.acceptUntilMs).to.be.greaterThan(times.outOfRotationMs);
+  });
+});
