Withhold a repeated request that ends engines although each part of its prompt is sound

A request that ends its engines as a whole was known only by the parts of its prompt. Now the request as a whole (method, path, parts, body) is the last of the ids that evidence is kept by, so repeats of one request are told from its session.

--- a/packages/gateway/src/lib/dispatch/suspect-parts.ts
+++ b/packages/gateway/src/lib/dispatch/suspect-parts.ts
@@ -6,8 +6,8 @@
  * @param method - HTTP method
  * @param path - path with the query
  * @param body - body of the request
- * @returns ids of what the request holds and what may end an engine: the parts of its prompt or, when it
- *   names none, the request as a whole, which is the same when its caller repeats it
+ * @returns ids of what the request holds and what may end an engine: the parts of its prompt and, last, the
+ *   request as a whole, which is the same when its caller repeats it
  */
 export const suspectPartsOf = (
   { promptParts }: CallerHead,
@@ -15,7 +15,10 @@
   path: string,
   body: Buffer,
 ): readonly string[] => {
-  if (promptParts.length > 0) return promptParts.map(({ id }) => id);
-  const digest = createHash('sha1').update(`${method} ${path}\n`).update(body).digest('base64url');
-  return [`whole:${digest}`];
+  const ids = promptParts.map(({ id }) => id);
+  const digest = createHash('sha1')
+    .update(`${method} ${path}\n${ids.join()}\n`)
+    .update(body)
+    .digest('base64url');
+  return [...ids, `whole:${digest}`];
 };
