Count a late entry of the endpoint list once, although several instances send the same read

An entry of an earlier run is believed when it comes in three reads; the same read may be applied several times, from the store and from peers, so one late entry could have been enough. Test: five copies of one read were believed before.

--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -15,8 +15,8 @@
 /** Greatest number of runs that other instances are told of as about to exit. */
 const ANNOUNCED_RUN_COUNT_MAX = 64;
 /**
- * Number of entries in a row of an earlier run of an endpoint that are taken for late ones. A process that goes
- * on writing such entries is the one that runs, and the later start was an odd value.
+ * Number of reads in a row with an entry of an earlier run of an endpoint that is taken for a late one. A
+ * process that goes on writing such entries is the one that runs, and the later start was an odd value.
  */
 const LATE_ENTRY_COUNT_MAX = 2;
 
@@ -28,8 +28,8 @@
    * suspected when its entry vanishes while the store is unstable.
    */
   readonly #suspected = new Map<string, number>();
-  /** Number of entries in a row of an earlier run, by the endpoint's id. */
-  readonly #lateEntryCounts = new Map<string, number>();
+  /** Reads in a row with an entry of an earlier run, and the offset of the last one, by the endpoint's id. */
+  readonly #lateEntries = new Map<string, { readonly count: number; readonly offset?: number }>();
   #offset: number | undefined;
   #byService = new Map<string, Endpoint[]>();
 
@@ -111,7 +111,7 @@
       if (endpoint.leftMs === undefined || nowMs < endpoint.leftMs + LEFT_RETENTION_MS) return;
       endpoint.close();
       this.#endpoints.delete(id);
-      this.#lateEntryCounts.delete(id);
+      this.#lateEntries.delete(id);
     });
     if (transitions.length > 0) this.#index();
     return transitions;
@@ -171,7 +171,7 @@
     const known = this.#endpoints.get(record.id);
     const { id, service } = record;
     if (known && record.bornMs < known.record.bornMs && this.#isLate(id)) return [];
-    this.#lateEntryCounts.delete(id);
+    this.#lateEntries.delete(id);
     const isSameRun =
       known?.record.bornMs === record.bornMs &&
       known.record.host === record.host &&
@@ -188,9 +188,11 @@
 
   // Whether a record of an earlier run of the endpoint's process is taken for a late one.
   #isLate(id: string): boolean {
-    const count = (this.#lateEntryCounts.get(id) ?? 0) + 1;
-    this.#lateEntryCounts.set(id, count);
-    return count <= LATE_ENTRY_COUNT_MAX;
+    const { count = 0, offset } = this.#lateEntries.get(id) ?? {};
+    // Several instances may send the same read.
+    if (count > 0 && offset === this.#offset) return true;
+    this.#lateEntries.set(id, { count: count + 1, offset: this.#offset });
+    return count < LATE_ENTRY_COUNT_MAX;
   }
 
   #remove(id: string, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
--- a/packages/gateway/src/test/odd-entries_test.ts
+++ b/packages/gateway/src/test/odd-entries_test.ts
@@ -48,6 +48,12 @@
     expect(registry.get('i-1')?.isLeaving).to.equal(true);
   });
 
+  it('counts a read that several instances send once', () => {
+    registry.apply(pageOf(2, joinOf('i-1', { bornMs: 9_000, host: '127.0.0.9' })), 0, false);
+    for (let copy = 0; copy < 5; copy += 1) registry.apply(pageOf(3, joinOf('i-1')), 0, false);
+    expect(registry.get('i-1')?.record.host).to.equal('127.0.0.9');
+  });
+
   it('still ignores a late entry of an earlier run', () => {
     registry.apply(pageOf(2, joinOf('i-1', { bornMs: 9_000, host: '127.0.0.9' })), 0, false);
     registry.apply(pageOf(3, joinOf('i-1')), 0, false);
