Read what has arrived once more before the first request of a connection is sent on

Cause: libuv accepts one connection in each turn of the event loop, so on a slow machine a connection waits for seconds; then its request is read in one turn and its caller's close in the next. Now the first request of a connection is dispatched after one more poll of the sockets, in which the end of its connection is read if it has arrived; on an idle instance that takes microseconds.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -122,6 +122,8 @@
   #isOver = false;
   /** Whether all that had arrived before the current decision has been read. */
   #hasPolled = false;
+  /** Whether the request came on a connection that may have waited to be accepted, and was not dispatched yet. */
+  #isNew: boolean;
   #answer: AnswerHead | undefined;
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
@@ -140,6 +142,7 @@
     this.#target = target;
     this.#head = head;
     this.#body = body;
+    this.#isNew = exchange.isFirst;
     this.#parts = suspectPartsOf(head, exchange.method, exchange.path, body);
     this.#relay = new StreamRelay(exchange, context.nowMs);
     this.#silence = new SilenceWatch(context.eventLoop, () => this.#retryElsewhereIfPossible());
@@ -186,10 +189,10 @@
 
   /**
    * @returns false when the request has to wait in the queue; true when it was sent, has ended, waits
-   *   for an adapter to be loaded, or is dispatched after a stall of the event loop
+   *   for an adapter to be loaded, or is dispatched after the next poll of the sockets
    */
   #tryDispatch(): boolean {
-    if (this.#isOver || this.#deferIfStalled() || this.#failIfUnservable()) return true;
+    if (this.#isOver || this.#deferIfOutdated() || this.#failIfUnservable()) return true;
     const pick = this.#pick();
     const handlers: Record<PickResult['kind'], () => boolean> = {
       send: () => {
@@ -217,10 +220,12 @@
     return handlers[pick.kind]();
   }
 
-  // After a stall of the event loop the caller may have left, and its close may not have been read yet.
-  #deferIfStalled(): boolean {
+  // The caller may have left, and its close may not have been read yet: after a stall of the event loop, and
+  // while connections wait to be accepted, since libuv accepts only one in each turn of the event loop.
+  #deferIfOutdated(): boolean {
     const { eventLoop } = this.#context;
-    if (this.#hasPolled || !eventLoop.isStalled) return false;
+    if (this.#hasPolled || !(this.#isNew || eventLoop.isStalled)) return false;
+    this.#isNew = false;
     eventLoop.afterPoll(() => {
       this.#hasPolled = true;
       this.#dispatch();
@@ -313,7 +318,7 @@
       if (isReady) {
         endpoint.markPresent(item);
         endpoint.markPresent(`load ${item}`);
-        if (this.#deferIfStalled()) return;
+        if (this.#deferIfOutdated()) return;
         if (!endpoint.acceptsRequests(nowMs())) continue;
         const readTokenCount = picker.readTokenCount(endpoint, this.#requirements);
         const candidateCount = endpoints.length;
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -11,6 +11,8 @@
   readonly receivedMs: number;
   /** Longest time that the head may have waited to be read, in milliseconds. */
   readonly readLagMs: number;
+  /** Whether it is the first request of its connection, which may have waited to be accepted. */
+  readonly isFirst: boolean;
   /** Called once when the connection closes before the answer is complete. */
   onGone: () => void = () => {};
   /** Called when the caller can take more data after `write` returned false. */
@@ -23,13 +25,14 @@
    * @param request - the request, with its head already read
    * @param response - the response to it
    * @param receivedMs - when the head was read, by the monotonic clock, in milliseconds
-   * @param readLagMs - longest time that the head may have waited to be read, in milliseconds
+   * @param arrival - longest time that the head may have waited to be read after its connection was accepted,
+   *   in milliseconds, and whether the request is the first of its connection
    */
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
     receivedMs: number,
-    readLagMs: number,
+    { readLagMs, isFirst }: { readonly readLagMs: number; readonly isFirst: boolean },
   ) {
     this.#request = request;
     this.#response = response;
@@ -38,6 +41,7 @@
     this.rawHeaders = request.rawHeaders;
     this.receivedMs = receivedMs;
     this.readLagMs = readLagMs;
+    this.isFirst = isFirst;
     const { socket } = request;
     const onGone = (): void => {
       if (this.#isOver) return;
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -37,6 +37,8 @@
   readonly #server: Server;
   /** Number of open requests by connection. */
   readonly #sockets = new Map<Socket, number>();
+  /** Connections without a request so far. */
+  readonly #unused = new Set<Socket>();
   /** Requests whose bodies have not been read completely. */
   readonly #unread = new Set<CallerExchange>();
   #isStopping = false;
@@ -49,7 +51,11 @@
     });
     this.#server.on('connection', (socket: Socket) => {
       this.#sockets.set(socket, 0);
-      socket.on('close', () => this.#sockets.delete(socket));
+      this.#unused.add(socket);
+      socket.on('close', () => {
+        this.#sockets.delete(socket);
+        this.#unused.delete(socket);
+      });
     });
     this.#server.requestTimeout = 0;
   }
@@ -111,7 +117,11 @@
       if (this.#isStopping && count === 1) socket.destroySoon();
     });
     if (this.#isStopping) response.shouldKeepAlive = false;
-    const exchange = new CallerExchange(request, response, nowMs(), lagMs());
+    const isFirst = this.#unused.delete(socket);
+    const exchange = new CallerExchange(request, response, nowMs(), {
+      readLagMs: lagMs(),
+      isFirst,
+    });
     const { headerBytesMax = HEADER_BYTES_PARSED, bodyBytesMax = Infinity } = limits() ?? {};
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
     if (headerBytes + request.rawHeaders.length * SEPARATOR_BYTES > headerBytesMax) {
