--- a/packages/decisions/src/lib/serving/engine-inventory.ts
+++ b/packages/decisions/src/lib/serving/engine-inventory.ts
@@ -351,7 +351,7 @@
   }
 
   // An engine that unloads an adapter at once counts the order, and one that did not have it gives the same
-  // answer and does not count it. Where that is not certain, a report has to tell before the next order.
+  // answer and does not count it. Where it is not certain which, the next order waits for a report.
   #countUnload({ model, adapter = '' }: EngineOrder): void {
     const entry = this.#models.get(model)?.adapters.get(adapter);
     const wasHeld = entry !== undefined && entry.state !== 'denied' && !entry.isUnconfirmed;
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -69,7 +69,9 @@
       return { kind: 'refuse', reason: 'no endpoint', retryAfterMs: NO_ENDPOINT_RETRY_MS };
     }
     const { engine } = requirements.service;
-    if (!engine || requirements.model === undefined) return this.#chooseAwake(active, requirements);
+    if (!engine || requirements.model === undefined) {
+      return this.#chooseAccepting(active, requirements);
+    }
     return this.#pickEngine(active, requirements, engine, requirements.model);
   }
 
@@ -97,14 +99,14 @@
       };
     }
     const { adapter } = requirements;
-    if (adapter === undefined) return this.#chooseAwake(holders, requirements);
-    const awake = this.#awake(holders);
-    if (awake.length === 0) return this.#quietWait(holders);
-    return this.#pickAdapter(awake, requirements, `${model}/${adapter}`);
+    if (adapter === undefined) return this.#chooseAccepting(holders, requirements);
+    const accepting = this.#accepting(holders);
+    if (accepting.length === 0) return this.#quietWait(holders);
+    return this.#pickAdapter(accepting, requirements, `${model}/${adapter}`);
   }
 
   // Those of some endpoints that have not asked for quiet.
-  #awake(endpoints: readonly Endpoint[]): readonly Endpoint[] {
+  #accepting(endpoints: readonly Endpoint[]): readonly Endpoint[] {
     const nowMs = this.#context.nowMs();
     return endpoints.filter((endpoint) => endpoint.acceptsRequests(nowMs));
   }
@@ -116,9 +118,11 @@
     return { kind: 'wait', reason: PickReason.quiet, etaMs };
   }
 
-  #chooseAwake(endpoints: readonly Endpoint[], requirements: PickRequirements): PickResult {
-    const awake = this.#awake(endpoints);
-    return awake.length > 0 ? this.#choose(awake, requirements) : this.#quietWait(endpoints);
+  #chooseAccepting(endpoints: readonly Endpoint[], requirements: PickRequirements): PickResult {
+    const accepting = this.#accepting(endpoints);
+    return accepting.length > 0
+      ? this.#choose(accepting, requirements)
+      : this.#quietWait(endpoints);
   }
 
   #pickAdapter(
--- a/packages/gateway/src/lib/dispatch/silence-watch.ts
+++ b/packages/gateway/src/lib/dispatch/silence-watch.ts
@@ -8,7 +8,7 @@
   #refreshCount = 0;
 
   /**
-   * @param eventLoop - tells whether an answer may have arrived and not have been read
+   * @param eventLoop - whether an answer may have arrived and not have been read
    * @param onSilent - called when the time is over
    */
   constructor(eventLoop: EventLoop, onSilent: () => void) {
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -12,7 +12,7 @@
  * expired during an outage of the store is listed again within this time after the outage.
  */
 const SUSPICION_MS = 1_600;
-/** Greatest number of runs that other instances are told of as about to exit. */
+/** Greatest number of runs that are published as about to exit. */
 const ANNOUNCED_RUN_COUNT_MAX = 64;
 /**
  * Number of reads in a row with an entry of an earlier run of an endpoint that is taken for a late one. A
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -155,7 +155,7 @@
 
   /**
    * Plans one round of moves and requests them from the engines' owners, unless a round is under way or
-   * planning has taken too much of the processor's time lately.
+   * the last round took so long that planning would exceed its share of the processor.
    *
    * @param config - the configuration in force
    */
