Check the leaving runs in the states of other instances; look up a run in one place

A value of another shape in leavingRuns would have thrown in the handler of the state, as ends of engines did. The identity of a run was taken apart both in the registry and in the crash guard.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export type { Rumor } from './lib/membership/rumor.js';
 export { hashOf } from './lib/ownership/hash-of.js';
 export { weightedRendezvous } from './lib/ownership/weighted-rendezvous.js';
+export { isStrings } from './lib/is-strings.js';
 export { Random } from './lib/random.js';
 export { classifyRequest } from './lib/request/classify-request.js';
 export type { RequestClass } from './lib/request/request-class.js';
--- a/packages/decisions/src/lib/crashes/is-engine-end.ts
+++ b/packages/decisions/src/lib/crashes/is-engine-end.ts
@@ -1,9 +1,7 @@
+import { isStrings } from '../is-strings.js';
 import type { EngineEnd } from './engine-end.js';
 import type { SuspectRun } from './suspect-run.js';
 
-const isStrings = (value: unknown): value is string[] =>
-  Array.isArray(value) && value.every((item) => typeof item === 'string');
-
 const isRun = (value: unknown): value is SuspectRun => {
   const { parts, isTest } = (value ?? {}) as Partial<SuspectRun>;
   return isStrings(parts) && typeof isTest === 'boolean';
--- a/packages/gateway/src/lib/dispatch/crash-guard.ts
+++ b/packages/gateway/src/lib/dispatch/crash-guard.ts
@@ -19,8 +19,8 @@
   readonly logger: PartLogger;
   /** Finds out whether an endpoint's process runs; never rejects. */
   readonly probe: (endpoint: EndpointRecord) => Promise<ProcessState>;
-  /** @returns an endpoint by its identity */
-  readonly endpoint: (id: string) => Endpoint | undefined;
+  /** @returns an endpoint by the identity of the run of its process */
+  readonly endpointOfRun: (run: string) => Endpoint | undefined;
   /** @returns whether this instance is the one that tries a withheld part again */
   readonly isExaminer: (part: string) => boolean;
   /** Called when an engine ended under runs of this instance. */
@@ -161,10 +161,9 @@
    * @param ends - the ends by their ids; `undefined` from an instance of an earlier version
    */
   merge(ends: Readonly<Record<string, EngineEnd>> = {}): void {
-    const { nowMs, endpoint: endpointOf } = this.#context;
+    const { nowMs, endpointOfRun } = this.#context;
     this.#suspects.merge(ends, nowMs()).forEach((end) => {
-      const endpoint = endpointOf(end.slice(0, end.lastIndexOf('@')));
-      if (endpoint && runIdOf(endpoint.record) === end) endpoint.health.recordEnd(nowMs());
+      endpointOfRun(end)?.health.recordEnd(nowMs());
     });
   }
 
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -53,6 +53,12 @@
     return this.#endpoints.get(id);
   }
 
+  /** @returns an endpoint by the identity of the run of its process that is known here */
+  ofRun(run: string): Endpoint | undefined {
+    const known = this.#endpoints.get(run.slice(0, run.lastIndexOf('@')));
+    return known && runIdOf(known.record) === run ? known : undefined;
+  }
+
   /**
    * Applies a read of the list.
    *
@@ -132,8 +138,8 @@
    * @returns the changes of endpoints
    */
   announceLeaving(run: string): EndpointTransition[] {
-    const known = this.#endpoints.get(run.slice(0, run.lastIndexOf('@')));
-    if (!known || runIdOf(known.record) !== run || known.hasAnnouncedLeaving) return [];
+    const known = this.ofRun(run);
+    if (!known || known.hasAnnouncedLeaving) return [];
     const wasLeaving = known.isLeaving;
     known.announceLeaving();
     return wasLeaving ? [] : [{ id: known.id, service: known.record.service, what: 'draining' }];
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { chooseTarget, Random, weightedRendezvous } from '@chervilseam/decisions';
+import { chooseTarget, isStrings, Random, weightedRendezvous } from '@chervilseam/decisions';
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
@@ -184,7 +184,7 @@
       nowMs,
       logger: ports.logger('crash'),
       probe: probeProcess,
-      endpoint: (id) => this.#registry.get(id),
+      endpointOfRun: (run) => this.#registry.ofRun(run),
       isExaminer: (part) => this.#isExaminer(part),
       onEnded: () => this.#metrics.engineEnds.inc(),
       onWithheld: () => this.#metrics.withheld.inc(),
@@ -524,7 +524,7 @@
       this.#config.onPeerVersion({ version, address: peerKey(state), isLocal });
     }
     this.#crashGuard.merge(state.engineEnds);
-    this.#endpointFeed.announceLeaving(state.leavingRuns ?? [], 'peer');
+    if (isStrings(state.leavingRuns)) this.#endpointFeed.announceLeaving(state.leavingRuns, 'peer');
     this.#fleet.receiveState(state);
     // Adapters that a follower used are passed on to the owners with this instance's next state.
     Object.entries(state.usedAdapters).forEach(([endpoint, items]) => {
--- a/packages/gateway/src/test/crash-guard_test.ts
+++ b/packages/gateway/src/test/crash-guard_test.ts
@@ -3,6 +3,7 @@
 import { CrashGuard } from '../lib/dispatch/crash-guard.js';
 import { ProcessState } from '../lib/dispatch/process-state.js';
 import { Endpoint } from '../lib/feed/endpoint.js';
+import { runIdOf } from '../lib/feed/run-id-of.js';
 import { endpointRecordOf } from './endpoint-record-of.js';
 
 const PARTS = ['caller', 'bad', 'own'];
@@ -19,7 +20,7 @@
       nowMs: () => nowMs,
       logger: PartLogger.forInstance('entry', 'fatal')('crash'),
       probe: () => Promise.resolve(state),
-      endpoint: (id) => endpoints.get(id),
+      endpointOfRun: (run) => [...endpoints.values()].find(({ record }) => runIdOf(record) === run),
       isExaminer: () => isExaminer,
       onEnded: () => {},
       onWithheld: () => {},
