Call the time that an endpoint asks for its back-off, and its value Retry-After

'Quiet' was the wording of the issue, and means another thing in the ledger of the daemon. No change of behaviour.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -15,7 +15,7 @@
 export { EndpointControl } from './lib/limits/endpoint-control.js';
 export { EndpointQueue } from './lib/limits/endpoint-queue.js';
 export type { QueueTicket } from './lib/limits/queue-ticket.js';
-export { QuietTime } from './lib/limits/quiet-time.js';
+export { EndpointBackoff } from './lib/limits/endpoint-backoff.js';
 export { RetryBudget } from './lib/limits/retry-budget.js';
 export { TokenBucket } from './lib/limits/token-bucket.js';
 export { defaultMembershipSettings } from './lib/membership/default-membership-settings.js';
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -101,28 +101,28 @@
     const { adapter } = requirements;
     if (adapter === undefined) return this.#chooseAccepting(holders, requirements);
     const accepting = this.#accepting(holders);
-    if (accepting.length === 0) return this.#quietWait(holders);
+    if (accepting.length === 0) return this.#backoffWait(holders);
     return this.#pickAdapter(accepting, requirements, `${model}/${adapter}`);
   }
 
-  // Those of some endpoints that have not asked for quiet.
+  // Those of some endpoints that have not asked to retry later.
   #accepting(endpoints: readonly Endpoint[]): readonly Endpoint[] {
     const nowMs = this.#context.nowMs();
     return endpoints.filter((endpoint) => endpoint.acceptsRequests(nowMs));
   }
 
-  // All endpoints that could serve the request ask for quiet.
-  #quietWait(endpoints: readonly Endpoint[]): PickResult {
+  // All endpoints that could serve the request ask to retry later.
+  #backoffWait(endpoints: readonly Endpoint[]): PickResult {
     const nowMs = this.#context.nowMs();
-    const etaMs = Math.min(...endpoints.map(({ quietTime }) => quietTime.leftMs(nowMs)));
-    return { kind: 'wait', reason: PickReason.quiet, etaMs };
+    const etaMs = Math.min(...endpoints.map(({ backoff }) => backoff.leftMs(nowMs)));
+    return { kind: 'wait', reason: PickReason.backoff, etaMs };
   }
 
   #chooseAccepting(endpoints: readonly Endpoint[], requirements: PickRequirements): PickResult {
     const accepting = this.#accepting(endpoints);
     return accepting.length > 0
       ? this.#choose(accepting, requirements)
-      : this.#quietWait(endpoints);
+      : this.#backoffWait(endpoints);
   }
 
   #pickAdapter(
--- a/packages/gateway/src/lib/dispatch/pick-reason.ts
+++ b/packages/gateway/src/lib/dispatch/pick-reason.ts
@@ -5,7 +5,7 @@
   tried: 'every endpoint tried',
   model: 'model absent',
   adapter: 'adapter absent',
-  quiet: 'every endpoint asks for quiet',
+  backoff: 'every endpoint asks to retry later',
 } as const;
 
 export type PickReason = (typeof PickReason)[keyof typeof PickReason];
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -57,7 +57,7 @@
   [PickReason.tried]: 'model',
   [PickReason.model]: 'model',
   [PickReason.adapter]: 'model',
-  [PickReason.quiet]: 'slot',
+  [PickReason.backoff]: 'slot',
 } as const;
 
 // An attempt that this instance gave up after it was sent.
@@ -589,7 +589,7 @@
 
   // Handles an answer in which the endpoint states that it did not run the request and never will.
   #onRejection(answer: AnswerHead): void {
-    const { nowMs, onMisdirected, onQuiet } = this.#context;
+    const { nowMs, onMisdirected, onBackoff } = this.#context;
     const endpoint = this.#endpoint as Endpoint;
     this.#releaseEndpoint();
     if (answer.isMisdirected) {
@@ -599,8 +599,8 @@
       if (answer.endpointId === undefined || answer.endpointId === endpoint.id) {
         this.#tried.delete(endpoint.id);
       }
-    } else if (answer.quietMs !== undefined) {
-      onQuiet(endpoint, answer.quietMs);
+    } else if (answer.retryAfterMs !== undefined) {
+      onBackoff(endpoint, answer.retryAfterMs);
     } else {
       endpoint.health.recordFailure(nowMs());
     }
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -48,8 +48,8 @@
   readonly onMisdirected: (endpoint: Endpoint, answer: AnswerHead, head: CallerHead) => void;
   /** Called when an endpoint announced in an answer that it is about to exit. */
   readonly onLeaving: (endpoint: Endpoint, answer: AnswerHead) => void;
-  /** Called when an endpoint refused a request and asked for quiet, for `quietMs` milliseconds. */
-  readonly onQuiet: (endpoint: Endpoint, quietMs: number) => void;
+  /** Called when an endpoint refused a request and asked to retry later, in `retryAfterMs` milliseconds. */
+  readonly onBackoff: (endpoint: Endpoint, retryAfterMs: number) => void;
   /** Logs a decision on a request with the values that it was made on. */
   readonly logDecision: (
     requestId: string,
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -1,4 +1,4 @@
-import { EndpointHealth, PrefillSpeed, QuietTime } from '@chervilseam/decisions';
+import { EndpointHealth, PrefillSpeed, EndpointBackoff } from '@chervilseam/decisions';
 import type { EndpointRecord } from '@chervilseam/model';
 import { buildConnector, Pool } from 'undici';
 import { ConnectionEnding } from './connection-ending.js';
@@ -25,7 +25,7 @@
 export class Endpoint {
   readonly health = new EndpointHealth();
   readonly prefillSpeed = new PrefillSpeed();
-  readonly quietTime = new QuietTime();
+  readonly backoff = new EndpointBackoff();
   readonly pool: Pool;
   /** Number of this instance's requests that are in flight there. */
   inFlightCount = 0;
@@ -85,7 +85,7 @@
 
   /** @returns whether new requests may be sent to the endpoint now */
   acceptsRequests(nowMs: number): boolean {
-    return !this.isLeaving && this.quietTime.leftMs(nowMs) === 0;
+    return !this.isLeaving && this.backoff.leftMs(nowMs) === 0;
   }
 
   /** When the endpoint was found to have left, in milliseconds; `undefined` while it is listed. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -448,13 +448,13 @@
         // Another endpoint may use the address by now.
         if (endpointId === endpoint.id) this.#noteLeaving(endpoint);
       },
-      onQuiet: (endpoint, quietMs) => {
-        endpoint.quietTime.begin(quietMs, Gateway.nowMs());
-        this.#metrics.quiet.inc();
-        this.#logger.info('endpoint_quiet', 'an endpoint asks for no requests for a time', {
+      onBackoff: (endpoint, retryAfterMs) => {
+        endpoint.backoff.begin(retryAfterMs, Gateway.nowMs());
+        this.#metrics.backoffs.inc();
+        this.#logger.info('endpoint_backoff', 'an endpoint asks for no requests for a time', {
           endpoint: endpoint.id,
-          quietMs,
-          leftMs: Math.round(endpoint.quietTime.leftMs(Gateway.nowMs())),
+          retryAfterMs,
+          leftMs: Math.round(endpoint.backoff.leftMs(Gateway.nowMs())),
         });
       },
       logDecision: (...args) => this.#requestLog.logDecision(...args),
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -31,9 +31,9 @@
     'Endpoints that announced here that they are about to exit.',
     [],
   );
-  readonly quiet = this.counter(
-    'quiet_total',
-    'Refusals with which endpoints asked for quiet.',
+  readonly backoffs = this.counter(
+    'endpoint_backoffs_total',
+    'Refusals with which endpoints asked to retry later.',
     [],
   );
   readonly engineEnds = this.counter('engine_ends_total', 'Engines that ended under runs.', []);
--- a/packages/gateway/src/lib/ports/answer-head.ts
+++ b/packages/gateway/src/lib/ports/answer-head.ts
@@ -19,7 +19,7 @@
   /** Whether the endpoint announces that it is about to exit: it wants no new requests. */
   readonly isLeaving: boolean;
   /** How long an endpoint that refuses a request wants no others, in milliseconds; unset if it does not say. */
-  readonly quietMs?: number;
+  readonly retryAfterMs?: number;
   /** How the end of the body is marked. */
   readonly framing: AnswerFraming;
   /** Headers to send to the caller: names and values alternating. */
