--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -1,11 +1,11 @@
 import { answerInParts, PeerPool, PeerServer } from '@chervilseam/peer';
 import type { PartLogger } from '@chervilseam/observe';
+import { isSocketAddress } from '@chervilseam/model';
 import type { ServingConfig } from '@chervilseam/model';
 import { packedConfig } from '../feed/packed-config.js';
 import type { EngineMove } from '../owner/engine-move.js';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { AdapterLoadRequest } from './adapter-load-request.js';
-import { isPeerAddress } from './is-peer-address.js';
 import { bestAggregator } from './best-aggregator.js';
 import type { InstanceState } from './instance-state.js';
 import type { Overview } from './overview.js';
@@ -191,7 +191,7 @@
    */
   add(address: PeerAddress): void {
     const key = peerKey(address);
-    if (key === this.#ownKey || this.#links.has(key) || !isPeerAddress(address)) return;
+    if (key === this.#ownKey || this.#links.has(key) || !isSocketAddress(address)) return;
     const nowMs = this.#context.nowMs();
     this.#links.set(key, {
       address,
--- a/packages/gateway/src/test/odd-entries_test.ts
+++ b/packages/gateway/src/test/odd-entries_test.ts
@@ -1,7 +1,7 @@
+import { isSocketAddress } from '@chervilseam/model';
 import { expect } from 'chai';
 import { EndpointRegistry } from '../lib/feed/endpoint-registry.js';
 import type { EndpointPage } from '../lib/ports/endpoint-page.js';
-import { isPeerAddress } from '../lib/peer/is-peer-address.js';
 import { parsePeerKey } from '../lib/peer/parse-peer-key.js';
 import { endpointRecordOf } from './endpoint-record-of.js';
 
@@ -93,9 +93,9 @@
   });
 });
 
-describe('isPeerAddress', () => {
+describe('isSocketAddress', () => {
   it('accepts addresses that instances listen at', () =>
-    expect(isPeerAddress(parsePeerKey('10.1.0.38:8144'))).to.equal(true));
+    expect(isSocketAddress(parsePeerKey('10.1.0.38:8144'))).to.equal(true));
 
   [
     '',
@@ -106,6 +106,6 @@
     '999.1.1.1:80',
     'nowhere:80',
   ].forEach((key) => {
-    it(`refuses "${key}"`, () => expect(isPeerAddress(parsePeerKey(key))).to.equal(false));
+    it(`refuses "${key}"`, () => expect(isSocketAddress(parsePeerKey(key))).to.equal(false));
   });
 });
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -26,3 +26,4 @@
 export type { RouteSpec } from './lib/serving/route-spec.js';
 export type { ServiceSpec } from './lib/serving/service-spec.js';
 export type { ServingConfig } from './lib/serving/serving-config.js';
+export { isSocketAddress } from './lib/is-socket-address.js';
