--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -255,7 +255,7 @@
     const others = peers
       .fresh(nowMs())
       .filter((state) => !state.hasLapsed && state.shares.length > 0)
-      .map((state) => ({ ...state, processorShare: state.processorShare ?? 0 }));
+      .map((state) => ({ processorShare: state.processorShare ?? 0, shares: state.shares }));
     return isPlanner({ processorShare: settings.processorShare, shares }, others);
   }
 
