--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -383,7 +383,7 @@
   }
 
   #prepare({ endpoint, candidateCount, readTokenCount }: SendPick): SentAttempt {
-    const { nowMs, eventLoop, logDecision, onSent, crashGuard } = this.#context;
+    const { nowMs, eventLoop, listState, logDecision, onSent, crashGuard } = this.#context;
     this.#sendCount += 1;
     this.#tried.add(endpoint.id);
     const { promptTokenCount } = this.#head;
@@ -411,6 +411,7 @@
       sentAfterMs: Math.round(nowMs() - this.#exchange.receivedMs),
       readLagMs: Math.round(this.#exchange.readLagMs),
       lagMs: Math.round(eventLoop.lagMs),
+      ...listState(),
       lastEvent: this.#relay.lastEvent,
       silentEndpoint: this.#current?.endpoint.id,
       parts: this.#parts,
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -19,6 +19,8 @@
 /** Dependencies of a request's run. */
 export interface RunContext {
   readonly picker: EndpointPicker;
+  /** Log offset and age, in milliseconds, of the list of endpoints that the picker chooses from. */
+  readonly listState: () => { readonly listOffset?: number; readonly listAgeMs: number };
   /** Knows the parts of prompts under which engines end. */
   readonly crashGuard: CrashGuard;
   readonly codec: EndpointCodec;
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -3,6 +3,7 @@
 import type { StateStore } from '../ports/state-store.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
 import type { EndpointTransition } from './endpoint-transition.js';
+import { PageOutcome } from './page-outcome.js';
 
 /** Additional delay per rank before an instance reads the list itself, in milliseconds. */
 const STAGGER_MS = 110;
@@ -15,6 +16,8 @@
 const STORE_UNSTABLE_MS = 2_500;
 /** Longest backoff after failed reads, in milliseconds. */
 const BACKOFF_MAX_MS = 800;
+/** Shortest time between two log lines on pages that were refused, in milliseconds. */
+const REFUSAL_LOG_MS = 1_000;
 
 /** Dependencies of the feed. */
 interface EndpointFeedContext {
@@ -28,6 +31,10 @@
   readonly rank: () => number;
   /** Sends a read to the other instances; `fromOffset` is where the read began. */
   readonly relay: (page: EndpointPage & { readonly fromOffset?: number }) => void;
+  /** Called for each page of another instance. */
+  readonly onPage: (outcome: PageOutcome) => void;
+  /** Called with the age of the list, in milliseconds, whenever a newer one replaces it. */
+  readonly onReplaced: (ageMs: number) => void;
   /** Called after a read was applied or a suspected endpoint has left. */
   readonly onTransitions: () => void;
 }
@@ -44,6 +51,9 @@
   #failureCount = 0;
   #storeUnstableUntilMs = 0;
   #appliedMs = -Infinity;
+  #refusalLoggedMs = -Infinity;
+  /** Pages refused since the last log line on one. */
+  #refusalCount = 0;
 
   /** @param context - dependencies of the feed */
   constructor(context: EndpointFeedContext) {
@@ -55,6 +65,11 @@
     return this.#context.registry.offset !== undefined;
   }
 
+  /** Log offset of the list known here; `undefined` before the first read. */
+  get offset(): number | undefined {
+    return this.#context.registry.offset;
+  }
+
   /** @returns time since the last read was applied, in milliseconds; Infinity before the first */
   ageMs(nowMs: number): number {
     return nowMs - this.#appliedMs;
@@ -73,14 +88,15 @@
    * Applies a read that another instance made.
    *
    * @param page - result of the read, and the log offset where it began
+   * @param from - name of the instance that sent it
    */
-  applyPeerRead(page: EndpointPage & { readonly fromOffset?: number }): void {
-    const { registry } = this.#context;
-    const { offset } = registry;
-    // A read that begins after the offset known here would leave a gap.
-    const isContiguous = page.isWhole || (offset !== undefined && (page.fromOffset ?? 0) <= offset);
-    if (!isContiguous || (offset !== undefined && page.nextOffset < offset)) return;
-    this.#apply(page, 'peer');
+  applyPeerRead(page: EndpointPage & { readonly fromOffset?: number }, from: string): void {
+    const outcome = this.#outcomeOf(page);
+    this.#context.onPage(outcome);
+    if (outcome === PageOutcome.gap) this.#logRefusal(page, from);
+    const { offset } = this.#context.registry;
+    if (outcome === PageOutcome.gap || page.nextOffset < (offset ?? 0)) return;
+    this.#apply(page, 'peer', from);
     this.#schedule();
   }
 
@@ -104,6 +120,33 @@
     this.#storeUnstableUntilMs = this.#context.nowMs() + STORE_UNSTABLE_MS;
   }
 
+  #outcomeOf(page: EndpointPage & { readonly fromOffset?: number }): PageOutcome {
+    const { offset } = this.#context.registry;
+    if (offset !== undefined && page.nextOffset <= offset) return PageOutcome.old;
+    if (page.isWhole) return PageOutcome.applied;
+    const isContiguous = offset !== undefined && (page.fromOffset ?? 0) <= offset;
+    return isContiguous ? PageOutcome.applied : PageOutcome.gap;
+  }
+
+  #logRefusal(
+    { fromOffset, nextOffset }: { fromOffset?: number; nextOffset: number },
+    from: string,
+  ): void {
+    const { nowMs, logger, registry } = this.#context;
+    this.#refusalCount += 1;
+    if (nowMs() < this.#refusalLoggedMs + REFUSAL_LOG_MS) return;
+    this.#refusalLoggedMs = nowMs();
+    logger.info('page_refused', 'a page of the list begins after the offset known here', {
+      from,
+      fromOffset,
+      nextOffset,
+      offset: registry.offset,
+      ageMs: Math.round(this.ageMs(nowMs())),
+      count: this.#refusalCount,
+    });
+    this.#refusalCount = 0;
+  }
+
   async #read(): Promise<void> {
     const { store, registry, nowMs, logger, relay } = this.#context;
     this.#isReading = true;
@@ -143,18 +186,19 @@
     this.#nextReadMs = nowMs() + readPeriodMs + STAGGER_MS * Math.min(STAGGERED_RANK_MAX, rank());
   }
 
-  #apply(page: EndpointPage, source: string): void {
-    const { registry, nowMs, onTransitions } = this.#context;
+  #apply(page: EndpointPage, source: string, from?: string): void {
+    const { registry, nowMs, onTransitions, onReplaced } = this.#context;
+    if (this.isLoaded) onReplaced(this.ageMs(nowMs()));
     this.#appliedMs = nowMs();
     const transitions = registry.apply(page, nowMs(), nowMs() < this.#storeUnstableUntilMs);
-    this.#logTransitions(transitions, source);
+    this.#logTransitions(transitions, source, from);
     onTransitions();
   }
 
-  #logTransitions(transitions: readonly EndpointTransition[], source: string): void {
+  #logTransitions(transitions: readonly EndpointTransition[], source: string, from?: string): void {
     const { logger, registry } = this.#context;
     transitions.forEach(({ id, what, service }) => {
-      const fields = { endpoint: id, service, what, source, offset: registry.offset };
+      const fields = { endpoint: id, service, what, source, from, offset: registry.offset };
       logger.info('endpoint_news', `endpoint ${what}`, fields);
     });
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -145,6 +145,8 @@
       readPeriodMs,
       rank: () => this.#readRank(),
       relay: (page) => this.#peerSync.relay(page),
+      onPage: (outcome) => this.#metrics.listPages.inc({ outcome }),
+      onReplaced: (ageMs) => this.#metrics.observe('list_age_max', ageMs),
       onTransitions: () => this.#scheduleDispatch(),
     });
     this.#config = new ConfigFeed({
@@ -179,7 +181,7 @@
       loadAdapter: (request) => this.#fleet.loadAdapter(request),
       config: () => this.#config.encoded(),
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
-      onEndpoints: (page) => this.#endpointFeed.applyPeerRead(page),
+      onEndpoints: (page, from) => this.#endpointFeed.applyPeerRead(page, from),
       onState: (state) => this.#onPeerState(state),
       onNoOwner: () => this.#member.scheduleMembersRead(),
     });
@@ -470,6 +472,10 @@
     const { codec } = this.#ports;
     return {
       picker: this.#picker,
+      listState: () => ({
+        listOffset: this.#endpointFeed.offset,
+        listAgeMs: Math.round(this.#endpointFeed.ageMs(Gateway.nowMs())),
+      }),
       crashGuard: this.#crashGuard,
       codec,
       nowMs: Gateway.nowMs,
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -2,10 +2,17 @@
 
 /**
  * What is timed: a request, its time to the first event, its time at an endpoint, a read of the
- * configuration from another instance, a round of placement planning, and how late the periodic work runs.
+ * configuration from another instance, a round of placement planning, how late the periodic work runs, and
+ * the age that the list of endpoints had when it was replaced.
  */
 type LatencyName =
-  'request' | 'first_event' | 'endpoint_hold' | 'config_read' | 'plan' | 'event_loop_lag';
+  | 'request'
+  | 'first_event'
+  | 'endpoint_hold'
+  | 'config_read'
+  | 'plan'
+  | 'event_loop_lag'
+  | 'list_age_max';
 
 /** Metrics of an instance: counters, gauges and latency histograms. */
 export class GatewayMetrics extends MetricsRegistry<LatencyName> {
@@ -71,5 +78,10 @@
   readonly suspectParts = this.gauge('suspect_parts', 'Parts of prompts that are suspected.', []);
   readonly withheldParts = this.gauge('withheld_parts', 'Parts of prompts that are withheld.', []);
   readonly listAgeMs = this.gauge('list_age_ms', 'Age of the list of endpoints.', []);
+  readonly listPages = this.counter(
+    'list_pages_total',
+    'Pages of the list of endpoints from other instances: applied, old, or gap (refused).',
+    ['outcome'],
+  );
   readonly ownedEngines = this.gauge('owned_engines', 'Engines that may be ordered from here.', []);
 }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -82,8 +82,8 @@
    * when there is none.
    */
   readonly config: () => Promise<Buffer>;
-  /** Receives a page of the endpoints' list that another instance read. */
-  readonly onEndpoints: (page: ListPage) => void;
+  /** Receives a page of the endpoints' list that another instance sent. */
+  readonly onEndpoints: (page: ListPage, from: string) => void;
   /** Receives each state of another instance. */
   readonly onState: (state: InstanceState) => void;
   /** Called when this instance owns no shares and can reach no owner to follow. */
@@ -138,8 +138,8 @@
         context.table.removeFollower(from);
         stream.end({});
       },
-      endpoints: (params, stream) => {
-        this.#receiveEndpoints(params as ListPage);
+      endpoints: (params, stream, from) => {
+        this.#receiveEndpoints(params as ListPage, from);
         stream.end({});
       },
       config: (_, stream) => {
@@ -467,9 +467,9 @@
     return { acknowledged, isOwner: true, overview: caller.sender.next(overview, known) };
   }
 
-  #receiveEndpoints(page: ListPage): void {
+  #receiveEndpoints(page: ListPage, from: string): void {
     const { table, isOwner, onEndpoints } = this.#context;
-    onEndpoints(page);
+    onEndpoints(page, from);
     if (isOwner()) this.#forward(table.followers, page);
   }
 
--- a/packages/gateway/src/test/endpoint-feed_test.ts
+++ b/packages/gateway/src/test/endpoint-feed_test.ts
@@ -11,8 +11,6 @@
 
 const ENDPOINT_COUNT = 100;
 
-const logger = PartLogger.forInstance('self', 'fatal')('list');
-
 const SUSPICION_MS = 1_240;
 
 describe('EndpointFeed: a read of the whole list', () => {
@@ -20,6 +18,8 @@
   let isExpired: boolean;
   let offset: number;
   let relayed: RelayedPage[];
+  let outcomes: string[];
+  let refusals: Readonly<Record<string, unknown>>[];
 
   // A store whose history expires: then it answers with the whole list instead of its changes.
   const store = {
@@ -30,6 +30,14 @@
     },
   } as unknown as StateStore;
 
+  const logger = PartLogger.forInstance('self', 'info', {
+    write: (line: string) => {
+      const record = JSON.parse(line) as Readonly<Record<string, unknown>>;
+      if (record.event === 'page_refused') refusals.push(record);
+      return true;
+    },
+  })('list');
+
   const feedOf = (registry: EndpointRegistry): { feed: EndpointFeed; advance: () => void } => {
     const clock = { nowMs: 0 };
     const feed = new EndpointFeed({
@@ -40,6 +48,8 @@
       readPeriodMs: 690,
       rank: () => 0,
       relay: (page) => relayed.push(page),
+      onPage: (outcome) => outcomes.push(outcome),
+      onReplaced: () => undefined,
       onTransitions: () => undefined,
     });
     const advance = (): void => {
@@ -59,6 +69,8 @@
     isExpired = true;
     offset = 0;
     relayed = [];
+    outcomes = [];
+    refusals = [];
   });
 
   // After the store's history had expired, the reader sent the whole list to every owner and follower at
@@ -91,7 +103,7 @@
     isExpired = false;
     advance();
     await settle();
-    relayed.forEach((page) => otherFeed.applyPeerRead(page));
+    relayed.forEach((page) => otherFeed.applyPeerRead(page, 'reader'));
     const idsOf = (registry: EndpointRegistry): string[] => registry.all.map(({ id }) => id).sort();
     expect(idsOf(other)).to.deep.equal(idsOf(own));
     expect(idsOf(other)).to.deep.equal([...ids].sort());
@@ -104,16 +116,31 @@
     const { advance } = feedOf(new EndpointRegistry(SUSPICION_MS));
     advance();
     await settle();
-    otherFeed.applyPeerRead(relayed[0]);
+    otherFeed.applyPeerRead(relayed[0], 'reader');
     ids = ids.slice(1);
     advance();
     await settle();
     ids = ids.slice(1);
     advance();
     await settle();
-    otherFeed.applyPeerRead(relayed[2]);
+    otherFeed.applyPeerRead(relayed[2], 'reader');
     expect(other.offset).to.equal(1);
   });
+
+  // An instance that misses a change of the list writes nothing about that change.
+  it('is counted, and a refused one is logged with where it begins and what is known', async () => {
+    const { feed: otherFeed } = feedOf(new EndpointRegistry(SUSPICION_MS));
+    const { advance } = feedOf(new EndpointRegistry(SUSPICION_MS));
+    for (let round = 0; round < 3; round += 1) {
+      advance();
+      // eslint-disable-next-line no-await-in-loop
+      await settle();
+    }
+    [0, 2, 0].forEach((index) => otherFeed.applyPeerRead(relayed[index], 'reader'));
+    expect(outcomes).to.deep.equal(['applied', 'gap', 'old']);
+    expect(refusals).to.have.length(1);
+    expect(refusals[0]).to.include({ from: 'reader', fromOffset: 2, nextOffset: 3, offset: 1 });
+  });
 });
 
 // What an instance read after it had been cut off was replayed by the others over what they knew.
