--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -8,6 +8,7 @@
 import type { AdapterLoadRequest } from './adapter-load-request.js';
 import { bestAggregator } from './best-aggregator.js';
 import type { InstanceState } from './instance-state.js';
+import { ListRelay } from './list-relay.js';
 import type { Overview } from './overview.js';
 import type { PeerAddress } from './peer-address.js';
 import { PeerCallers } from './peer-callers.js';
@@ -118,6 +119,7 @@
   /** Restores the overviews of the current aggregator. */
   #overviews = new StateReceiver<Overview>();
   readonly #callers: PeerCallers;
+  readonly #listRelay: ListRelay;
   /** When this instance last reported that it can reach no owner, in milliseconds. */
   #noOwnerMs = -Infinity;
 
@@ -125,6 +127,13 @@
   constructor(context: PeerSyncContext) {
     this.#context = context;
     this.#callers = new PeerCallers(context.nowMs);
+    this.#listRelay = new ListRelay({
+      isOwner: context.isOwner,
+      owners: () => this.#ownerLinks.map(({ address }) => address),
+      followers: () => context.table.followers,
+      send: (address, page) => this.#pool.call(address, 'endpoints', page, CALL_TIMEOUT_MS),
+      onPage: context.onEndpoints,
+    });
     const { instance, secret } = context;
     const handlers: ConstructorParameters<typeof PeerServer>[0]['handlers'] = {
       state: (params, stream, from) => {
@@ -139,7 +148,7 @@
         stream.end({});
       },
       endpoints: (params, stream, from) => {
-        this.#receiveEndpoints(params as ListPage, from);
+        this.#listRelay.receive(params as ListPage, from);
         stream.end({});
       },
       config: (_, stream) => {
@@ -240,12 +249,7 @@
    * @param page - what was read, and the offset that the read began at
    */
   relay(page: ListPage): void {
-    if (!this.#context.isOwner()) return;
-    this.#forward(
-      this.#ownerLinks.map(({ address }) => address),
-      page,
-    );
-    this.#forward(this.#context.table.followers, page);
+    this.#listRelay.relay(page);
   }
 
   /**
@@ -467,20 +471,6 @@
     return { acknowledged, isOwner: true, overview: caller.sender.next(overview, known) };
   }
 
-  #receiveEndpoints(page: ListPage, from: string): void {
-    const { table, isOwner, onEndpoints } = this.#context;
-    onEndpoints(page, from);
-    if (isOwner()) this.#forward(table.followers, page);
-  }
-
-  #forward(addresses: readonly PeerAddress[], page: ListPage): void {
-    addresses.forEach(({ host, port }) => {
-      this.#pool.call({ host, port }, 'endpoints', page, CALL_TIMEOUT_MS).catch(() => {
-        // The other instance reads the list from the store when it receives no page.
-      });
-    });
-  }
-
   #markFollower(key: string): void {
     const link = this.#links.get(key);
     if (link) link.isFollower = true;
