Reproduce DRAIN in simulated time: instances that are never told of an endpoint that leaves (known red)

One test shows the interleaving: an instance reads slowly, is told meanwhile by another reader, and passes its own read on without that change.

--- /dev/null
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai';
+import { endpointRecordOf } from './endpoint-record-of.js';
+import type { FleetConditions } from './fleet/fleet-conditions.js';
+import { SimulatedFleet } from './fleet/simulated-fleet.js';
+
+const LEAVE_BOUND_MS = 3_000;
+const SOUND: FleetConditions = {
+  read: () => ({ callMs: 5, answerMs: 5 }),
+  page: () => 5,
+};
+
+describe('The list of endpoints, as instances tell it each other', () => {
+  const fleetOf = (
+    conditions: Partial<FleetConditions>,
+    ownerCount: number,
+    followerCount = 0,
+  ): SimulatedFleet => {
+    const fleet = new SimulatedFleet({
+      ownerCount,
+      followerCount,
+      leaveBoundMs: LEAVE_BOUND_MS,
+      conditions: { ...SOUND, ...conditions },
+    });
+    ['a', 'b', 'c'].forEach((id) => fleet.list.put(endpointRecordOf(id)));
+    return fleet;
+  };
+
+  it('is the same at all of them without any failure', async () => {
+    const fleet = fleetOf({}, 3, 6);
+    await fleet.time.runUntil(2_000);
+    fleet.list.remove('b');
+    fleet.list.put({ ...endpointRecordOf('c'), isDraining: true });
+    await fleet.time.runUntil(3_000);
+    fleet.names.forEach((name) => expect(fleet.usedBy(name), name).to.deep.equal(['a']));
+    fleet.close();
+  });
+
+  // One instance reads the list slowly. Another reads meanwhile and tells it of an endpoint that drains. The slow
+  // instance then passed on what it read without that change, as it knew it already, but as if nothing were
+  // missing. An instance that gets the other page late moved past the change, and sent requests to that endpoint
+  // until it was gone.
+  it('is not passed on without a change that only its sender has been told', async () => {
+    const slowFromMs = 1_300;
+    const fleet = fleetOf(
+      {
+        read: (instance, nowMs) =>
+          instance === 'owner-0' && nowMs > slowFromMs && nowMs < slowFromMs + 200
+            ? { callMs: 250, answerMs: 5 }
+            : SOUND.read(instance, nowMs),
+        page: (_, to, nowMs) =>
+          to === 'follower-0' && nowMs > slowFromMs + 300 && nowMs < slowFromMs + 400 ? 600 : 5,
+      },
+      2,
+      1,
+    );
+    await fleet.time.runUntil(slowFromMs);
+    fleet.list.put({ ...endpointRecordOf('b'), isDraining: true });
+    await fleet.time.runUntil(slowFromMs + 500);
+    expect(fleet.usedBy('owner-0')).to.deep.equal(['a', 'c']);
+    await fleet.time.runUntil(slowFromMs + LEAVE_BOUND_MS + 1_000);
+    expect(fleet.late).to.deep.equal([]);
+    expect(fleet.usedBy('follower-0')).to.deep.equal(['a', 'c']);
+    fleet.close();
+  });
+});
