Tell another instance what has changed since the offset that it has, and that offset with it

What callers saw: requests reached engines that had announced to leave, for as long as those still answered, from instances at which nothing was wrong (DRAIN). Cause: a read that was passed on was reduced by what its sender knew when the read ended, but claimed to begin where it had started. What another reader had told the sender meanwhile was missing from it; a receiver that had not been told yet moved its offset past it, and dropped the other page as old. Class: a difference is only valid against the state that its receiver has. Change: each entry is kept with the offset at which its change was learnt (ListHistory). An update names the offset it begins at and has every entry changed since, whatever the sender knew; the receiver answers with its offset, is told again what it left unanswered, and gets at once what it turns out to lack. Ruled out: an own read as the remedy, as it begins after the missed change. Changed tests: 'is forwarded as what it changes' and its neighbours begin with instances that have read the list themselves, same checks.

--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -3,7 +3,8 @@
 import type { StateStore } from '../ports/state-store.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
 import type { EndpointTransition } from './endpoint-transition.js';
-import { PageOutcome } from './page-outcome.js';
+import type { ListUpdate } from './list-update.js';
+import { UpdateOutcome } from './update-outcome.js';
 
 /** Additional delay per rank before an instance reads the list itself, in milliseconds. */
 const STAGGER_MS = 110;
@@ -29,10 +30,10 @@
   readonly readPeriodMs: number;
   /** Rank of this instance among those that may read the list; 0 reads first, Infinity last. */
   readonly rank: () => number;
-  /** Sends a read to the other instances; `fromOffset` is where the read began. */
-  readonly relay: (page: EndpointPage & { readonly fromOffset?: number }) => void;
-  /** Called for each page of another instance. */
-  readonly onPage: (outcome: PageOutcome) => void;
+  /** Tells the other instances what was read; `previousOffset` is the offset that was known here before. */
+  readonly relay: (previousOffset: number | undefined) => void;
+  /** Called for each update from another instance. */
+  readonly onUpdate: (outcome: UpdateOutcome) => void;
   /** Called with the age of the list, in milliseconds, whenever a newer one replaces it. */
   readonly onReplaced: (ageMs: number) => void;
   /** Called after a read was applied or a suspected endpoint has left. */
@@ -85,18 +86,17 @@
   }
 
   /**
-   * Applies a read that another instance made.
+   * Applies what another instance tells of the list.
    *
-   * @param page - result of the read, and the log offset where it began
+   * @param update - what has changed, and since when
    * @param from - name of the instance that sent it
    */
-  applyPeerRead(page: EndpointPage & { readonly fromOffset?: number }, from: string): void {
-    const outcome = this.#outcomeOf(page);
-    this.#context.onPage(outcome);
-    if (outcome === PageOutcome.gap) this.#logRefusal(page, from);
-    const { offset } = this.#context.registry;
-    if (outcome === PageOutcome.gap || page.nextOffset < (offset ?? 0)) return;
-    this.#apply(page, 'peer', from);
+  applyUpdate(update: ListUpdate, from: string): void {
+    const outcome = this.#context.registry.outcomeOf(update);
+    this.#context.onUpdate(outcome);
+    if (outcome === UpdateOutcome.gap) this.#logRefusal(update, from);
+    if (outcome === UpdateOutcome.gap || outcome === UpdateOutcome.old) return;
+    this.#apply(update, 'peer', from);
     this.#schedule();
   }
 
@@ -120,30 +120,23 @@
     this.#storeUnstableUntilMs = this.#context.nowMs() + STORE_UNSTABLE_MS;
   }
 
-  #outcomeOf(page: EndpointPage & { readonly fromOffset?: number }): PageOutcome {
-    const { offset } = this.#context.registry;
-    if (offset !== undefined && page.nextOffset <= offset) return PageOutcome.old;
-    if (page.isWhole) return PageOutcome.applied;
-    const isContiguous = offset !== undefined && (page.fromOffset ?? 0) <= offset;
-    return isContiguous ? PageOutcome.applied : PageOutcome.gap;
-  }
-
-  #logRefusal(
-    { fromOffset, nextOffset }: { fromOffset?: number; nextOffset: number },
-    from: string,
-  ): void {
+  #logRefusal({ fromOffset, nextOffset }: ListUpdate, from: string): void {
     const { nowMs, logger, registry } = this.#context;
     this.#refusalCount += 1;
     if (nowMs() < this.#refusalLoggedMs + REFUSAL_LOG_MS) return;
     this.#refusalLoggedMs = nowMs();
-    logger.info('page_refused', 'a page of the list begins after the offset known here', {
-      from,
-      fromOffset,
-      nextOffset,
-      offset: registry.offset,
-      ageMs: Math.round(this.ageMs(nowMs())),
-      count: this.#refusalCount,
-    });
+    logger.info(
+      'update_refused',
+      'an update of the list does not cover all changes since the offset known here',
+      {
+        from,
+        fromOffset,
+        nextOffset,
+        offset: registry.offset,
+        ageMs: Math.round(this.ageMs(nowMs())),
+        count: this.#refusalCount,
+      },
+    );
     this.#refusalCount = 0;
   }
 
@@ -162,9 +155,11 @@
         });
       }
       this.#failureCount = 0;
-      const relayed = registry.effectivePage(page, fromOffset);
-      this.#apply(page, 'store');
-      relay(relayed);
+      const { offset } = registry;
+      // While the read was under way, another instance may have told of something newer.
+      const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
+      if (!isOvertaken) this.#apply(page, 'store');
+      relay(offset);
       this.#schedule();
     } catch (error) {
       this.#failureCount += 1;
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -1,9 +1,11 @@
-import { isDeepStrictEqual } from 'node:util';
 import type { EndpointRecord } from '@chervilseam/model';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import { Endpoint } from './endpoint.js';
-import { runIdOf } from './run-id-of.js';
 import type { EndpointTransition } from './endpoint-transition.js';
+import { ListHistory } from './list-history.js';
+import type { ListUpdate } from './list-update.js';
+import { runIdOf } from './run-id-of.js';
+import type { UpdateOutcome } from './update-outcome.js';
 
 /** Time that an endpoint that has left is kept, so that its last answers complete, in milliseconds. */
 const LEFT_RETENTION_MS = 30_000;
@@ -26,7 +28,7 @@
   /** Reads in a row with an entry of an earlier run, and the offset of the last one, by the endpoint's id. */
   readonly #lateEntries = new Map<string, { readonly count: number; readonly offset?: number }>();
   readonly #suspicionMs: number;
-  #offset: number | undefined;
+  readonly #history = new ListHistory();
   #byService = new Map<string, Endpoint[]>();
 
   /**
@@ -39,7 +41,7 @@
 
   /** Log offset where the next read of the list begins; `undefined` before the first read. */
   get offset(): number | undefined {
-    return this.#offset;
+    return this.#history.offset;
   }
 
   /** All endpoints that have not left. */
@@ -64,17 +66,16 @@
   }
 
   /**
-   * Applies a read of the list.
+   * Applies a read of the list, or an update from another instance that can be applied.
    *
    * @param page - result of the read
    * @param nowMs - monotonic clock, in milliseconds
    * @param isStoreUnstable - whether the store failed recently: entries of live endpoints may have expired
    * @returns the changes of endpoints
    */
-  apply(page: EndpointPage, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
-    // A read by another instance may contain nothing new.
-    if (!page.isWhole && this.#offset !== undefined && page.nextOffset <= this.#offset) return [];
-    this.#offset = page.nextOffset;
+  apply(page: ListUpdate, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
+    const { offset } = this;
+    if (!page.isWhole && offset !== undefined && page.nextOffset <= offset) return [];
     const transitions = this.#withoutRemoved(page.changes).flatMap(({ id, record }) =>
       record ? this.#addIfUsable(record) : this.#remove(id, nowMs, isStoreUnstable),
     );
@@ -82,30 +83,29 @@
       const missing = this.#missingFrom(page);
       transitions.push(...missing.flatMap((id) => this.#remove(id, nowMs, isStoreUnstable)));
     }
+    // An entry of another run than the one that counts here is news until it counts, or is replaced.
+    this.#history.apply(page, nowMs, ({ id, bornMs }) => {
+      const known = this.#endpoints.get(id);
+      return known !== undefined && known.record.bornMs !== bornMs;
+    });
     this.#index();
     return transitions;
   }
 
   /**
-   * Reduces a read to what it changes here, for other instances: most entries are only heartbeats, and a
-   * whole list is too large to be sent to everyone at once.
-   *
-   * @param page - result of the read
-   * @param fromOffset - log offset where the read began
-   * @returns the changes and where they begin; the whole list if none was read before
+   * @param update - what another instance tells of the list
+   * @returns whether it can be applied here
    */
-  effectivePage(
-    page: EndpointPage,
-    fromOffset: number | undefined,
-  ): EndpointPage & { readonly fromOffset?: number } {
-    if (!page.isWhole) return { ...page, changes: this.#effectiveChanges(page), fromOffset };
-    if (this.#offset === undefined) return page;
-    const removed = this.#missingFrom(page).map((id) => ({ id }));
-    const changes = this.#effectiveChanges({
-      ...page,
-      changes: [...page.changes, ...removed],
-    });
-    return { ...page, isWhole: false, changes, fromOffset: this.#offset };
+  outcomeOf(update: ListUpdate): UpdateOutcome {
+    return this.#history.outcomeOf(update);
+  }
+
+  /**
+   * @param offset - offset of the list that another instance has
+   * @returns what to tell it; `undefined` when there is nothing to tell, or it is not known here
+   */
+  since(offset: number | undefined): ListUpdate | undefined {
+    return this.#history.since(offset);
   }
 
   /**
@@ -124,6 +124,7 @@
       this.#endpoints.delete(id);
       this.#lateEntries.delete(id);
     });
+    this.#history.expire(nowMs);
     if (transitions.length > 0) this.#index();
     return transitions;
   }
@@ -155,37 +156,15 @@
     this.#endpoints.forEach((endpoint) => endpoint.close());
   }
 
-  // Omits endpoints whose changes all equal the state known here. For the others it keeps the last change, preceded by
-  // a draining one if the entry was then removed. The last change is kept even if it equals the known state, because
-  // the state of a receiver may differ from this one.
-  #effectiveChanges({ changes }: EndpointPage): EndpointPage['changes'] {
-    const byId = new Map<string, EndpointPage['changes'][number][]>();
-    changes.forEach((change) => {
-      const ofEndpoint = byId.get(change.id) ?? [];
-      ofEndpoint.push(change);
-      byId.set(change.id, ofEndpoint);
-    });
-    return [...byId.values()].flatMap((ofEndpoint) => {
-      if (!ofEndpoint.some((change) => this.#isNews(change))) return [];
-      const last = ofEndpoint[ofEndpoint.length - 1];
-      const draining = ofEndpoint.findLast(({ record }) => record?.isDraining === true);
-      return last.record || !draining ? [last] : [draining, last];
-    });
-  }
-
-  #isNews({ id, record }: EndpointPage['changes'][number]): boolean {
-    const known = this.#endpoints.get(id);
-    if (!record) return known !== undefined && known.leftMs === undefined;
-    return !known || known.leftMs !== undefined || !isDeepStrictEqual(known.record, record);
-  }
-
-  // Omits endpoints that the read ends with as removed and that are not live here: its earlier changes may be older
-  // than the state known here, and would add the endpoint again.
+  // Omits endpoints that the read ends with as removed and that get no requests here already: its earlier changes may be
+  // older than the state known here, and would add the endpoint again.
   #withoutRemoved(changes: EndpointPage['changes']): EndpointPage['changes'] {
     const last = new Map(changes.map(({ id, record }) => [id, record]));
     return changes.filter(({ id }) => {
       const known = this.#endpoints.get(id);
-      return last.get(id) !== undefined || (known !== undefined && known.leftMs === undefined);
+      if (last.get(id) !== undefined) return true;
+      if (known === undefined || known.leftMs !== undefined) return false;
+      return !(this.#suspected.has(id) && known.isLeaving);
     });
   }
 
@@ -228,9 +207,9 @@
   // Whether a record of an earlier run of the endpoint's process is taken for a late one.
   #isLate(id: string): boolean {
     const { count = 0, offset } = this.#lateEntries.get(id) ?? {};
-    // Several instances may send the same read.
-    if (count > 0 && offset === this.#offset) return true;
-    this.#lateEntries.set(id, { count: count + 1, offset: this.#offset });
+    // A read may have several entries of the same run.
+    if (count > 0 && offset === this.offset) return true;
+    this.#lateEntries.set(id, { count: count + 1, offset: this.offset });
     return count < LATE_ENTRY_COUNT_MAX;
   }
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -144,8 +144,8 @@
       nowMs,
       readPeriodMs,
       rank: () => this.#readRank(),
-      relay: (page) => this.#peerSync.relay(page),
-      onPage: (outcome) => this.#metrics.listPages.inc({ outcome }),
+      relay: (previousOffset) => this.#peerSync.relay(previousOffset),
+      onUpdate: (outcome) => this.#metrics.listUpdates.inc({ outcome }),
       onReplaced: (ageMs) => this.#metrics.observe('list_age_max', ageMs),
       onTransitions: () => this.#scheduleDispatch(),
     });
@@ -181,7 +181,11 @@
       loadAdapter: (request) => this.#fleet.loadAdapter(request),
       config: () => this.#config.encoded(),
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
-      onEndpoints: (page, from) => this.#endpointFeed.applyPeerRead(page, from),
+      list: {
+        offset: () => this.#registry.offset,
+        since: (offset) => this.#registry.since(offset),
+        apply: (update, from) => this.#endpointFeed.applyUpdate(update, from),
+      },
       onState: (state) => this.#onPeerState(state),
       onNoOwner: () => this.#member.scheduleMembersRead(),
     });
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -78,9 +78,9 @@
   readonly suspectParts = this.gauge('suspect_parts', 'Parts of prompts that are suspected.', []);
   readonly withheldParts = this.gauge('withheld_parts', 'Parts of prompts that are withheld.', []);
   readonly listAgeMs = this.gauge('list_age_ms', 'Age of the list of endpoints.', []);
-  readonly listPages = this.counter(
-    'list_pages_total',
-    'Pages of the list of endpoints from other instances: applied, old, or gap (refused).',
+  readonly listUpdates = this.counter(
+    'list_updates_total',
+    'Updates of the list of endpoints from other instances: applied, current, old, or gap (refused).',
     ['outcome'],
   );
   readonly ownedEngines = this.gauge('owned_engines', 'Engines that may be ordered from here.', []);
--- a/packages/gateway/src/lib/peer/list-relay.ts
+++ b/packages/gateway/src/lib/peer/list-relay.ts
@@ -1,29 +1,53 @@
-import type { EndpointPage } from '../ports/endpoint-page.js';
+import type { ListUpdate } from '../feed/list-update.js';
 import type { PeerAddress } from './peer-address.js';
+import { peerKey } from './peer-key.js';
+import type { SharedList } from './shared-list.js';
 
-/** A page of the list of endpoints, with the offset that its read began at. */
-type ListPage = EndpointPage & { readonly fromOffset?: number };
+/** Time after which it is forgotten what an instance has that nothing was sent to, in milliseconds. */
+const RETENTION_MS = 60_000;
+
+/**
+ * Time for which an instance that has not answered is told again what the unanswered updates said, in milliseconds. One
+ * that answers later reports what it has.
+ */
+const REPEAT_MS = 5_000;
+
+/** Answer to an update: offset of the list that the receiver has now. */
+interface ListAnswer {
+  readonly offset?: number;
+}
 
 /** Dependencies of the relay. */
 interface ListRelayContext {
+  readonly nowMs: () => number;
   /** Whether this instance owns shares. */
   readonly isOwner: () => boolean;
   /** Addresses of the other owners of shares. */
   readonly owners: () => readonly PeerAddress[];
   /** Addresses of the instances that this one aggregates. */
   readonly followers: () => readonly PeerAddress[];
-  /** Sends a page to another instance; rejects when there is no answer. */
-  readonly send: (address: PeerAddress, page: ListPage) => Promise<unknown>;
-  /** Receives a page that another instance sent, and the name of that instance. */
-  readonly onPage: (page: ListPage, from: string) => void;
+  /** Sends an update to another instance and returns its answer; rejects when there is none. */
+  readonly send: (address: PeerAddress, update: ListUpdate) => Promise<unknown>;
+  readonly list: SharedList;
+}
+
+/** What another instance has, according to its last answer. */
+interface Receiver {
+  readonly offset?: number;
+  /** When something was last sent to it, in milliseconds. */
+  readonly sentMs: number;
+  /** When the first update that it has not answered was sent, in milliseconds. */
+  readonly unansweredMs?: number;
 }
 
 /**
- * Passes pages of the list of endpoints on: an owner of shares sends what it read to the other owners, and
- * every owner sends what it read or received to its followers.
+ * Tells other instances of changes of the list of endpoints: an owner of shares tells the other owners what it read, and
+ * every owner tells its followers what it read or was told. An update holds from the offset that it names on, and the
+ * receiver answers which offset it has: what did not reach it is part of the next update, and what it lacks is sent at once.
  */
 export class ListRelay {
   readonly #context: ListRelayContext;
+  readonly #receivers = new Map<string, Receiver>();
 
   /** @param context - dependencies of the relay */
   constructor(context: ListRelayContext) {
@@ -31,34 +55,79 @@
   }
 
   /**
-   * Passes on a page that this instance read.
+   * Tells the others what this instance read.
    *
-   * @param page - what was read, and the offset that the read began at
+   * @param previousOffset - offset of the list that this instance had before
    */
-  relay(page: ListPage): void {
+  relay(previousOffset: number | undefined): void {
     const { isOwner, owners, followers } = this.#context;
     if (!isOwner()) return;
-    this.#send(owners(), page);
-    this.#send(followers(), page);
+    this.#tell([...owners(), ...followers()], previousOffset);
   }
 
   /**
-   * Receives a page from another instance.
+   * Receives what another instance tells, and tells the followers of this one.
    *
-   * @param page - what was read, and the offset that the read began at
+   * @param update - what has changed, and since when
    * @param from - name of the instance that sent it
+   * @returns the answer to that instance
    */
-  receive(page: ListPage, from: string): void {
-    const { isOwner, followers, onPage } = this.#context;
-    onPage(page, from);
-    if (isOwner()) this.#send(followers(), page);
+  receive(update: ListUpdate, from: string): ListAnswer {
+    const { isOwner, followers, list } = this.#context;
+    const previousOffset = list.offset();
+    list.apply(update, from);
+    const offset = list.offset();
+    if (isOwner() && offset === update.nextOffset) this.#tell(followers(), previousOffset);
+    return { offset };
   }
 
-  #send(addresses: readonly PeerAddress[], page: ListPage): void {
+  #tell(addresses: readonly PeerAddress[], previousOffset: number | undefined): void {
+    this.#forget();
     addresses.forEach((address) => {
-      this.#context.send(address, page).catch(() => {
-        // The other instance reads the list from the store when it receives no page.
-      });
+      void this.#send(address, previousOffset);
+    });
+  }
+
+  async #send(address: PeerAddress, previousOffset: number | undefined): Promise<void> {
+    const { list } = this.#context;
+    const expectedOffset = this.#expectedOffset(address, previousOffset);
+    const update = list.since(expectedOffset) ?? list.since(previousOffset);
+    if (!update) return;
+    const offset = await this.#offsetAfter(address, update);
+    if (offset === undefined || offset >= update.nextOffset) return;
+    // The receiver has less than was expected.
+    const missing = list.since(offset);
+    if (missing) await this.#offsetAfter(address, missing);
+  }
+
+  // An instance that others tell too is most likely as far as this one was; one that left an update unanswered may have
+  // missed it.
+  #expectedOffset(address: PeerAddress, previousOffset: number | undefined): number | undefined {
+    const { offset, unansweredMs } = this.#receivers.get(peerKey(address)) ?? {};
+    if (offset === undefined || previousOffset === undefined) return previousOffset;
+    const isRepeated = this.#context.nowMs() < (unansweredMs ?? -Infinity) + REPEAT_MS;
+    return isRepeated ? Math.min(offset, previousOffset) : Math.max(offset, previousOffset);
+  }
+
+  async #offsetAfter(address: PeerAddress, update: ListUpdate): Promise<number | undefined> {
+    const { send, nowMs } = this.#context;
+    const key = peerKey(address);
+    const { offset: known, unansweredMs = nowMs() } = this.#receivers.get(key) ?? {};
+    this.#receivers.set(key, { offset: known, sentMs: nowMs(), unansweredMs });
+    try {
+      const { offset } = (await send(address, update)) as ListAnswer;
+      this.#receivers.set(key, { offset, sentMs: nowMs() });
+      return offset;
+    } catch {
+      // The next update tells the same and what follows it. Without any, the receiver reads the list from the store.
+      return undefined;
+    }
+  }
+
+  #forget(): void {
+    const nowMs = this.#context.nowMs();
+    this.#receivers.forEach(({ sentMs }, key) => {
+      if (nowMs > sentMs + RETENTION_MS) this.#receivers.delete(key);
     });
   }
 }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -3,8 +3,8 @@
 import { isSocketAddress } from '@chervilseam/model';
 import type { ServingConfig } from '@chervilseam/model';
 import { packedConfig } from '../feed/packed-config.js';
+import type { ListUpdate } from '../feed/list-update.js';
 import type { EngineMove } from '../owner/engine-move.js';
-import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { AdapterLoadRequest } from './adapter-load-request.js';
 import { bestAggregator } from './best-aggregator.js';
 import type { InstanceState } from './instance-state.js';
@@ -16,6 +16,7 @@
 import { peerKey } from './peer-key.js';
 import type { PeerLink } from './peer-link.js';
 import type { PeerTable } from './peer-table.js';
+import type { SharedList } from './shared-list.js';
 import type { StateAnswer } from './state-answer.js';
 import { StateReceiver } from './state-receiver.js';
 import { StateSender } from './state-sender.js';
@@ -83,17 +84,14 @@
    * when there is none.
    */
   readonly config: () => Promise<Buffer>;
-  /** Receives a page of the endpoints' list that another instance sent. */
-  readonly onEndpoints: (page: ListPage, from: string) => void;
+  /** The list of endpoints, for the other instances and from them. */
+  readonly list: SharedList;
   /** Receives each state of another instance. */
   readonly onState: (state: InstanceState) => void;
   /** Called when this instance owns no shares and can reach no owner to follow. */
   readonly onNoOwner: () => void;
 }
 
-/** A page of the endpoints' list, with the offset that its read began at. */
-type ListPage = EndpointPage & { readonly fromOffset?: number };
-
 /**
  * Exchanges states with the other instances. Owners of shares (partitions of the endpoints) send their
  * states to each other, each pair over its own connection. An instance without shares, a follower,
@@ -128,11 +126,12 @@
     this.#context = context;
     this.#callers = new PeerCallers(context.nowMs);
     this.#listRelay = new ListRelay({
+      nowMs: context.nowMs,
       isOwner: context.isOwner,
       owners: () => this.#ownerLinks.map(({ address }) => address),
       followers: () => context.table.followers,
-      send: (address, page) => this.#pool.call(address, 'endpoints', page, CALL_TIMEOUT_MS),
-      onPage: context.onEndpoints,
+      send: (address, update) => this.#pool.call(address, 'endpoints', update, CALL_TIMEOUT_MS),
+      list: context.list,
     });
     const { instance, secret } = context;
     const handlers: ConstructorParameters<typeof PeerServer>[0]['handlers'] = {
@@ -148,8 +147,7 @@
         stream.end({});
       },
       endpoints: (params, stream, from) => {
-        this.#listRelay.receive(params as ListPage, from);
-        stream.end({});
+        stream.end(this.#listRelay.receive(params as ListUpdate, from));
       },
       config: (_, stream) => {
         void answerInParts(stream, context.config());
@@ -244,12 +242,12 @@
   }
 
   /**
-   * Forwards a page of the endpoints' list to all other instances, if this instance owns shares.
+   * Tells the other instances what this one read of the list of endpoints, if it owns shares.
    *
-   * @param page - what was read, and the offset that the read began at
+   * @param previousOffset - log offset of the list that this instance had before
    */
-  relay(page: ListPage): void {
-    this.#listRelay.relay(page);
+  relay(previousOffset: number | undefined): void {
+    this.#listRelay.relay(previousOffset);
   }
 
   /**
--- a/packages/gateway/src/test/endpoint-feed_test.ts
+++ b/packages/gateway/src/test/endpoint-feed_test.ts
@@ -3,12 +3,11 @@
 import { EndpointFeed } from '../lib/feed/endpoint-feed.js';
 import { EndpointRegistry } from '../lib/feed/endpoint-registry.js';
 import { listTimesOf } from '../lib/feed/list-times.js';
+import type { ListUpdate } from '../lib/feed/list-update.js';
 import type { EndpointPage } from '../lib/ports/endpoint-page.js';
 import type { StateStore } from '../lib/ports/state-store.js';
 import { endpointRecordOf } from './endpoint-record-of.js';
 
-type RelayedPage = EndpointPage & { readonly fromOffset?: number };
-
 const ENDPOINT_COUNT = 100;
 
 const SUSPICION_MS = 1_240;
@@ -17,7 +16,7 @@
   let ids: string[];
   let isExpired: boolean;
   let offset: number;
-  let relayed: RelayedPage[];
+  let relayed: ListUpdate[];
   let outcomes: string[];
   let refusals: Readonly<Record<string, unknown>>[];
 
@@ -33,7 +32,7 @@
   const logger = PartLogger.forInstance('self', 'info', {
     write: (line: string) => {
       const record = JSON.parse(line) as Readonly<Record<string, unknown>>;
-      if (record.event === 'page_refused') refusals.push(record);
+      if (record.event === 'update_refused') refusals.push(record);
       return true;
     },
   })('list');
@@ -47,8 +46,11 @@
       nowMs: () => clock.nowMs,
       readPeriodMs: 690,
       rank: () => 0,
-      relay: (page) => relayed.push(page),
-      onPage: (outcome) => outcomes.push(outcome),
+      relay: (previousOffset) => {
+        const update = registry.since(previousOffset);
+        if (update) relayed.push(update);
+      },
+      onUpdate: (outcome) => outcomes.push(outcome),
       onReplaced: () => undefined,
       onTransitions: () => undefined,
     });
@@ -59,6 +61,14 @@
     return { feed, advance };
   };
 
+  // An instance that has read the list itself when it started.
+  const startedRegistry = (): EndpointRegistry => {
+    const registry = new EndpointRegistry(SUSPICION_MS);
+    const changes = ids.map((id) => ({ id, record: endpointRecordOf(id) }));
+    registry.apply({ isWhole: true, changes, nextOffset: 1 }, 0, false);
+    return registry;
+  };
+
   const settle = (): Promise<void> =>
     new Promise((resolve) => {
       setImmediate(resolve);
@@ -82,8 +92,8 @@
     ids = [...ids.slice(1), 'i-new'];
     advance();
     await settle();
-    expect(relayed.map(({ isWhole }) => isWhole)).to.deep.equal([true, false]);
-    const changes = relayed[1].changes.map(({ id, record }) => [id, record !== undefined]);
+    expect(relayed.map(({ isWhole }) => isWhole)).to.deep.equal([false]);
+    const changes = relayed[0].changes.map(({ id, record }) => [id, record !== undefined]);
     expect(changes).to.have.deep.members([
       ['i-new', true],
       ['i-0', false],
@@ -92,7 +102,7 @@
 
   it('leaves every instance with the same endpoints', async () => {
     const own = new EndpointRegistry(SUSPICION_MS);
-    const other = new EndpointRegistry(SUSPICION_MS);
+    const other = startedRegistry();
     const { advance } = feedOf(own);
     const { feed: otherFeed } = feedOf(other);
     advance();
@@ -103,7 +113,7 @@
     isExpired = false;
     advance();
     await settle();
-    relayed.forEach((page) => otherFeed.applyPeerRead(page, 'reader'));
+    relayed.forEach((update) => otherFeed.applyUpdate(update, 'reader'));
     const idsOf = (registry: EndpointRegistry): string[] => registry.all.map(({ id }) => id).sort();
     expect(idsOf(other)).to.deep.equal(idsOf(own));
     expect(idsOf(other)).to.deep.equal([...ids].sort());
@@ -111,35 +121,34 @@
   });
 
   it('is not taken from a change that begins after the own offset', async () => {
-    const other = new EndpointRegistry(SUSPICION_MS);
+    const other = startedRegistry();
     const { feed: otherFeed } = feedOf(other);
     const { advance } = feedOf(new EndpointRegistry(SUSPICION_MS));
     advance();
     await settle();
-    otherFeed.applyPeerRead(relayed[0], 'reader');
     ids = ids.slice(1);
     advance();
     await settle();
     ids = ids.slice(1);
     advance();
     await settle();
-    otherFeed.applyPeerRead(relayed[2], 'reader');
+    otherFeed.applyUpdate(relayed[1], 'reader');
     expect(other.offset).to.equal(1);
   });
 
   // An instance that misses a change of the list writes nothing about that change.
   it('is counted, and a refused one is logged with where it begins and what is known', async () => {
-    const { feed: otherFeed } = feedOf(new EndpointRegistry(SUSPICION_MS));
+    const { feed: otherFeed } = feedOf(startedRegistry());
     const { advance } = feedOf(new EndpointRegistry(SUSPICION_MS));
-    for (let round = 0; round < 3; round += 1) {
+    for (let round = 0; round < 4; round += 1) {
       advance();
       // eslint-disable-next-line no-await-in-loop
       await settle();
     }
-    [0, 2, 0].forEach((index) => otherFeed.applyPeerRead(relayed[index], 'reader'));
-    expect(outcomes).to.deep.equal(['applied', 'gap', 'old']);
+    [0, 2, 0, 1, 0].forEach((index) => otherFeed.applyUpdate(relayed[index], 'reader'));
+    expect(outcomes).to.deep.equal(['applied', 'gap', 'current', 'applied', 'old']);
     expect(refusals).to.have.length(1);
-    expect(refusals[0]).to.include({ from: 'reader', fromOffset: 2, nextOffset: 3, offset: 1 });
+    expect(refusals[0]).to.include({ from: 'reader', fromOffset: 3, nextOffset: 4, offset: 2 });
   });
 });
 
@@ -158,9 +167,11 @@
 
   const passOn = (page: EndpointPage, reader: EndpointRegistry, other: EndpointRegistry): void => {
     const fromOffset = reader.offset;
-    const relayed = reader.effectivePage(page, fromOffset);
     reader.apply(page, NOW_MS, true);
-    other.apply(relayed, NOW_MS, true);
+    [reader.since(fromOffset), reader.since(other.offset)].forEach((update) => {
+      expect(update && other.outcomeOf(update)).not.to.equal('gap');
+      if (update) other.apply(update, NOW_MS, true);
+    });
   };
 
   const joined = { id: 'b', record: endpointRecordOf('b') };
--- a/packages/gateway/src/test/fleet/play-fleet.ts
+++ b/packages/gateway/src/test/fleet/play-fleet.ts
@@ -22,6 +22,8 @@
   readonly leaveBoundMs: number;
   readonly troubles: FleetTroubles;
   readonly seed: number;
+  /** Receives what the instances log. */
+  readonly onLog?: (line: string) => void;
 }
 
 interface PlayResult {
@@ -29,6 +31,8 @@
   readonly late: readonly string[];
   /** Instances that do not use the usable endpoints once the troubles have ended. */
   readonly different: readonly string[];
+  /** Reads of the list, updates between instances, and changes in them. */
+  readonly counts: SimulatedFleet['counts'];
 }
 
 /**
@@ -55,6 +59,7 @@
     ownerCount: play.owners,
     followerCount: play.followers,
     leaveBoundMs: play.leaveBoundMs,
+    onLog: play.onLog,
     conditions,
   });
   new SimulatedEndpoints(fleet, random).start(TROUBLED_MS);
@@ -62,5 +67,5 @@
   const usable = fleet.usable.join();
   const different = fleet.names.filter((name) => fleet.usedBy(name).join() !== usable);
   fleet.close();
-  return { late: fleet.late, different };
+  return { late: fleet.late, different, counts: fleet.counts };
 }
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -25,6 +25,8 @@
   /** Time within which an endpoint that leaves must be avoided, in milliseconds. */
   readonly leaveBoundMs: number;
   readonly conditions: FleetConditions;
+  /** Receives what the instances log, each line with the simulated time; nothing is logged without it. */
+  readonly onLog?: (line: string) => void;
 }
 
 /** The list of endpoints as a fleet of instances shares it, in simulated time, without sockets. */
@@ -33,8 +35,9 @@
   readonly list = new SimulatedList(() => this.time.nowMs);
   readonly #options: FleetOptions;
   readonly #instances = new Map<string, SimulatedInstance>();
-  readonly #logger = PartLogger.forInstance('simulated', 'fatal')('list');
   #checkedCount = 0;
+  /** Reads of the list, updates that were sent, and changes in them. */
+  readonly counts = { reads: 0, updates: 0, changes: 0 };
   /** Instances that would still send to an endpoint after the bound, each with that endpoint. */
   readonly late: string[] = [];
 
@@ -78,8 +81,13 @@
       isOwner: () => isOwner,
       owners: () => this.#ownerNames.filter((owner) => owner !== name).map(SimulatedFleet.#address),
       followers: () => (isOwner ? this.#followersOf(rank) : []).map(SimulatedFleet.#address),
-      send: ({ host }, page) => this.#send(name, host, page),
-      onPage: (page, sender) => this.#get(name).feed.applyPeerRead(page, sender),
+      send: ({ host }, update) => this.#send(name, host, update),
+      nowMs: () => this.time.nowMs,
+      list: {
+        offset: () => registry.offset,
+        since: (offset) => registry.since(offset),
+        apply: (update, sender) => this.#get(name).feed.applyUpdate(update, sender),
+      },
     });
     const feed = new EndpointFeed({
       store: { readEndpoints: (from) => this.#read(name, from) } as Pick<
@@ -87,12 +95,12 @@
         'readEndpoints'
       > as StateStore,
       registry,
-      logger: this.#logger,
+      logger: this.#loggerOf(name),
       nowMs: () => this.time.nowMs,
       readPeriodMs,
       rank: () => (isOwner ? rank : Infinity),
-      relay: (page) => relay.relay(page),
-      onPage: () => undefined,
+      relay: (previousOffset) => relay.relay(previousOffset),
+      onUpdate: () => undefined,
       onReplaced: () => undefined,
       onTransitions: () => undefined,
     });
@@ -117,6 +125,15 @@
     return Array.from({ length: this.#options.followerCount }, (_, index) => `follower-${index}`);
   }
 
+  #loggerOf(name: string): PartLogger {
+    const { onLog } = this.#options;
+    const write = (line: string): boolean => {
+      onLog?.(`${this.time.nowMs} ${line.trimEnd()}`);
+      return true;
+    };
+    return PartLogger.forInstance(name, onLog ? 'info' : 'fatal', { write })('list');
+  }
+
   #followersOf(rank: number): string[] {
     const { ownerCount } = this.#options;
     return this.#followerNames.filter((_, index) => index % ownerCount === rank);
@@ -135,6 +152,7 @@
     name: string,
     fromOffset: number | undefined,
   ): ReturnType<StateStore['readEndpoints']> {
+    this.counts.reads += 1;
     const {
       callMs,
       answerMs,
@@ -150,15 +168,17 @@
   async #send(
     from: string,
     to: string,
-    page: Parameters<ListRelay['receive']>[0],
+    update: Parameters<ListRelay['receive']>[0],
   ): Promise<unknown> {
+    this.counts.updates += 1;
+    this.counts.changes += update.changes.length;
     const wayMs = this.#options.conditions.page(from, to, this.time.nowMs);
     if (wayMs === undefined) {
       await this.time.wait(CALL_TIMEOUT_MS);
       throw new Error('no answer');
     }
     await this.time.wait(wayMs);
-    const answer = this.#get(to).relay.receive(page, from);
+    const answer = this.#get(to).relay.receive(update, from);
     await this.time.wait(wayMs);
     return answer;
   }
--- a/packages/gateway/src/test/large-config_test.ts
+++ b/packages/gateway/src/test/large-config_test.ts
@@ -57,7 +57,7 @@
     loadAdapter: () => Promise.resolve(false),
     beginMove: () => false,
     config: () => packedConfig.encode(config),
-    onEndpoints: () => undefined,
+    list: { offset: () => undefined, since: () => undefined, apply: () => undefined },
     onState: () => undefined,
     onNoOwner: () => undefined,
   });
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -1,11 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { PartLogger } from '@chervilseam/observe';
 import { expect } from 'chai';
+import type { ListUpdate } from '../lib/feed/list-update.js';
 import type { InstanceState } from '../lib/peer/instance-state.js';
 import { PeerSync } from '../lib/peer/peer-sync.js';
 import { PeerTable } from '../lib/peer/peer-table.js';
 import { instanceStateOf } from './instance-state-of.js';
-import type { EndpointPage } from '../lib/ports/endpoint-page.js';
 
 const TICK_MS = 10;
 /** Long enough for several rounds of the state exchange, in milliseconds. */
@@ -15,7 +15,8 @@
 /** An instance reduced to its peer table and its state exchange, with one request in progress. */
 class Instance {
   readonly table = new PeerTable();
-  readonly pages: EndpointPage[] = [];
+  readonly updates: ListUpdate[] = [];
+  listOffset = 1;
   readonly sync: PeerSync;
   readonly port: number;
   shares: number[];
@@ -45,7 +46,17 @@
       loadAdapter: () => Promise.resolve(false),
       beginMove: () => false,
       config: () => Promise.reject(new Error('no configuration is in force')),
-      onEndpoints: (page) => this.pages.push(page),
+      list: {
+        offset: () => this.listOffset,
+        since: (fromOffset) =>
+          fromOffset === undefined
+            ? undefined
+            : { isWhole: false, changes: [], fromOffset, nextOffset: this.listOffset },
+        apply: (update) => {
+          this.updates.push(update);
+          this.listOffset = update.nextOffset;
+        },
+      },
       onState: () => {
         this.stateCount += 1;
       },
@@ -152,12 +163,23 @@
     expect(owners.filter((name) => name === 'b')).to.have.lengthOf(5);
   });
 
-  it('forwards a page of the endpoints list to every other instance', async () => {
+  it('tells every other instance of changes of the endpoints list, and since when', async () => {
     await sleep(ROUNDS_MS);
-    instances[1].sync.relay({ isWhole: false, changes: [], nextOffset: 7 });
+    instances[1].listOffset = 7;
+    instances[1].sync.relay(1);
+    await sleep(200);
+    instances[1].listOffset = 9;
+    instances[1].sync.relay(1);
     await sleep(200);
-    const offsets = instances.map(({ pages }) => pages.at(-1)?.nextOffset);
-    expect(offsets).to.deep.equal([7, undefined, 7, 7, 7, 7]);
+    const others = instances.filter((_, index) => index !== 1);
+    expect(instances[1].updates).to.deep.equal([]);
+    others.forEach(({ updates }) => {
+      const ranges = updates.map(({ fromOffset, nextOffset }) => [fromOffset, nextOffset]);
+      expect(ranges).to.deep.equal([
+        [1, 7],
+        [7, 9],
+      ]);
+    });
   });
 
   // On a fleet of 195 instances all followers kept the one owner that existed when they started, which
