Take a refusal of the store for too many calls for no outage

What callers saw: requests reached engines whose entries had been removed up to 1.6 s later than the list allows (DRAIN), if the instance had shortly before had one call refused with 429. Cause: any failed call counted as a sign that the store is unstable, in which entries of live endpoints lapse, so that a removal was held in doubt. The store refuses calls beyond a rate that all instances share; engines can renew their entries then. Class: an own failure is taken for a failure of what it is about. 'is believed at once after the store has refused a call' fails without the change. A store that does not answer is held in doubt as before (test). Ruled out: shorter doubt for all, as entries come back up to two seconds after an outage.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,4 +18,5 @@
 export type { ConfigPage } from './lib/ports/config-page.js';
 export type { EndpointChange } from './lib/ports/endpoint-change.js';
 export type { EndpointPage } from './lib/ports/endpoint-page.js';
+export { StoreBusyError } from './lib/ports/store-busy-error.js';
 export type { StateStore } from './lib/ports/state-store.js';
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -1,6 +1,7 @@
 import type { PartLogger } from '@chervilseam/observe';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { StateStore } from '../ports/state-store.js';
+import { StoreBusyError } from '../ports/store-busy-error.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
 import type { EndpointTransition } from './endpoint-transition.js';
 import type { ListUpdate } from './list-update.js';
@@ -51,6 +52,8 @@
   #nextReadMs = 0;
   #failureCount = 0;
   #storeUnstableUntilMs = 0;
+  /** Whether the store has failed, rather than refused calls, since the last read. */
+  #hasOutage = false;
   #appliedMs = -Infinity;
   #refusalLoggedMs = -Infinity;
   /** Pages refused since the last log line on one. */
@@ -115,8 +118,15 @@
     onTransitions();
   }
 
-  /** Records a failed call of the store, which another part of the instance may have made. */
-  noteStoreFailure(): void {
+  /**
+   * Records a failed call of the store, which another part of the instance may have made.
+   *
+   * @param error - why it failed
+   */
+  noteStoreFailure(error: unknown): void {
+    // Endpoints can renew their entries at a store that only refuses calls of the instances.
+    if (error instanceof StoreBusyError) return;
+    this.#hasOutage = true;
     this.#storeUnstableUntilMs = this.#context.nowMs() + STORE_UNSTABLE_MS;
   }
 
@@ -148,13 +158,14 @@
       const page = await store.readEndpoints(fromOffset);
       if (this.#failureCount > 0) {
         // Entries may have lapsed while endpoints could not renew them.
-        this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
+        if (this.#hasOutage) this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
         logger.info('list_regained', 'the list of endpoints can be read again', {
           failures: this.#failureCount,
           ageMs: Math.round(this.ageMs(nowMs())),
         });
       }
       this.#failureCount = 0;
+      this.#hasOutage = false;
       const { offset } = registry;
       // While the read was under way, another instance may have told of something newer.
       const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
@@ -163,7 +174,7 @@
       this.#schedule();
     } catch (error) {
       this.#failureCount += 1;
-      this.noteStoreFailure();
+      this.noteStoreFailure(error);
       if (this.#failureCount === 1) {
         logger.warn('list_lost', 'the list of endpoints cannot be read', {
           error: (error as Error).message,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -201,7 +201,7 @@
       handoverMs: settings.handoverMs,
       knowsOwners: () => this.#knowsOwners(),
       onMembers: (addresses) => addresses.forEach((address) => this.#peerSync.addOwner(address)),
-      onFailure: () => this.#endpointFeed.noteStoreFailure(),
+      onFailure: (error) => this.#endpointFeed.noteStoreFailure(error),
     });
     this.#fleet = new EngineFleet({
       settings,
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -46,7 +46,7 @@
   /** Receives the addresses of the instances that own shares. */
   readonly onMembers: (addresses: readonly { host: string; port: number }[]) => void;
   /** Called after each failed renewal. */
-  readonly onFailure: () => void;
+  readonly onFailure: (error: unknown) => void;
 }
 
 /** Matches a member's name: instance, host and port. */
@@ -255,7 +255,7 @@
     } catch (error) {
       this.#failureCount += 1;
       this.#nextRenewalMs = nowMs() + RENEWAL_INTERVAL_MS / 2;
-      onFailure();
+      onFailure(error);
       if (this.#failureCount > 1) return;
       logger.warn('group_lost', 'could not renew the group membership in the store', {
         error: (error as Error).message,
--- a/packages/gateway/src/lib/ports/state-store.ts
+++ b/packages/gateway/src/lib/ports/state-store.ts
@@ -1,7 +1,10 @@
 import type { ConfigPage } from './config-page.js';
 import type { EndpointPage } from './endpoint-page.js';
 
-/** The platform's store. Every call throws when the store does not answer or refuses the call. */
+/**
+ * The platform's store. Every call throws when the store does not answer or refuses the call; a `StoreBusyError` when it
+ * is sound and only gets too many calls.
+ */
 export interface StateStore {
   /**
    * Reads the configuration.
--- a/packages/gateway/src/test/fleet/fleet-conditions.ts
+++ b/packages/gateway/src/test/fleet/fleet-conditions.ts
@@ -3,12 +3,17 @@
   /**
    * @param instance - the instance that reads the list
    * @param nowMs - when it calls
-   * @returns how long the call and its answer are on their way, and whether the store refuses it
+   * @returns how long the call and its answer are on their way, and whether the store refuses it or nothing is heard of it
    */
   readonly read: (
     instance: string,
     nowMs: number,
-  ) => { readonly callMs: number; readonly answerMs: number; readonly isRefused?: boolean };
+  ) => {
+    readonly callMs: number;
+    readonly answerMs: number;
+    readonly isRefused?: boolean;
+    readonly isLost?: boolean;
+  };
   /**
    * @param from - the instance that sends a page
    * @param to - the instance that receives it
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -3,6 +3,7 @@
 import { EndpointRegistry } from '../../lib/feed/endpoint-registry.js';
 import { listTimesOf } from '../../lib/feed/list-times.js';
 import { ListRelay } from '../../lib/peer/list-relay.js';
+import { StoreBusyError } from '../../lib/ports/store-busy-error.js';
 import type { StateStore } from '../../lib/ports/state-store.js';
 import type { FleetConditions } from './fleet-conditions.js';
 import { SimulatedList } from './simulated-list.js';
@@ -11,6 +12,8 @@
 const TICK_MS = 50;
 /** Time after which a page without an answer counts as lost, as between real instances, in milliseconds. */
 const CALL_TIMEOUT_MS = 700;
+/** Time after which a call of the store without an answer counts as lost, in milliseconds. */
+const SILENCE_TIMEOUT_MS = 1_000;
 
 interface SimulatedInstance {
   readonly name: string;
@@ -153,15 +156,16 @@
     fromOffset: number | undefined,
   ): ReturnType<StateStore['readEndpoints']> {
     this.counts.reads += 1;
-    const {
-      callMs,
-      answerMs,
-      isRefused = false,
-    } = this.#options.conditions.read(name, this.time.nowMs);
+    const conditions = this.#options.conditions.read(name, this.time.nowMs);
+    const { callMs, answerMs, isRefused = false, isLost = false } = conditions;
+    if (isLost) {
+      await this.time.wait(SILENCE_TIMEOUT_MS);
+      throw new Error('no byte of the answer');
+    }
     await this.time.wait(callMs);
     const page = this.list.read(fromOffset);
     await this.time.wait(answerMs);
-    if (isRefused) throw new Error('store returned status 429, not 200');
+    if (isRefused) throw new StoreBusyError('log-read');
     return page;
   }
 
--- a/packages/gateway/src/test/list-fleet_test.ts
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -62,4 +62,43 @@
     expect(fleet.usedBy('follower-0')).to.deep.equal(['a', 'c']);
     fleet.close();
   });
+
+  // A refused call was taken for an outage, in which entries of live endpoints lapse, so that an endpoint whose entry had
+  // been removed still got requests for 1.6 s.
+  it('is believed at once after the store has refused a call as one too many', async () => {
+    const fleet = fleetOf(
+      {
+        read: (instance, nowMs) => ({
+          ...SOUND.read(instance, nowMs),
+          isRefused: nowMs > 600 && nowMs < 900,
+        }),
+      },
+      1,
+    );
+    await fleet.time.runUntil(800);
+    fleet.list.remove('b');
+    await fleet.time.runUntil(1_500);
+    expect(fleet.usedBy('owner-0')).to.deep.equal(['a', 'c']);
+    fleet.close();
+  });
+
+  // Entries of live endpoints lapse while these cannot renew them.
+  it('is held in doubt after the store has not answered', async () => {
+    const fleet = fleetOf(
+      {
+        read: (instance, nowMs) => ({
+          ...SOUND.read(instance, nowMs),
+          isLost: nowMs > 600 && nowMs < 900,
+        }),
+      },
+      1,
+    );
+    await fleet.time.runUntil(800);
+    fleet.list.remove('b');
+    await fleet.time.runUntil(2_500);
+    expect(fleet.usedBy('owner-0')).to.deep.equal(['a', 'b', 'c']);
+    await fleet.time.runUntil(5_000);
+    expect(fleet.usedBy('owner-0')).to.deep.equal(['a', 'c']);
+    fleet.close();
+  });
 });
