Let an instance's own read of the list wait for its age, not for the last update that arrived

What callers saw: requests reached engines that had left, from instances told of it by a reader that is slow (DRAIN). Cause: each update put the receiver's own read off by a whole period from its arrival, however long the read and the way had taken. Class: times count from when something happened, not from when it was noticed. Change: an update carries the age of the read that it comes from, with the way (the smaller of the last two round trips, or the time that an update has been unanswered); the next read is due when the list gets too old. The age in dispatch, in metrics and to followers is the same.

--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -1,5 +1,4 @@
 import type { PartLogger } from '@chervilseam/observe';
-import type { EndpointPage } from '../ports/endpoint-page.js';
 import type { StateStore } from '../ports/state-store.js';
 import { StoreBusyError } from '../ports/store-busy-error.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
@@ -18,6 +17,8 @@
 const STORE_UNSTABLE_MS = 2_500;
 /** Longest backoff after failed reads, in milliseconds. */
 const BACKOFF_MAX_MS = 800;
+/** Shortest time from the end of a read to the next one, as a share of the time between two reads. */
+const READ_PAUSE_SHARE = 0.5;
 /** Shortest time between two log lines on pages that were refused, in milliseconds. */
 const REFUSAL_LOG_MS = 1_000;
 
@@ -54,7 +55,8 @@
   #storeUnstableUntilMs = 0;
   /** Whether the store has failed, rather than refused calls, since the last read. */
   #hasOutage = false;
-  #appliedMs = -Infinity;
+  /** When the read began that the list known here comes from, in milliseconds. */
+  #readMs = -Infinity;
   #refusalLoggedMs = -Infinity;
   /** Pages refused since the last log line on one. */
   #refusalCount = 0;
@@ -74,9 +76,9 @@
     return this.#context.registry.offset;
   }
 
-  /** @returns time since the last read was applied, in milliseconds; Infinity before the first */
+  /** @returns time since the read began that the list comes from, in milliseconds; Infinity before the first */
   ageMs(nowMs: number): number {
-    return nowMs - this.#appliedMs;
+    return nowMs - this.#readMs;
   }
 
   /** Marks suspected endpoints that are due as left, and reads the list when a read is due. */
@@ -99,7 +101,8 @@
     this.#context.onUpdate(outcome);
     if (outcome === UpdateOutcome.gap) this.#logRefusal(update, from);
     if (outcome === UpdateOutcome.gap || outcome === UpdateOutcome.old) return;
-    this.#apply(update, 'peer', from);
+    const { nowMs } = this.#context;
+    this.#apply(update, nowMs() - (update.ageMs ?? 0), 'peer', from);
     this.#schedule();
   }
 
@@ -154,6 +157,7 @@
     const { store, registry, nowMs, logger, relay } = this.#context;
     this.#isReading = true;
     const fromOffset = registry.offset;
+    const startMs = nowMs();
     try {
       const page = await store.readEndpoints(fromOffset);
       if (this.#failureCount > 0) {
@@ -169,9 +173,9 @@
       const { offset } = registry;
       // While the read was under way, another instance may have told of something newer.
       const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
-      if (!isOvertaken) this.#apply(page, 'store');
+      if (!isOvertaken) this.#apply(page, startMs, 'store');
       relay(offset);
-      this.#schedule();
+      this.#schedule(READ_PAUSE_SHARE);
     } catch (error) {
       this.#failureCount += 1;
       this.noteStoreFailure(error);
@@ -187,15 +191,17 @@
     }
   }
 
-  #schedule(): void {
+  // The next read is due when the list is too old, however long it was on its way here.
+  #schedule(pauseShare = 0): void {
     const { nowMs, rank, readPeriodMs } = this.#context;
-    this.#nextReadMs = nowMs() + readPeriodMs + STAGGER_MS * Math.min(STAGGERED_RANK_MAX, rank());
+    const dueMs = this.#readMs + readPeriodMs + STAGGER_MS * Math.min(STAGGERED_RANK_MAX, rank());
+    this.#nextReadMs = Math.max(dueMs, nowMs() + pauseShare * readPeriodMs);
   }
 
-  #apply(page: EndpointPage, source: string, from?: string): void {
+  #apply(page: ListUpdate, readMs: number, source: string, from?: string): void {
     const { registry, nowMs, onTransitions, onReplaced } = this.#context;
     if (this.isLoaded) onReplaced(this.ageMs(nowMs()));
-    this.#appliedMs = nowMs();
+    this.#readMs = Math.max(this.#readMs, readMs);
     const transitions = registry.apply(page, nowMs(), nowMs() < this.#storeUnstableUntilMs);
     this.#logTransitions(transitions, source, from);
     onTransitions();
--- a/packages/gateway/src/lib/feed/list-update.ts
+++ b/packages/gateway/src/lib/feed/list-update.ts
@@ -12,4 +12,9 @@
    * the list, since the log of the changes was no longer available.
    */
   readonly isNet?: boolean;
+  /**
+   * Time since the read that the sender knows this from began, with the way to the receiver, in milliseconds; unset from
+   * an instance of an earlier version.
+   */
+  readonly ageMs?: number;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -183,6 +183,7 @@
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
       list: {
         offset: () => this.#registry.offset,
+        ageMs: () => this.#endpointFeed.ageMs(Gateway.nowMs()),
         since: (offset) => this.#registry.since(offset),
         apply: (update, from) => this.#endpointFeed.applyUpdate(update, from),
       },
--- a/packages/gateway/src/lib/peer/list-relay.ts
+++ b/packages/gateway/src/lib/peer/list-relay.ts
@@ -38,6 +38,8 @@
   readonly sentMs: number;
   /** When the first update that it has not answered was sent, in milliseconds. */
   readonly unansweredMs?: number;
+  /** Times from its last two answered updates to their answers, in milliseconds. */
+  readonly roundTripsMs?: readonly number[];
 }
 
 /**
@@ -110,13 +112,22 @@
   }
 
   async #offsetAfter(address: PeerAddress, update: ListUpdate): Promise<number | undefined> {
-    const { send, nowMs } = this.#context;
+    const { send, nowMs, list } = this.#context;
     const key = peerKey(address);
-    const { offset: known, unansweredMs = nowMs() } = this.#receivers.get(key) ?? {};
-    this.#receivers.set(key, { offset: known, sentMs: nowMs(), unansweredMs });
+    const sentMs = nowMs();
+    const known = this.#receivers.get(key);
+    const { unansweredMs = sentMs, roundTripsMs = [0] } = known ?? {};
+    this.#receivers.set(key, { ...known, sentMs, unansweredMs });
+    // The clocks of two instances cannot be compared, so the way is taken to be as long as the last ones and back; a
+    // single late answer does not count.
+    const wayMs = Math.max(Math.min(...roundTripsMs), sentMs - unansweredMs);
     try {
-      const { offset } = (await send(address, update)) as ListAnswer;
-      this.#receivers.set(key, { offset, sentMs: nowMs() });
+      const { offset } = (await send(address, {
+        ...update,
+        ageMs: list.ageMs() + wayMs,
+      })) as ListAnswer;
+      const roundTripMs = nowMs() - sentMs;
+      this.#receivers.set(key, { offset, sentMs, roundTripsMs: [roundTripMs, roundTripsMs[0]] });
       return offset;
     } catch {
       // The next update tells the same and what follows it. Without any, the receiver reads the list from the store.
--- a/packages/gateway/src/lib/peer/shared-list.ts
+++ b/packages/gateway/src/lib/peer/shared-list.ts
@@ -4,6 +4,8 @@
 export interface SharedList {
   /** Log offset of the list that this instance has; `undefined` before the first read. */
   readonly offset: () => number | undefined;
+  /** Time since the read began that the list comes from, in milliseconds. */
+  readonly ageMs: () => number;
   /**
    * @param offset - offset of the list that another instance has
    * @returns what to tell it; `undefined` when that is not known here
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -88,6 +88,7 @@
       nowMs: () => this.time.nowMs,
       list: {
         offset: () => registry.offset,
+        ageMs: () => this.#get(name).feed.ageMs(this.time.nowMs),
         since: (offset) => registry.since(offset),
         apply: (update, sender) => this.#get(name).feed.applyUpdate(update, sender),
       },
--- a/packages/gateway/src/test/large-config_test.ts
+++ b/packages/gateway/src/test/large-config_test.ts
@@ -57,7 +57,12 @@
     loadAdapter: () => Promise.resolve(false),
     beginMove: () => false,
     config: () => packedConfig.encode(config),
-    list: { offset: () => undefined, since: () => undefined, apply: () => undefined },
+    list: {
+      offset: () => undefined,
+      ageMs: () => 0,
+      since: () => undefined,
+      apply: () => undefined,
+    },
     onState: () => undefined,
     onNoOwner: () => undefined,
   });
--- a/packages/gateway/src/test/list-fleet_test.ts
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -14,11 +14,12 @@
     conditions: Partial<FleetConditions>,
     ownerCount: number,
     followerCount = 0,
+    leaveBoundMs = LEAVE_BOUND_MS,
   ): SimulatedFleet => {
     const fleet = new SimulatedFleet({
       ownerCount,
       followerCount,
-      leaveBoundMs: LEAVE_BOUND_MS,
+      leaveBoundMs,
       conditions: { ...SOUND, ...conditions },
     });
     ['a', 'b', 'c'].forEach((id) => fleet.list.put(endpointRecordOf(id)));
@@ -101,4 +102,32 @@
     expect(fleet.usedBy('owner-0')).to.deep.equal(['a', 'c']);
     fleet.close();
   });
+
+  // The reader takes six times as long and its updates are late, for ten seconds. Each of them put off the own read of the
+  // instances that it told, as if it were as new as its arrival.
+  it('is read by those who are told late, before it is too old', async () => {
+    const leaveBoundMs = 2_000;
+    const slowUntilMs = 12_000;
+    const isSlow = (name: string, nowMs: number): boolean =>
+      name === 'owner-0' && nowMs > 1_000 && nowMs < slowUntilMs;
+    const fleet = fleetOf(
+      {
+        read: (instance, nowMs) =>
+          isSlow(instance, nowMs) ? { callMs: 600, answerMs: 600 } : SOUND.read(instance, nowMs),
+        page: (from, _, nowMs) => (isSlow(from, nowMs) ? 600 : 5),
+      },
+      1,
+      3,
+      leaveBoundMs,
+    );
+    const ids = Array.from({ length: 60 }, (_, index) => `engine-${index}`);
+    ids.forEach((id) => fleet.list.put(endpointRecordOf(id)));
+    ids.forEach((id, index) => {
+      fleet.time.after(1_000 + 170 * index, () => fleet.list.remove(id));
+    });
+    await fleet.time.runUntil(slowUntilMs);
+    const lateFollowers = fleet.late.filter((text) => text.startsWith('follower'));
+    expect(lateFollowers).to.deep.equal([]);
+    fleet.close();
+  });
 });
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -48,6 +48,7 @@
       config: () => Promise.reject(new Error('no configuration is in force')),
       list: {
         offset: () => this.listOffset,
+        ageMs: () => 0,
         since: (fromOffset) =>
           fromOffset === undefined
             ? undefined
