Tell other instances of the latest runs that announce their exit, not of the first 64 in the list

Now the latest 64 are told, without those that the list has as draining, which everybody knows. 'tells others of the latest announcements' fails without the change.

--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -27,6 +27,8 @@
   readonly #suspected = new Map<string, number>();
   /** Reads in a row with an entry of an earlier run, and the offset of the last one, by the endpoint's id. */
   readonly #lateEntries = new Map<string, { readonly count: number; readonly offset?: number }>();
+  /** Endpoints that have announced that they are about to exit, in the order of their announcements. */
+  readonly #announced = new Set<string>();
   readonly #suspicionMs: number;
   readonly #history = new ListHistory();
   #byService = new Map<string, Endpoint[]>();
@@ -123,17 +125,20 @@
       endpoint.close();
       this.#endpoints.delete(id);
       this.#lateEntries.delete(id);
+      this.#announced.delete(id);
     });
     this.#history.expire(nowMs);
     if (transitions.length > 0) this.#index();
     return transitions;
   }
 
-  /** Runs of endpoints that have announced that they are about to exit and are still listed. */
+  /** The latest runs of endpoints that have announced that they are about to exit while the list has them as active. */
   get announcedRuns(): readonly string[] {
-    return this.all
-      .filter(({ hasAnnouncedLeaving }) => hasAnnouncedLeaving)
-      .slice(0, ANNOUNCED_RUN_COUNT_MAX)
+    return [...this.#announced]
+      .flatMap((id) => this.#endpoints.get(id) ?? [])
+      .filter(({ hasAnnouncedLeaving, leftMs }) => hasAnnouncedLeaving && leftMs === undefined)
+      .filter(({ record }) => !record.isDraining)
+      .slice(-ANNOUNCED_RUN_COUNT_MAX)
       .map(({ record }) => runIdOf(record));
   }
 
@@ -148,6 +153,8 @@
     if (!known || known.hasAnnouncedLeaving) return [];
     const wasLeaving = known.isLeaving;
     known.announceLeaving();
+    this.#announced.delete(known.id);
+    this.#announced.add(known.id);
     return wasLeaving ? [] : [{ id: known.id, service: known.record.service, what: 'draining' }];
   }
 
--- a/packages/gateway/src/test/odd-entries_test.ts
+++ b/packages/gateway/src/test/odd-entries_test.ts
@@ -88,6 +88,19 @@
     expect(registry.announceLeaving('i-1@1')).to.deep.equal([]);
   });
 
+  // Only the first 64 in the order of the list were told to other instances, so that a later announcement was never heard
+  // of while those were listed.
+  it('tells others of the latest announcements, among many engines that leave', () => {
+    const ids = Array.from({ length: 200 }, (_, index) => `i-${index}`);
+    registry.apply({ ...pageOf(2), changes: ids.flatMap((id) => joinOf(id)) }, 0, false);
+    ids.forEach((id) => registry.announceLeaving(`${id}@1`));
+    registry.announceLeaving('i-0@1');
+    expect(registry.announcedRuns).to.include('i-199@1');
+    const drainOf = (id: string): ReturnType<typeof joinOf> => joinOf(id, { isDraining: true });
+    registry.apply({ ...pageOf(3), changes: ids.slice(1).flatMap(drainOf) }, 0, false);
+    expect(registry.announcedRuns).to.deep.equal(['i-0@1']);
+  });
+
   it('ignores what others say of unknown runs', () => {
     ['i-9@1', 'i-1@7', 'i-1', ''].forEach((run) =>
       expect(registry.announceLeaving(run)).to.deep.equal([]),
