Send the whole list to an instance that cannot read the store and cannot be told what it lacks

What callers saw: an instance whose reads the store refused, and whose aggregator began with a later list or has only the net effect of an expired log, refused every update and went on sending to endpoints that had left; one that started then had no list, and refused everything.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -63,7 +63,7 @@
     ),
   },
   {
-    files: ['**/*.ts', '**/*.js'],
+    files: ['**/*.ts', '**/*.js', '.ci/**/*.mjs'],
     rules: {
       // One export a file, by name: the file is named after it.
       'import-x/prefer-default-export': 'off',
@@ -91,7 +91,7 @@
     },
   },
   {
-    files: ['deploy/**/*.js'],
+    files: ['deploy/**/*.js', '.ci/**/*.mjs'],
     rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
   },
   { files: ['*.config.js'], rules: { 'import-x/no-default-export': 'off' } },
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -76,6 +76,11 @@
     return this.#context.registry.offset;
   }
 
+  /** Whether the last read of the store failed. */
+  get isReadFailing(): boolean {
+    return this.#failureCount > 0;
+  }
+
   /** @returns time since the read began that the list comes from, in milliseconds; Infinity before the first */
   ageMs(nowMs: number): number {
     return nowMs - this.#readMs;
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -110,6 +110,11 @@
     return this.#history.since(offset);
   }
 
+  /** The whole list, for another instance that can neither be told what has changed nor read the store. */
+  get whole(): ListUpdate | undefined {
+    return this.#history.whole;
+  }
+
   /**
    * Marks suspected endpoints that are due as left, and removes those that left more than
    * `LEFT_RETENTION_MS` ago.
--- a/packages/gateway/src/lib/feed/list-history.ts
+++ b/packages/gateway/src/lib/feed/list-history.ts
@@ -92,6 +92,15 @@
     return { ...this.#update(this.#netFrom), isNet: true };
   }
 
+  /** The whole list, for an instance that can neither be told what has changed nor read the store. */
+  get whole(): ListUpdate | undefined {
+    if (this.#offset === undefined) return undefined;
+    const changes = [...this.#entries].flatMap(([id, { record }]) =>
+      record ? [{ id, record }] : [],
+    );
+    return { isWhole: true, changes, nextOffset: this.#offset };
+  }
+
   /**
    * Forgets removals that no other instance needs to be told any more.
    *
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -185,6 +185,8 @@
         offset: () => this.#registry.offset,
         ageMs: () => this.#endpointFeed.ageMs(Gateway.nowMs()),
         since: (offset) => this.#registry.since(offset),
+        whole: () => this.#registry.whole,
+        isReadFailing: () => this.#endpointFeed.isReadFailing,
         apply: (update, from) => this.#endpointFeed.applyUpdate(update, from),
       },
       onState: (state) => this.#onPeerState(state),
--- a/packages/gateway/src/lib/peer/list-relay.ts
+++ b/packages/gateway/src/lib/peer/list-relay.ts
@@ -12,9 +12,12 @@
  */
 const REPEAT_MS = 5_000;
 
-/** Answer to an update: offset of the list that the receiver has now. */
+/** Answer to an update. */
 interface ListAnswer {
+  /** Offset of the list that the receiver has now; `undefined` if it has none. */
   readonly offset?: number;
+  /** Whether the receiver is still behind and cannot read the store. */
+  readonly needsWhole?: boolean;
 }
 
 /** Dependencies of the relay. */
@@ -80,7 +83,8 @@
     list.apply(update, from);
     const offset = list.offset();
     if (isOwner() && offset === update.nextOffset) this.#tell(followers(), previousOffset);
-    return { offset };
+    const isBehind = ListRelay.#isBehind({ offset }, update);
+    return { offset, needsWhole: isBehind && list.isReadFailing() };
   }
 
   #tell(addresses: readonly PeerAddress[], previousOffset: number | undefined): void {
@@ -95,11 +99,18 @@
     const expectedOffset = this.#expectedOffset(address, previousOffset);
     const update = list.since(expectedOffset) ?? list.since(previousOffset);
     if (!update) return;
-    const offset = await this.#offsetAfter(address, update);
-    if (offset === undefined || offset >= update.nextOffset) return;
+    const answer = await this.#answerTo(address, update);
+    if (!ListRelay.#isBehind(answer, update)) return;
     // The receiver has less than was expected.
-    const missing = list.since(offset);
-    if (missing) await this.#offsetAfter(address, missing);
+    const missing = list.since(answer.offset);
+    const laterAnswer = missing ? await this.#answerTo(address, missing) : answer;
+    const whole = list.whole();
+    if (!whole || !laterAnswer.needsWhole || !ListRelay.#isBehind(laterAnswer, update)) return;
+    await this.#answerTo(address, whole);
+  }
+
+  static #isBehind({ offset }: ListAnswer, { nextOffset }: ListUpdate): boolean {
+    return offset === undefined || offset < nextOffset;
   }
 
   // An instance that others tell too is most likely as far as this one was; one that left an update unanswered may have
@@ -111,7 +122,7 @@
     return isRepeated ? Math.min(offset, previousOffset) : Math.max(offset, previousOffset);
   }
 
-  async #offsetAfter(address: PeerAddress, update: ListUpdate): Promise<number | undefined> {
+  async #answerTo(address: PeerAddress, update: ListUpdate): Promise<ListAnswer> {
     const { send, nowMs, list } = this.#context;
     const key = peerKey(address);
     const sentMs = nowMs();
@@ -122,16 +133,17 @@
     // single late answer does not count.
     const wayMs = Math.max(Math.min(...roundTripsMs), sentMs - unansweredMs);
     try {
-      const { offset } = (await send(address, {
+      const answer = (await send(address, {
         ...update,
         ageMs: list.ageMs() + wayMs,
       })) as ListAnswer;
       const roundTripMs = nowMs() - sentMs;
+      const { offset } = answer;
       this.#receivers.set(key, { offset, sentMs, roundTripsMs: [roundTripMs, roundTripsMs[0]] });
-      return offset;
+      return answer;
     } catch {
       // The next update tells the same and what follows it. Without any, the receiver reads the list from the store.
-      return undefined;
+      return {};
     }
   }
 
--- a/packages/gateway/src/lib/peer/shared-list.ts
+++ b/packages/gateway/src/lib/peer/shared-list.ts
@@ -11,6 +11,10 @@
    * @returns what to tell it; `undefined` when that is not known here
    */
   readonly since: (offset: number | undefined) => ListUpdate | undefined;
+  /** The whole list; `undefined` before the first read. */
+  readonly whole: () => ListUpdate | undefined;
+  /** Whether this instance cannot read the list from the store now. */
+  readonly isReadFailing: () => boolean;
   /**
    * @param update - what another instance tells
    * @param from - name of that instance
--- a/packages/gateway/src/test/large-config_test.ts
+++ b/packages/gateway/src/test/large-config_test.ts
@@ -61,6 +61,8 @@
       offset: () => undefined,
       ageMs: () => 0,
       since: () => undefined,
+      whole: () => undefined,
+      isReadFailing: () => false,
       apply: () => undefined,
     },
     onState: () => undefined,
--- a/packages/gateway/src/test/list-fleet_test.ts
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -83,6 +83,31 @@
     fleet.close();
   });
 
+  // An instance whose aggregator had begun with a later list, and whose own reads the store refused, was told nothing until it
+  // could read; one that started then had no list at all.
+  it('reaches an instance that the store refuses and that others cannot tell what it lacks', async () => {
+    const fleet = fleetOf(
+      {
+        read: (instance, nowMs) => ({
+          ...SOUND.read(instance, nowMs),
+          isRefused: instance === 'follower-0' && nowMs > 100,
+        }),
+      },
+      1,
+      1,
+    );
+    await fleet.time.runUntil(800);
+    fleet.list.expireHistory(true);
+    fleet.list.remove('b');
+    await fleet.time.runUntil(1_600);
+    fleet.list.expireHistory(false);
+    expect(fleet.usedBy('follower-0')).to.deep.equal(['a', 'c']);
+    fleet.restart('follower-0');
+    await fleet.time.runUntil(3_500);
+    expect(fleet.usedBy('follower-0')).to.deep.equal(['a', 'c']);
+    fleet.close();
+  });
+
   // Entries of live endpoints lapse while these cannot renew them.
   it('is held in doubt after the store has not answered', async () => {
     const fleet = fleetOf(
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -49,6 +49,8 @@
       list: {
         offset: () => this.listOffset,
         ageMs: () => 0,
+        whole: () => undefined,
+        isReadFailing: () => false,
         since: (fromOffset) =>
           fromOffset === undefined
             ? undefined
