Hold no removal in doubt for an outage that others have read the list since

What callers saw: requests to endpoints whose entries had been removed, 1.6 s longer, from an instance that others inform and that reads the list itself once in a while. Cause: whether the last own read had failed was remembered until the next own read, which such an instance makes seconds or minutes later; that one was taken for the end of the outage. Now the list is in doubt only if what is known dates from before the last failure. Class: an old observation is taken for a new one.

--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -53,8 +53,8 @@
   #nextReadMs = 0;
   #failureCount = 0;
   #storeUnstableUntilMs = 0;
-  /** Whether the store has failed, rather than refused calls, since the last read. */
-  #hasOutage = false;
+  /** When a call of the store last failed for another reason than too many calls, in milliseconds. */
+  #outageMs = -Infinity;
   /** When the read began that the list known here comes from, in milliseconds. */
   #readMs = -Infinity;
   #refusalLoggedMs = -Infinity;
@@ -134,8 +134,8 @@
   noteStoreFailure(error: unknown): void {
     // Endpoints can renew their entries at a store that only refuses calls of the instances.
     if (error instanceof StoreBusyError) return;
-    this.#hasOutage = true;
-    this.#storeUnstableUntilMs = this.#context.nowMs() + STORE_UNSTABLE_MS;
+    this.#outageMs = this.#context.nowMs();
+    this.#storeUnstableUntilMs = this.#outageMs + STORE_UNSTABLE_MS;
   }
 
   #logRefusal({ fromOffset, nextOffset }: ListUpdate, from: string): void {
@@ -166,15 +166,15 @@
     try {
       const page = await store.readEndpoints(fromOffset);
       if (this.#failureCount > 0) {
-        // Entries may have lapsed while endpoints could not renew them.
-        if (this.#hasOutage) this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
+        // Entries may have lapsed while endpoints could not renew them, unless others have read the list since.
+        const isOlder = this.#readMs < this.#outageMs;
+        if (isOlder) this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
         logger.info('list_regained', 'the list of endpoints can be read again', {
           failures: this.#failureCount,
           ageMs: Math.round(this.ageMs(nowMs())),
         });
       }
       this.#failureCount = 0;
-      this.#hasOutage = false;
       const { offset } = registry;
       // While the read was under way, another instance may have told of something newer.
       const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
--- a/packages/gateway/src/test/list-fleet_test.ts
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -108,6 +108,33 @@
     fleet.close();
   });
 
+  // An instance that others keep informed after an outage seldom reads itself. Its next own read was taken for the end of that
+  // outage, however long ago.
+  it('is believed at once by an instance that others have informed since an outage', async () => {
+    const fleet = fleetOf(
+      {
+        read: (instance, nowMs) => {
+          const isFollower = instance === 'follower-0';
+          return {
+            ...SOUND.read(instance, nowMs),
+            isLost: isFollower && nowMs < 3_000,
+            isRefused: isFollower && nowMs < 10_600,
+          };
+        },
+        page: (_, __, nowMs) =>
+          (nowMs > 1_200 && nowMs < 1_800) || nowMs > 10_000 ? undefined : 5,
+      },
+      1,
+      1,
+    );
+    ['d', 'e'].forEach((id) => fleet.list.put(endpointRecordOf(id)));
+    await fleet.time.runUntil(10_000);
+    fleet.list.remove('b');
+    await fleet.time.runUntil(12_500);
+    expect(fleet.usedBy('follower-0')).to.deep.equal(['a', 'c', 'd', 'e']);
+    fleet.close();
+  });
+
   // Entries of live endpoints lapse while these cannot renew them.
   it('is held in doubt after the store has not answered', async () => {
     const fleet = fleetOf(
