Read the list soon when others tell of changes that do not fit, and believe no older update meanwhile

What callers saw: requests to endpoints that had left, up to 0.5 s past the bound, from an instance that others told of later changes than it could take. Cause: an update that had been long on its way, with the offset known here, counted as a sign that the list was current and put the own read off, though a refused update had shown that the list had gone on. Class: times count from when something happened, not from when it was noticed. Change: after a refused update the list is read 200 ms later, unless what was missing arrives first; updates below the refused offset are applied but put nothing off.

--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -19,6 +19,8 @@
 const BACKOFF_MAX_MS = 800;
 /** Shortest time from the end of a read to the next one, as a share of the time between two reads. */
 const READ_PAUSE_SHARE = 0.5;
+/** Time from an update that does not fit to an own read, unless one that fits arrives first, in milliseconds. */
+const GAP_READ_DELAY_MS = 200;
 /** Shortest time between two log lines on pages that were refused, in milliseconds. */
 const REFUSAL_LOG_MS = 1_000;
 
@@ -57,6 +59,10 @@
   #outageMs = -Infinity;
   /** When the read began that the list known here comes from, in milliseconds. */
   #readMs = -Infinity;
+  /** Greatest offset that a refused update named: the list is known to have gone on up to there. */
+  #offsetAhead = -Infinity;
+  /** Until when the store is not called after failed reads, in milliseconds. */
+  #backoffUntilMs = -Infinity;
   #refusalLoggedMs = -Infinity;
   /** Pages refused since the last log line on one. */
   #refusalCount = 0;
@@ -104,11 +110,14 @@
   applyUpdate(update: ListUpdate, from: string): void {
     const outcome = this.#context.registry.outcomeOf(update);
     this.#context.onUpdate(outcome);
-    if (outcome === UpdateOutcome.gap) this.#logRefusal(update, from);
+    if (outcome === UpdateOutcome.gap) this.#noteGap(update, from);
     if (outcome === UpdateOutcome.gap || outcome === UpdateOutcome.old) return;
+    // One that took long on its way does not show that the list is still current.
+    const isOutdated = update.nextOffset < this.#offsetAhead;
+    if (outcome === UpdateOutcome.current && isOutdated) return;
     const { nowMs } = this.#context;
     this.#apply(update, nowMs() - (update.ageMs ?? 0), 'peer', from);
-    this.#schedule();
+    if (!isOutdated) this.#schedule();
   }
 
   /**
@@ -138,6 +147,14 @@
     this.#storeUnstableUntilMs = this.#outageMs + STORE_UNSTABLE_MS;
   }
 
+  // The sender may tell what is missing as soon as it has the answer; otherwise it has to be read.
+  #noteGap(update: ListUpdate, from: string): void {
+    this.#offsetAhead = Math.max(this.#offsetAhead, update.nextOffset);
+    const dueMs = this.#context.nowMs() + GAP_READ_DELAY_MS;
+    this.#nextReadMs = Math.min(this.#nextReadMs, Math.max(dueMs, this.#backoffUntilMs));
+    this.#logRefusal(update, from);
+  }
+
   #logRefusal({ fromOffset, nextOffset }: ListUpdate, from: string): void {
     const { nowMs, logger, registry } = this.#context;
     this.#refusalCount += 1;
@@ -175,6 +192,7 @@
         });
       }
       this.#failureCount = 0;
+      this.#offsetAhead = -Infinity;
       const { offset } = registry;
       // While the read was under way, another instance may have told of something newer.
       const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
@@ -190,7 +208,8 @@
           ageMs: Math.round(this.ageMs(nowMs())),
         });
       }
-      this.#nextReadMs = nowMs() + Math.min(BACKOFF_MAX_MS, 100 * 2 ** this.#failureCount);
+      this.#backoffUntilMs = nowMs() + Math.min(BACKOFF_MAX_MS, 100 * 2 ** this.#failureCount);
+      this.#nextReadMs = this.#backoffUntilMs;
     } finally {
       this.#isReading = false;
     }
--- a/packages/gateway/src/test/endpoint-feed_test.ts
+++ b/packages/gateway/src/test/endpoint-feed_test.ts
@@ -216,6 +216,56 @@
   });
 });
 
+// An old update that arrived late was taken for a sign that the list had not changed, though another update had already shown
+// that it had gone on.
+describe('EndpointFeed: an instance that is told of changes but cannot take them', () => {
+  const change = (fromOffset: number, nextOffset: number): ListUpdate => ({
+    isWhole: false,
+    changes: [],
+    fromOffset,
+    nextOffset,
+    ageMs: 0,
+  });
+
+  it('reads the list soon, whatever else it is told', async () => {
+    const clock = { nowMs: 0 };
+    let readCount = 0;
+    const feed = new EndpointFeed({
+      store: {
+        readEndpoints: () => {
+          readCount += 1;
+          return Promise.resolve({ isWhole: true, changes: [], nextOffset: 5 });
+        },
+      } as unknown as StateStore,
+      registry: new EndpointRegistry(SUSPICION_MS),
+      logger: PartLogger.forInstance('self', 'fatal')('list'),
+      nowMs: () => clock.nowMs,
+      readPeriodMs: 690,
+      rank: () => Infinity,
+      relay: () => undefined,
+      onUpdate: () => undefined,
+      onReplaced: () => undefined,
+      onTransitions: () => undefined,
+    });
+    const tickAt = async (nowMs: number): Promise<void> => {
+      clock.nowMs = nowMs;
+      feed.tick();
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    };
+    await tickAt(0);
+    await tickAt(400);
+    feed.applyUpdate(change(7, 9), 'reader');
+    feed.applyUpdate(change(5, 5), 'late reader');
+    feed.applyUpdate(change(5, 6), 'late reader');
+    await tickAt(500);
+    expect(readCount).to.equal(1);
+    await tickAt(650);
+    expect(readCount).to.equal(2);
+  });
+});
+
 describe('The times of the list of endpoints', () => {
   // An entry that was removed just after a network partition stayed suspected for longer than the bound allows.
   [1_000, 2_000, 5_000].forEach((leaveBoundMs) => {
