--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -21,7 +21,7 @@
 const READ_PAUSE_SHARE = 0.5;
 /** Time from an update that does not fit to an own read, unless one that fits arrives first, in milliseconds. */
 const GAP_READ_DELAY_MS = 200;
-/** Shortest time between two log lines on pages that were refused, in milliseconds. */
+/** Shortest time between two log lines on updates that were refused, in milliseconds. */
 const REFUSAL_LOG_MS = 1_000;
 
 /** Dependencies of the feed. */
@@ -64,7 +64,7 @@
   /** Until when the store is not called after failed reads, in milliseconds. */
   #backoffUntilMs = -Infinity;
   #refusalLoggedMs = -Infinity;
-  /** Pages refused since the last log line on one. */
+  /** Updates refused since the last log line on one. */
   #refusalCount = 0;
 
   /** @param context - dependencies of the feed */
