--- a/packages/gateway/src/test/fleet/fleet-conditions.ts
+++ b/packages/gateway/src/test/fleet/fleet-conditions.ts
@@ -20,7 +20,7 @@
    * @param nowMs - when it is sent
    * @returns how long the update and its answer are on their way each; `undefined` when they are lost
    */
-  readonly page: (from: string, to: string, nowMs: number) => number | undefined;
+  readonly update: (from: string, to: string, nowMs: number) => number | undefined;
   /** @returns whether the answer to an update that arrives is lost */
   readonly isAnswerLost?: (from: string, to: string, nowMs: number) => boolean;
   /** @returns time until a second copy of an update arrives after the first; `undefined` when there is none */
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -10,7 +10,7 @@
 import { SimulatedTime } from './simulated-time.js';
 
 const TICK_MS = 50;
-/** Time after which a page without an answer counts as lost, as between real instances, in milliseconds. */
+/** Time after which an update without an answer counts as lost, as between real instances, in milliseconds. */
 const CALL_TIMEOUT_MS = 700;
 /** Time after which a call of the store without an answer counts as lost, in milliseconds. */
 const SILENCE_TIMEOUT_MS = 1_000;
@@ -202,7 +202,7 @@
   ): Promise<unknown> {
     this.counts.updates += 1;
     this.counts.changes += update.changes.length;
-    const wayMs = this.#options.conditions.page(from, to, this.time.nowMs);
+    const wayMs = this.#options.conditions.update(from, to, this.time.nowMs);
     if (wayMs === undefined) {
       await this.time.wait(CALL_TIMEOUT_MS);
       throw new Error('no answer');
--- a/packages/gateway/src/test/fleet/troubled-conditions.ts
+++ b/packages/gateway/src/test/fleet/troubled-conditions.ts
@@ -79,7 +79,7 @@
     };
   };
 
-  page = (from: string, to: string, nowMs: number): number | undefined => {
+  update = (from: string, to: string, nowMs: number): number | undefined => {
     const isCut =
       this.#isUnder(FleetTrouble.cut, nowMs, from) !== this.#isUnder(FleetTrouble.cut, nowMs, to);
     return isCut || this.#hits(this.#shares.lost, nowMs) ? undefined : this.#wayMs(nowMs);
--- a/packages/gateway/src/test/list-fleet_fuzz_test.ts
+++ b/packages/gateway/src/test/list-fleet_fuzz_test.ts
@@ -17,7 +17,7 @@
   { size: LARGE, troubles: ALL_TROUBLES, seeds: [1, 2, 3, 4] },
 ];
 
-// Guards against instances that go on sending to an endpoint that has left since a page of the list was lost, late or
+// Guards against instances that go on sending to an endpoint that has left since an update of the list was lost, late or
 // overtaken, while nothing is wrong at those instances themselves.
 describe('The list of endpoints in a fleet in trouble', () => {
   CASES.forEach(({ size, troubles, seeds }) => {
--- a/packages/gateway/src/test/list-fleet_test.ts
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -6,7 +6,7 @@
 const LEAVE_BOUND_MS = 3_000;
 const SOUND: FleetConditions = {
   read: () => ({ callMs: 5, answerMs: 5 }),
-  page: () => 5,
+  update: () => 5,
 };
 
 describe('The list of endpoints, as instances tell it each other', () => {
@@ -48,7 +48,7 @@
           instance === 'owner-0' && nowMs > slowFromMs && nowMs < slowFromMs + 200
             ? { callMs: 250, answerMs: 5 }
             : SOUND.read(instance, nowMs),
-        page: (_, to, nowMs) =>
+        update: (_, to, nowMs) =>
           to === 'follower-0' && nowMs > slowFromMs + 300 && nowMs < slowFromMs + 400 ? 600 : 5,
       },
       2,
@@ -121,7 +121,7 @@
             isRefused: isFollower && nowMs < 10_600,
           };
         },
-        page: (_, __, nowMs) =>
+        update: (_, __, nowMs) =>
           (nowMs > 1_200 && nowMs < 1_800) || nowMs > 10_000 ? undefined : 5,
       },
       1,
@@ -166,7 +166,7 @@
       {
         read: (instance, nowMs) =>
           isSlow(instance, nowMs) ? { callMs: 600, answerMs: 600 } : SOUND.read(instance, nowMs),
-        page: (from, _, nowMs) => (isSlow(from, nowMs) ? 600 : 5),
+        update: (from, _, nowMs) => (isSlow(from, nowMs) ? 600 : 5),
       },
       1,
       3,
