Work out each update of the endpoint list once for all receivers at the same offset

Every receiver had its own pass over all entries, 420 of them at each read; the whole list was built after every update that a receiver could not take, needed or not. No change in what is sent: peer-sync_test.ts, list-fleet_test.ts and the fuzz pass unchanged.

--- a/packages/gateway/src/lib/peer/list-relay.ts
+++ b/packages/gateway/src/lib/peer/list-relay.ts
@@ -88,25 +88,28 @@
   }
 
   #tell(addresses: readonly PeerAddress[], previousOffset: number | undefined): void {
+    const { list } = this.#context;
     this.#forget();
+    // Most receivers have the list at the same offset, so each difference is worked out once.
+    const updates = new Map([[previousOffset, list.since(previousOffset)]]);
     addresses.forEach((address) => {
-      void this.#send(address, previousOffset);
+      const offset = this.#expectedOffset(address, previousOffset);
+      if (!updates.has(offset)) updates.set(offset, list.since(offset));
+      const update = updates.get(offset) ?? updates.get(previousOffset);
+      if (update) void this.#send(address, update);
     });
   }
 
-  async #send(address: PeerAddress, previousOffset: number | undefined): Promise<void> {
+  async #send(address: PeerAddress, update: ListUpdate): Promise<void> {
     const { list } = this.#context;
-    const expectedOffset = this.#expectedOffset(address, previousOffset);
-    const update = list.since(expectedOffset) ?? list.since(previousOffset);
-    if (!update) return;
     const answer = await this.#answerTo(address, update);
     if (!ListRelay.#isBehind(answer, update)) return;
     // The receiver has less than was expected.
     const missing = list.since(answer.offset);
     const laterAnswer = missing ? await this.#answerTo(address, missing) : answer;
+    if (!laterAnswer.needsWhole || !ListRelay.#isBehind(laterAnswer, update)) return;
     const whole = list.whole();
-    if (!whole || !laterAnswer.needsWhole || !ListRelay.#isBehind(laterAnswer, update)) return;
-    await this.#answerTo(address, whole);
+    if (whole) await this.#answerTo(address, whole);
   }
 
   static #isBehind({ offset }: ListAnswer, { nextOffset }: ListUpdate): boolean {
