Let the endpoint feed be the list that the exchange shares

The gateway and the simulated fleet each wrapped the same six members of the feed and the registry in functions. EndpointFeed has them itself now, and is passed as SharedList. No change in behaviour; the tests of list, feed and exchange and leaving-engine_test.ts pass.

--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -34,7 +34,7 @@
   readonly readPeriodMs: number;
   /** Rank of this instance among those that may read the list; 0 reads first, Infinity last. */
   readonly rank: () => number;
-  /** Tells the other instances what was read; `previousOffset` is the offset that was known here before. */
+  /** Sends the changes since `previousOffset` to the other instances; called after each read. */
   readonly relay: (previousOffset: number | undefined) => void;
   /** Called for each update from another instance. */
   readonly onUpdate: (outcome: UpdateOutcome) => void;
@@ -87,9 +87,22 @@
     return this.#failureCount > 0;
   }
 
-  /** @returns time since the read began that the list comes from, in milliseconds; Infinity before the first */
-  ageMs(nowMs: number): number {
-    return nowMs - this.#readMs;
+  /** Time since the start of the read that the list comes from, in milliseconds; Infinity before the first. */
+  get ageMs(): number {
+    return this.#context.nowMs() - this.#readMs;
+  }
+
+  /** The whole list, for another instance; `undefined` before the first read. */
+  get whole(): ListUpdate | undefined {
+    return this.#context.registry.whole;
+  }
+
+  /**
+   * @param offset - log offset of the list of another instance
+   * @returns the changes since then; `undefined` when they are not known here
+   */
+  since(offset: number | undefined): ListUpdate | undefined {
+    return this.#context.registry.since(offset);
   }
 
   /** Marks suspected endpoints that are due as left, and reads the list when a read is due. */
@@ -102,9 +115,9 @@
   }
 
   /**
-   * Applies what another instance tells of the list.
+   * Applies the changes of the list that another instance sent.
    *
-   * @param update - what has changed, and since when
+   * @param update - the changes
    * @param from - name of the instance that sent it
    */
   applyUpdate(update: ListUpdate, from: string): void {
@@ -112,7 +125,7 @@
     this.#context.onUpdate(outcome);
     if (outcome === UpdateOutcome.gap) this.#noteGap(update, from);
     if (outcome === UpdateOutcome.gap || outcome === UpdateOutcome.old) return;
-    // One that took long on its way does not show that the list is still current.
+    // An update that was delayed does not show that the list is still current.
     const isOutdated = update.nextOffset < this.#offsetAhead;
     if (outcome === UpdateOutcome.current && isOutdated) return;
     const { nowMs } = this.#context;
@@ -147,7 +160,7 @@
     this.#storeUnstableUntilMs = this.#outageMs + STORE_UNSTABLE_MS;
   }
 
-  // The sender may tell what is missing as soon as it has the answer; otherwise it has to be read.
+  // The sender may send the missing changes once it has the answer; otherwise they have to be read.
   #noteGap(update: ListUpdate, from: string): void {
     this.#offsetAhead = Math.max(this.#offsetAhead, update.nextOffset);
     const dueMs = this.#context.nowMs() + GAP_READ_DELAY_MS;
@@ -168,7 +181,7 @@
         fromOffset,
         nextOffset,
         offset: registry.offset,
-        ageMs: Math.round(this.ageMs(nowMs())),
+        ageMs: Math.round(this.ageMs),
         count: this.#refusalCount,
       },
     );
@@ -188,13 +201,13 @@
         if (isOlder) this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
         logger.info('list_regained', 'the list of endpoints can be read again', {
           failures: this.#failureCount,
-          ageMs: Math.round(this.ageMs(nowMs())),
+          ageMs: Math.round(this.ageMs),
         });
       }
       this.#failureCount = 0;
       this.#offsetAhead = -Infinity;
       const { offset } = registry;
-      // While the read was under way, another instance may have told of something newer.
+      // Another instance may have sent newer changes during the read.
       const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
       if (!isOvertaken) this.#apply(page, startMs, 'store');
       relay(offset);
@@ -205,7 +218,7 @@
       if (this.#failureCount === 1) {
         logger.warn('list_lost', 'the list of endpoints cannot be read', {
           error: (error as Error).message,
-          ageMs: Math.round(this.ageMs(nowMs())),
+          ageMs: Math.round(this.ageMs),
         });
       }
       this.#backoffUntilMs = nowMs() + Math.min(BACKOFF_MAX_MS, 100 * 2 ** this.#failureCount);
@@ -224,7 +237,7 @@
 
   #apply(page: ListUpdate, readMs: number, source: string, from?: string): void {
     const { registry, nowMs, onTransitions, onReplaced } = this.#context;
-    if (this.isLoaded) onReplaced(this.ageMs(nowMs()));
+    if (this.isLoaded) onReplaced(this.ageMs);
     this.#readMs = Math.max(this.#readMs, readMs);
     const transitions = registry.apply(page, nowMs(), nowMs() < this.#storeUnstableUntilMs);
     this.#logTransitions(transitions, source, from);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -181,14 +181,7 @@
       loadAdapter: (request) => this.#fleet.loadAdapter(request),
       config: () => this.#config.encoded(),
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
-      list: {
-        offset: () => this.#registry.offset,
-        ageMs: () => this.#endpointFeed.ageMs(Gateway.nowMs()),
-        since: (offset) => this.#registry.since(offset),
-        whole: () => this.#registry.whole,
-        isReadFailing: () => this.#endpointFeed.isReadFailing,
-        apply: (update, from) => this.#endpointFeed.applyUpdate(update, from),
-      },
+      list: this.#endpointFeed,
       onState: (state) => this.#onPeerState(state),
       onNoOwner: () => this.#member.scheduleMembersRead(),
     });
@@ -481,7 +474,7 @@
       picker: this.#picker,
       listState: () => ({
         listOffset: this.#endpointFeed.offset,
-        listAgeMs: Math.round(this.#endpointFeed.ageMs(Gateway.nowMs())),
+        listAgeMs: Math.round(this.#endpointFeed.ageMs),
       }),
       crashGuard: this.#crashGuard,
       codec,
@@ -659,7 +652,6 @@
   }
 
   async #writeMetrics(): Promise<string> {
-    const nowMs = Gateway.nowMs();
     this.#metrics.waiting.set(this.#services.waitingCount);
     this.#metrics.waitingBodies.set(this.#ingress.waitingBodyCount);
     this.#memory.bytesByKind.forEach((bytes, kind) => this.#metrics.heldBytes.set({ kind }, bytes));
@@ -668,7 +660,7 @@
     this.#metrics.configVersionReported.set(this.#config.reportedVersion);
     this.#metrics.suspectParts.set(this.#crashGuard.suspectCount);
     this.#metrics.withheldParts.set(this.#crashGuard.withheldCount);
-    this.#metrics.listAgeMs.set(this.#endpointFeed.ageMs(nowMs));
+    this.#metrics.listAgeMs.set(this.#endpointFeed.ageMs);
     this.#metrics.ownedEngines.set(Object.keys(this.#fleet.ownStates()).length);
     return this.#metrics.text();
   }
--- a/packages/gateway/src/lib/peer/list-relay.ts
+++ b/packages/gateway/src/lib/peer/list-relay.ts
@@ -79,12 +79,12 @@
    */
   receive(update: ListUpdate, from: string): ListAnswer {
     const { isOwner, followers, list } = this.#context;
-    const previousOffset = list.offset();
-    list.apply(update, from);
-    const offset = list.offset();
+    const previousOffset = list.offset;
+    list.applyUpdate(update, from);
+    const { offset } = list;
     if (isOwner() && offset === update.nextOffset) this.#tell(followers(), previousOffset);
     const isBehind = ListRelay.#isBehind({ offset }, update);
-    return { offset, needsWhole: isBehind && list.isReadFailing() };
+    return { offset, needsWhole: isBehind && list.isReadFailing };
   }
 
   #tell(addresses: readonly PeerAddress[], previousOffset: number | undefined): void {
@@ -108,7 +108,7 @@
     const missing = list.since(answer.offset);
     const laterAnswer = missing ? await this.#answerTo(address, missing) : answer;
     if (!laterAnswer.needsWhole || !ListRelay.#isBehind(laterAnswer, update)) return;
-    const whole = list.whole();
+    const { whole } = list;
     if (whole) await this.#answerTo(address, whole);
   }
 
@@ -138,7 +138,7 @@
     try {
       const answer = (await send(address, {
         ...update,
-        ageMs: list.ageMs() + wayMs,
+        ageMs: list.ageMs + wayMs,
       })) as ListAnswer;
       const roundTripMs = nowMs() - sentMs;
       const { offset } = answer;
--- a/packages/gateway/src/lib/peer/shared-list.ts
+++ b/packages/gateway/src/lib/peer/shared-list.ts
@@ -1,23 +1,25 @@
 import type { ListUpdate } from '../feed/list-update.js';
 
-/** The list of endpoints as instances tell it each other. */
+/** This instance's list of endpoints, as the exchange with other instances uses it. */
 export interface SharedList {
-  /** Log offset of the list that this instance has; `undefined` before the first read. */
-  readonly offset: () => number | undefined;
-  /** Time since the read began that the list comes from, in milliseconds. */
-  readonly ageMs: () => number;
+  /** Log offset of the list; `undefined` before the first read. */
+  readonly offset: number | undefined;
+  /** Time since the start of the read that the list comes from, in milliseconds. */
+  readonly ageMs: number;
+  /** Whether the last read of the store failed. */
+  readonly isReadFailing: boolean;
+  /** The whole list; `undefined` before the first read. */
+  readonly whole: ListUpdate | undefined;
   /**
-   * @param offset - offset of the list that another instance has
-   * @returns what to tell it; `undefined` when that is not known here
+   * @param offset - log offset of the list of another instance
+   * @returns the changes since then; `undefined` when they are not known here
    */
-  readonly since: (offset: number | undefined) => ListUpdate | undefined;
-  /** The whole list; `undefined` before the first read. */
-  readonly whole: () => ListUpdate | undefined;
-  /** Whether this instance cannot read the list from the store now. */
-  readonly isReadFailing: () => boolean;
+  since(offset: number | undefined): ListUpdate | undefined;
   /**
-   * @param update - what another instance tells
+   * Applies the changes that another instance sent.
+   *
+   * @param update - the changes
    * @param from - name of that instance
    */
-  readonly apply: (update: ListUpdate, from: string) => void;
+  applyUpdate(update: ListUpdate, from: string): void;
 }
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -89,21 +89,6 @@
     const rank = this.#ownerNames.indexOf(name);
     const isOwner = rank >= 0;
     const registry = new EndpointRegistry(suspicionMs);
-    const relay = new ListRelay({
-      isOwner: () => isOwner,
-      owners: () => this.#ownerNames.filter((owner) => owner !== name).map(SimulatedFleet.#address),
-      followers: () => (isOwner ? this.#followersOf(rank) : []).map(SimulatedFleet.#address),
-      send: ({ host }, update) => this.#send(name, host, update),
-      nowMs: () => this.time.nowMs,
-      list: {
-        offset: () => registry.offset,
-        ageMs: () => this.#get(name).feed.ageMs(this.time.nowMs),
-        since: (offset) => registry.since(offset),
-        whole: () => registry.whole,
-        isReadFailing: () => this.#get(name).feed.isReadFailing,
-        apply: (update, sender) => this.#get(name).feed.applyUpdate(update, sender),
-      },
-    });
     const feed = new EndpointFeed({
       store: { readEndpoints: (from) => this.#read(name, from) } as Pick<
         StateStore,
@@ -114,11 +99,19 @@
       nowMs: () => this.time.nowMs,
       readPeriodMs,
       rank: () => (isOwner ? rank : Infinity),
-      relay: (previousOffset) => relay.relay(previousOffset),
+      relay: (previousOffset) => this.#get(name).relay.relay(previousOffset),
       onUpdate: () => undefined,
       onReplaced: () => undefined,
       onTransitions: () => undefined,
     });
+    const relay = new ListRelay({
+      isOwner: () => isOwner,
+      owners: () => this.#ownerNames.filter((owner) => owner !== name).map(SimulatedFleet.#address),
+      followers: () => (isOwner ? this.#followersOf(rank) : []).map(SimulatedFleet.#address),
+      send: ({ host }, update) => this.#send(name, host, update),
+      nowMs: () => this.time.nowMs,
+      list: feed,
+    });
     this.#instances.get(name)?.registry.close();
     this.#instances.set(name, { name, registry, feed, relay });
   }
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -16,7 +16,10 @@
 class Instance {
   readonly table = new PeerTable();
   readonly updates: ListUpdate[] = [];
-  listOffset = 1;
+  offset = 1;
+  readonly ageMs = 0;
+  readonly isReadFailing = false;
+  readonly whole = undefined;
   readonly sync: PeerSync;
   readonly port: number;
   shares: number[];
@@ -46,20 +49,7 @@
       loadAdapter: () => Promise.resolve(false),
       beginMove: () => false,
       config: () => Promise.reject(new Error('no configuration is in force')),
-      list: {
-        offset: () => this.listOffset,
-        ageMs: () => 0,
-        whole: () => undefined,
-        isReadFailing: () => false,
-        since: (fromOffset) =>
-          fromOffset === undefined
-            ? undefined
-            : { isWhole: false, changes: [], fromOffset, nextOffset: this.listOffset },
-        apply: (update) => {
-          this.updates.push(update);
-          this.listOffset = update.nextOffset;
-        },
-      },
+      list: this,
       onState: () => {
         this.stateCount += 1;
       },
@@ -73,6 +63,16 @@
     }, TICK_MS);
   }
 
+  since(fromOffset: number | undefined): ListUpdate | undefined {
+    if (fromOffset === undefined) return undefined;
+    return { isWhole: false, changes: [], fromOffset, nextOffset: this.offset };
+  }
+
+  applyUpdate(update: ListUpdate): void {
+    this.updates.push(update);
+    this.offset = update.nextOffset;
+  }
+
   async listen(): Promise<void> {
     await this.sync.listen({ host: HOST, port: this.port });
   }
@@ -168,10 +168,10 @@
 
   it('tells every other instance of changes of the endpoints list, and since when', async () => {
     await sleep(ROUNDS_MS);
-    instances[1].listOffset = 7;
+    instances[1].offset = 7;
     instances[1].sync.relay(1);
     await sleep(200);
-    instances[1].listOffset = 9;
+    instances[1].offset = 9;
     instances[1].sync.relay(1);
     await sleep(200);
     const others = instances.filter((_, index) => index !== 1);
