--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -85,7 +85,7 @@
       const missing = this.#missingFrom(page);
       transitions.push(...missing.flatMap((id) => this.#remove(id, nowMs, isStoreUnstable)));
     }
-    // An entry of another run than the one that counts here is news until it counts, or is replaced.
+    // A late entry of an earlier run has to be sent again until it is accepted or replaced.
     this.#history.apply(page, nowMs, ({ id, bornMs }) => {
       const known = this.#endpoints.get(id);
       return known !== undefined && known.record.bornMs !== bornMs;
@@ -95,7 +95,7 @@
   }
 
   /**
-   * @param update - what another instance tells of the list
+   * @param update - changes that another instance sent
    * @returns whether it can be applied here
    */
   outcomeOf(update: ListUpdate): UpdateOutcome {
@@ -103,14 +103,14 @@
   }
 
   /**
-   * @param offset - offset of the list that another instance has
-   * @returns what to tell it; `undefined` when there is nothing to tell, or it is not known here
+   * @param offset - log offset of the list of another instance
+   * @returns the changes since then; `undefined` when they are not known here
    */
   since(offset: number | undefined): ListUpdate | undefined {
     return this.#history.since(offset);
   }
 
-  /** The whole list, for another instance that can neither be told what has changed nor read the store. */
+  /** The whole list, for another instance; `undefined` before the first read. */
   get whole(): ListUpdate | undefined {
     return this.#history.whole;
   }
--- a/packages/gateway/src/lib/feed/list-history.ts
+++ b/packages/gateway/src/lib/feed/list-history.ts
@@ -35,8 +35,8 @@
   }
 
   /**
-   * @param update - what another instance tells
-   * @returns whether it can be applied here
+   * @param update - changes that another instance sent
+   * @returns whether they can be applied here
    */
   outcomeOf(update: ListUpdate): UpdateOutcome {
     if (update.nextOffset === this.#offset) return UpdateOutcome.current;
@@ -51,7 +51,7 @@
   /**
    * @param page - a read of the list, or an update from another instance that can be applied
    * @param nowMs - monotonic clock, in milliseconds
-   * @param isUnsettled - whether an entry is not what counts here, so that it is news to others each time it is written
+   * @param isUnsettled - whether an entry has to be sent to others although it is unchanged
    */
   apply(
     page: ListUpdate,
@@ -61,7 +61,7 @@
     const { nextOffset } = page;
     const removed = page.isWhole ? this.#missingFrom(page.changes) : [];
     [...page.changes, ...removed].forEach((change) => {
-      // Whatever another instance tells has changed, and may have changed back to what is known here.
+      // An entry that another instance sent has changed, even if it equals the one known here: it may have changed back.
       if (page.fromOffset === undefined && !this.#isChange(change, isUnsettled)) return;
       const { id, record } = change;
       const previous = this.#entries.get(id)?.record;
@@ -80,9 +80,8 @@
   }
 
   /**
-   * @param fromOffset - offset of the list that another instance has
-   * @returns what has changed since then; `undefined` when that is not known here, since it is too long ago or the
-   *   other instance is ahead of this one
+   * @param fromOffset - log offset of the list of another instance
+   * @returns the changes since then; `undefined` when they are not known here, as they are too old or newer than this list
    */
   since(fromOffset: number | undefined): ListUpdate | undefined {
     if (fromOffset === undefined || this.#offset === undefined) return undefined;
@@ -92,7 +91,7 @@
     return { ...this.#update(this.#netFrom), isNet: true };
   }
 
-  /** The whole list, for an instance that can neither be told what has changed nor read the store. */
+  /** The whole list, for another instance; `undefined` before the first read. */
   get whole(): ListUpdate | undefined {
     if (this.#offset === undefined) return undefined;
     const changes = [...this.#entries].flatMap(([id, { record }]) =>
@@ -102,7 +101,7 @@
   }
 
   /**
-   * Forgets removals that no other instance needs to be told any more.
+   * Removes the entries of endpoints that were removed long ago.
    *
    * @param nowMs - monotonic clock, in milliseconds
    */
--- a/packages/gateway/src/lib/feed/update-outcome.ts
+++ b/packages/gateway/src/lib/feed/update-outcome.ts
@@ -1,7 +1,7 @@
 /** What an instance did with an update of the list of endpoints that another instance sent. */
 export const UpdateOutcome = {
   applied: 'applied',
-  /** The update tells that what is known here was still current when its sender read the list. */
+  /** The update has no changes: the list known here was current when its sender read it. */
   current: 'current',
   /** The update is older than what is known here. */
   old: 'old',
--- a/packages/gateway/src/lib/peer/list-relay.ts
+++ b/packages/gateway/src/lib/peer/list-relay.ts
@@ -3,12 +3,11 @@
 import { peerKey } from './peer-key.js';
 import type { SharedList } from './shared-list.js';
 
-/** Time after which it is forgotten what an instance has that nothing was sent to, in milliseconds. */
+/** Time after which an instance that nothing was sent to is removed, in milliseconds. */
 const RETENTION_MS = 60_000;
 
 /**
- * Time for which an instance that has not answered is told again what the unanswered updates said, in milliseconds. One
- * that answers later reports what it has.
+ * Time for which updates repeat the changes of earlier ones that were not answered, in milliseconds.
  */
 const REPEAT_MS = 5_000;
 
@@ -46,8 +45,8 @@
 }
 
 /**
- * Tells other instances of changes of the list of endpoints: an owner of shares tells the other owners what it read, and
- * every owner tells its followers what it read or was told. An update holds from the offset that it names on, and the
+ * Sends changes of the list of endpoints to other instances: an owner of shares sends what it read to the other owners, and
+ * every owner sends what it read or received to its followers. An update holds from the offset that it names on, and the
  * receiver answers which offset it has: what did not reach it is part of the next update, and what it lacks is sent at once.
  */
 export class ListRelay {
@@ -60,7 +59,7 @@
   }
 
   /**
-   * Tells the others what this instance read.
+   * Sends what this instance read.
    *
    * @param previousOffset - offset of the list that this instance had before
    */
@@ -71,9 +70,9 @@
   }
 
   /**
-   * Receives what another instance tells, and tells the followers of this one.
+   * Applies the changes that another instance sent, and sends them to the followers of this one.
    *
-   * @param update - what has changed, and since when
+   * @param update - the changes
    * @param from - name of the instance that sent it
    * @returns the answer to that instance
    */
@@ -116,8 +115,8 @@
     return offset === undefined || offset < nextOffset;
   }
 
-  // An instance that others tell too is most likely as far as this one was; one that left an update unanswered may have
-  // missed it.
+  // Other owners send changes too, so most receivers have the offset that this instance had; one that has not answered an
+  // update may have missed it.
   #expectedOffset(address: PeerAddress, previousOffset: number | undefined): number | undefined {
     const { offset, unansweredMs } = this.#receivers.get(peerKey(address)) ?? {};
     if (offset === undefined || previousOffset === undefined) return previousOffset;
@@ -145,7 +144,7 @@
       this.#receivers.set(key, { offset, sentMs, roundTripsMs: [roundTripMs, roundTripsMs[0]] });
       return answer;
     } catch {
-      // The next update tells the same and what follows it. Without any, the receiver reads the list from the store.
+      // The next update repeats the changes. Without any, the receiver reads the list from the store.
       return {};
     }
   }
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -242,7 +242,7 @@
   }
 
   /**
-   * Tells the other instances what this one read of the list of endpoints, if it owns shares.
+   * Sends what this instance read of the list of endpoints to the others, if it owns shares.
    *
    * @param previousOffset - log offset of the list that this instance had before
    */
