Workspaces and API keys: a key is digested at the edge, the workspace's name goes to the endpoint

A configuration with workspaces now asks for a key on all but public routes; unknown keys get 401, and a workspace's priority takes precedence over its route's.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -82,5 +82,6 @@
 export { WaitQueue } from './lib/serving/wait-queue.js';
 export type { Waiter } from './lib/serving/wait-queue.js';
 export { prefillLimitMs } from './lib/serving/prefill-limit-ms.js';
+export { WorkspaceIndex } from './lib/serving/workspace-index.js';
 export { waitLimitMs } from './lib/serving/wait-limit-ms.js';
 export { RecentLoads } from './lib/serving/recent-loads.js';
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -188,6 +188,10 @@
     this.#failForShutdown('the instance stops');
   }
 
+  get #priority(): number {
+    return this.#target.access?.workspace?.priority ?? this.#route.priority;
+  }
+
   get #isSafeToRetry(): boolean {
     return this.#route.isIdempotent && (!this.#relay.isOpen || this.#route.isResumable);
   }
@@ -309,7 +313,7 @@
   #enqueue(): void {
     const { queue, nowMs } = this.#context;
     const waiter: Waiter = {
-      priority: this.#route.priority,
+      priority: this.#priority,
       model: this.#waitReason === PickReason.model ? this.#head.model : undefined,
       untilMs: nowMs() + this.#waitMaxMs(this.#waitReason),
       tryDispatch: () => {
@@ -428,7 +432,8 @@
       callerHeaders: this.#exchange.rawHeaders,
       endpointId: endpoint.id,
       remainingMs: givenMs,
-      urgency: this.#service.engine && this.#route.priority,
+      urgency: this.#service.engine && this.#priority,
+      access: this.#target.access && { workspace: this.#target.access.workspace?.name },
       lastEvent: lastRelayed === undefined ? this.#head.lastEvent : `${lastRelayed}`,
     });
     const exchange = new EndpointAttempt(
@@ -902,6 +907,7 @@
       { requestId: this.#head.requestId, route: this.#route.name, outcome, status, reason },
       {
         configVersion: this.#target.configVersion,
+        workspace: this.#target.access?.workspace?.name,
         offers: this.#sendCount,
         model: this.#head.model,
         adapter: this.#head.adapter,
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { ConfigSources, RouteIndex } from '@chervilseam/decisions';
+import { ConfigSources, RouteIndex, WorkspaceIndex } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
@@ -84,6 +84,7 @@
   /** The configuration in force as other instances receive it; created when one asks for it. */
   #encoded: Promise<Buffer> | undefined;
   #routes: RouteIndex | undefined;
+  #workspaces: WorkspaceIndex | undefined;
   /** Log offset where the next read begins; `undefined` before the first read. */
   #offset: number | undefined;
   #failureCount = 0;
@@ -120,6 +121,11 @@
     return this.#routes;
   }
 
+  /** Workspaces of the configuration in force by their API keys; `undefined` when callers need no keys. */
+  get workspaces(): WorkspaceIndex | undefined {
+    return this.#workspaces;
+  }
+
   /** Version in force, or 0 when none is known. */
   get version(): number {
     return this.#config?.version ?? 0;
@@ -271,6 +277,7 @@
     const previous = this.version;
     const behindMs = Math.round(this.#behindMs);
     this.#routes = new RouteIndex(config);
+    this.#workspaces = config.workspaces && new WorkspaceIndex(config.workspaces.values());
     this.#config = config;
     this.#encoded = undefined;
     this.#behindSinceMs = this.reportedVersion > config.version ? nowMs : undefined;
--- a/packages/gateway/src/lib/feed/packed-config.ts
+++ b/packages/gateway/src/lib/feed/packed-config.ts
@@ -1,5 +1,11 @@
 import { compressedCbor } from '@chervilseam/peer';
-import type { EngineSpec, ModelSpec, ServiceSpec, ServingConfig } from '@chervilseam/model';
+import type {
+  EngineSpec,
+  ModelSpec,
+  ServiceSpec,
+  ServingConfig,
+  WorkspaceSpec,
+} from '@chervilseam/model';
 
 interface PackedEngine extends Omit<EngineSpec, 'models'> {
   readonly models: readonly ModelSpec[];
@@ -10,8 +16,9 @@
 }
 
 /** A configuration with arrays in place of maps. */
-interface PackedConfig extends Omit<ServingConfig, 'services'> {
+interface PackedConfig extends Omit<ServingConfig, 'services' | 'workspaces'> {
   readonly services: readonly PackedService[];
+  readonly workspaces?: readonly WorkspaceSpec[];
 }
 
 const byName = <T extends { readonly name: string }>(items: readonly T[]): Map<string, T> =>
@@ -28,7 +35,12 @@
       ...service,
       ...(engine && { engine: { ...engine, models: [...engine.models.values()] } }),
     }));
-    const packed: PackedConfig = { ...config, services };
+    const { workspaces, ...others } = config;
+    const packed: PackedConfig = {
+      ...others,
+      services,
+      ...(workspaces && { workspaces: [...workspaces.values()] }),
+    };
     return compressedCbor.encode(packed);
   },
 
@@ -50,6 +62,11 @@
       ...service,
       ...(engine && { engine: { ...engine, models: byName(engine.models) } }),
     }));
-    return { ...packed, services: byName(services) };
+    const { workspaces, ...others } = packed;
+    return {
+      ...others,
+      services: byName(services),
+      ...(workspaces && { workspaces: byName(workspaces) }),
+    };
   },
 };
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -433,7 +433,7 @@
   }
 
   #onRequest(exchange: CallerExchange, head: CallerHead, body: Buffer): void {
-    const { config, routes } = this.#config;
+    const { config, routes, workspaces } = this.#config;
     const refuse = (status: number, reason: string, retryAfterMs?: number): void => {
       this.#runContext.onFinished(
         { requestId: head.requestId, route: '', outcome: 'refused', status, reason },
@@ -454,12 +454,17 @@
       refuse(404, 'no route');
       return;
     }
+    const access = workspaces?.accessOf(route, head.keyDigest);
+    if (access?.kind === 'denied') {
+      refuse(401, 'unknown API key');
+      return;
+    }
     const service = config.services.get(chooseTarget(route, this.#random.unit()) ?? '');
     if (!service) {
       refuse(503, 'no service', NOT_READY_RETRY_MS);
       return;
     }
-    const target = { route, service, configVersion: config.version };
+    const target = { route, service, access, configVersion: config.version };
     new RequestRun(this.#runContext, exchange, target, head, body).start();
   }
 
--- a/packages/gateway/src/lib/ports/caller-head.ts
+++ b/packages/gateway/src/lib/ports/caller-head.ts
@@ -4,8 +4,12 @@
   readonly requestId: string;
   /** Time that the caller waits for the answer, in milliseconds; absent if it states none. */
   readonly waitMs?: number;
+  /** SHA-256 digest of the caller's API key, in hexadecimal; absent without a key. */
+  readonly keyDigest?: string;
   readonly model?: string;
   readonly adapter?: string;
+  /** Whether the headers state the numbers of tokens. */
+  readonly statesTokenCounts?: boolean;
   /** Number of tokens of the prompt; 0 without a prompt. */
   readonly promptTokenCount: number;
   /** Largest number of output tokens. */
--- a/packages/gateway/src/lib/ports/dispatch-head.ts
+++ b/packages/gateway/src/lib/ports/dispatch-head.ts
@@ -8,6 +8,11 @@
   readonly remainingMs: number;
   /** Priority in the engine's queue, 0 is served first; absent for plain services. */
   readonly urgency?: number;
+  /**
+   * Present when callers identify themselves with API keys: their key is not sent on. `workspace` is the one that
+   * holds the key; absent for a request without a key on a public route.
+   */
+  readonly access?: { readonly workspace?: string };
   /** Number of the last event that the caller has, when a stream is resumed. */
   readonly lastEvent?: string;
 }
--- a/packages/model/src/lib/serving/route-spec.ts
+++ b/packages/model/src/lib/serving/route-spec.ts
@@ -5,6 +5,8 @@
   readonly host: string;
   /** Prefix of the path; starts and ends with a slash. */
   readonly pathPrefix: string;
+  /** Whether callers need no API key on it, although the configuration has workspaces. */
+  readonly isPublic?: boolean;
   /** Whether a request may run more than once. */
   readonly isIdempotent: boolean;
   /** Whether answers are event streams. */
--- a/packages/model/src/lib/serving/serving-config.ts
+++ b/packages/model/src/lib/serving/serving-config.ts
@@ -1,6 +1,7 @@
 import type { CallerLimits } from './caller-limits.js';
 import type { RouteSpec } from './route-spec.js';
 import type { ServiceSpec } from './service-spec.js';
+import type { WorkspaceSpec } from './workspace-spec.js';
 
 /** A complete version of the serving configuration. */
 export interface ServingConfig {
@@ -9,4 +10,6 @@
   readonly routes: readonly RouteSpec[];
   readonly services: ReadonlyMap<string, ServiceSpec>;
   readonly limits: CallerLimits;
+  /** Workspaces by name; absent when callers need no API keys. */
+  readonly workspaces?: ReadonlyMap<string, WorkspaceSpec>;
 }
