--- a/packages/cli/src/lib/commands/file-command.ts
+++ b/packages/cli/src/lib/commands/file-command.ts
@@ -1,5 +1,5 @@
 import { readFile } from 'node:fs/promises';
-import { formatFinding, parseConfig } from '@chervilseam/model';
+import { formatFinding, parseConfig, sharedKeyFindings } from '@chervilseam/model';
 import { Option } from 'clipanion';
 import { BaseCommand } from './base-command.js';
 
@@ -15,7 +15,7 @@
   protected async readFiles(): Promise<ReturnType<typeof parseConfig>['objects'] | undefined> {
     const reading = this.files.map(async (file) => parseConfig(file, await readFile(file, 'utf8')));
     const parsed = await Promise.all(reading);
-    const findings = parsed.flatMap((file) => file.findings);
+    const findings = [...parsed.flatMap((file) => file.findings), ...sharedKeyFindings(parsed)];
     findings.forEach((finding) => this.context.stderr.write(`${formatFinding(finding)}\n`));
     return findings.length > 0 ? undefined : parsed.flatMap((file) => file.objects);
   }
--- a/packages/daemon/src/lib/http/authenticate.ts
+++ b/packages/daemon/src/lib/http/authenticate.ts
@@ -1,6 +1,5 @@
-import { createHash, timingSafeEqual } from 'node:crypto';
 import type { ConfigView } from '@chervilseam/decisions';
-import { Outcome, RefusalError } from '@chervilseam/model';
+import { keyDigestOf, Outcome, RefusalError } from '@chervilseam/model';
 
 const BEARER_PREFIX = 'Bearer ';
 
@@ -17,9 +16,8 @@
     const options = { code: 'unauthorized', outcome: Outcome.notRun } as const;
     throw new RefusalError(options, 'no bearer key');
   }
-  const key = authorization.slice(BEARER_PREFIX.length);
-  const digest = createHash('sha256').update(key).digest();
-  const caller = view.callersByKey.get(digest.toString('hex'));
-  if (caller && timingSafeEqual(Buffer.from(caller.keySha256, 'hex'), digest)) return caller.name;
+  const digest = keyDigestOf(authorization.slice(BEARER_PREFIX.length));
+  const caller = view.callersByKey.get(digest);
+  if (caller) return caller.name;
   throw new RefusalError({ code: 'unauthorized', outcome: Outcome.notRun }, 'the key is not known');
 }
--- a/packages/daemon/src/lib/http/operator-front.ts
+++ b/packages/daemon/src/lib/http/operator-front.ts
@@ -1,9 +1,9 @@
-import { createHash, timingSafeEqual } from 'node:crypto';
+import { timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import findMyWay from 'find-my-way';
-import { Outcome } from '@chervilseam/model';
+import { keyDigestOf, Outcome } from '@chervilseam/model';
 import { HttpReply } from './http-reply.js';
 import { readBody } from './read-body.js';
 
@@ -28,7 +28,7 @@
 }
 
 // Digests have equal lengths, which `timingSafeEqual` requires.
-const digestOf = (text: string): Buffer => createHash('sha256').update(text).digest();
+const digestOf = (text: string): Buffer => Buffer.from(keyDigestOf(text), 'hex');
 
 /** The HTTP server for operators and health checks, on a port of its own. */
 export class OperatorFront {
--- a/packages/decisions/src/test/serving/workspace-index_test.ts
+++ b/packages/decisions/src/test/serving/workspace-index_test.ts
@@ -13,6 +13,9 @@
 
   it('gives a key that two workspaces hold to the first of them', () => {
     expect(index.accessOf({}, 'd2')).to.deep.equal({ kind: 'granted', workspace: harvest });
+    expect(index.sharedKeys).to.deep.equal([
+      { digest: 'd2', workspace: 'harvest', other: 'cellar' },
+    ]);
   });
 
   it('denies access without a key or with an unknown one', () => {
--- a/packages/embedded/src/lib/deployment.ts
+++ b/packages/embedded/src/lib/deployment.ts
@@ -1,8 +1,7 @@
-import { createHash } from 'node:crypto';
 import { Writable } from 'node:stream';
 import { LogFollower, planChanges } from '@chervilseam/cli';
 import { Daemon, parseSettings } from '@chervilseam/daemon';
-import { formatFinding, parseConfig } from '@chervilseam/model';
+import { formatFinding, keyDigestOf, parseConfig } from '@chervilseam/model';
 import { HttpLog } from '@chervilseam/ports';
 import {
   EngineStandIn,
@@ -252,7 +251,7 @@
   }
 
   #configToml(): string {
-    const digest = createHash('sha256').update(CALLER_KEY).digest('hex');
+    const digest = keyDigestOf(CALLER_KEY);
     const engines = (this.#options.engines ?? []).map(({ name, domain, concurrencyMax, engine }) =>
       [
         '[[endpoint]]',
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ConfigSources, RouteIndex, WorkspaceIndex } from '@chervilseam/decisions';
+import { shownDigestOf } from '@chervilseam/model';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
@@ -37,6 +38,9 @@
 /** Upper bound of the backoff, in milliseconds. */
 const BACKOFF_MAX_MS = 800;
 
+/** Number of API keys of several workspaces that are logged; the others are counted. */
+const LOGGED_KEY_COUNT_MAX = 20;
+
 /** Where a configuration comes from. */
 type ConfigOrigin = 'store' | 'peer';
 
@@ -291,6 +295,20 @@
       readMs: Math.round(nowMs - startMs),
       behindMs,
     });
+    this.#logSharedKeys();
     this.#context.onChange(config);
   }
+
+  #logSharedKeys(): void {
+    const shared = this.#workspaces?.sharedKeys ?? [];
+    shared.slice(0, LOGGED_KEY_COUNT_MAX).forEach(({ digest, workspace, other }) =>
+      this.#context.logger.warn('api_key_shared', 'two workspaces hold the same API key', {
+        version: this.version,
+        keyDigest: shownDigestOf(digest),
+        workspace,
+        other,
+        count: shared.length,
+      }),
+    );
+  }
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -8,6 +8,7 @@
   Random,
   weightedRendezvous,
 } from '@chervilseam/decisions';
+import { shownDigestOf } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
@@ -434,10 +435,16 @@
 
   #onRequest(exchange: CallerExchange, head: CallerHead, body: Buffer): void {
     const { config, routes, workspaces } = this.#config;
-    const refuse = (status: number, reason: string, retryAfterMs?: number): void => {
+    const refuse = (
+      status: number,
+      reason: string,
+      retryAfterMs?: number,
+      inputs: Readonly<Record<string, unknown>> = {},
+    ): void => {
+      const { path, headers } = exchange;
       this.#runContext.onFinished(
         { requestId: head.requestId, route: '', outcome: 'refused', status, reason },
-        { host: exchange.headers.host, path: exchange.path, configVersion: this.#config.version },
+        { host: headers.host, path, configVersion: this.#config.version, ...inputs },
       );
       exchange.refuse(status, reason, retryAfterMs);
     };
@@ -456,7 +463,11 @@
     }
     const access = workspaces?.accessOf(route, head.keyDigest);
     if (access?.kind === 'denied') {
-      refuse(401, 'unknown API key');
+      this.#metrics.denials.inc();
+      const reason = head.keyDigest === undefined ? 'no API key' : 'unknown API key';
+      refuse(401, reason, undefined, {
+        ...(head.keyDigest !== undefined && { keyDigest: shownDigestOf(head.keyDigest) }),
+      });
       return;
     }
     const service = config.services.get(chooseTarget(route, this.#random.unit()) ?? '');
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -31,6 +31,11 @@
   );
   readonly signals = this.counter('signals_total', 'Signals that were received.', ['signal']);
   readonly orders = this.counter('orders_total', 'Orders to engines by outcome.', ['outcome']);
+  readonly denials = this.counter(
+    'denied_requests_total',
+    'Requests refused with 401, as they had no API key or one that no workspace holds.',
+    [],
+  );
   readonly waiting = this.gauge('waiting', 'Requests that wait for a place.', []);
   readonly waitingBodies = this.gauge(
     'bodies_waiting',
--- a/packages/model/src/lib/parse-config.ts
+++ b/packages/model/src/lib/parse-config.ts
@@ -9,12 +9,16 @@
   readonly kind: ConfigKind;
   readonly name: string;
   readonly body: Readonly<Record<string, unknown>>;
+  /** Position of the object among those of its kind in the file; 0 is the first. */
+  readonly index: number;
 }
 
 /** The parsed objects and the findings of one configuration file. */
 interface ParsedConfig {
   readonly objects: readonly ParsedObject[];
   readonly findings: readonly Finding[];
+  /** Adds the position in the file of a key, given its path, to a finding. */
+  readonly findingAt: TomlSource['findingAt'];
 }
 
 const isKind = (key: string): key is ConfigKind => Object.hasOwn(ConfigKind, key);
@@ -34,7 +38,7 @@
   const schema = configSchemas[kind];
   const name = String((entry as { name?: unknown } | null)?.name ?? `#${index + 1}`);
   const result = schema.safeParse(entry);
-  if (result.success) return { object: { kind, name, body: result.data }, findings: [] };
+  if (result.success) return { object: { kind, name, body: result.data, index }, findings: [] };
   const known = Object.keys(schema.shape);
   const findings = schemaFindings(`${kind}/${name}`, result.error.issues, [kind, index], known);
   return { findings: findings.map(({ path, finding }) => toml.findingAt(path, finding)) };
@@ -81,5 +85,5 @@
     });
   });
   findings.push(...duplicateFindings(toml, objects));
-  return { objects, findings };
+  return { objects, findings, findingAt: (path, rest) => toml.findingAt(path, rest) };
 }
--- a/packages/model/src/test/parse-config_test.ts
+++ b/packages/model/src/test/parse-config_test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { formatFinding, matchesSelector, parseConfig } from '../index.js';
+import { formatFinding, matchesSelector, parseConfig, sharedKeyFindings } from '../index.js';
 
 describe('parseConfig', () => {
   it('reports all findings with their positions and suggests the closest key', () => {
@@ -55,6 +55,24 @@
   });
 });
 
+// Of two callers with one key, whose limits and priority applied was a matter of their order.
+describe('sharedKeyFindings', () => {
+  const callerOf = (name: string, digit: string): string =>
+    `[[caller]]\nname = "${name}"\nkeySha256 = "${digit.repeat(64)}"\n`;
+
+  it('reports each later caller with the same key at its position, in any file', () => {
+    const files = [
+      parseConfig('a.toml', callerOf('desk', 'a') + callerOf('till', 'b')),
+      parseConfig('b.toml', callerOf('oven', 'c') + callerOf('cart', 'a')),
+    ];
+    expect(files.flatMap(({ findings }) => findings)).to.deep.equal([]);
+    const [finding, ...others] = sharedKeyFindings(files).map(formatFinding);
+    expect(others).to.deep.equal([]);
+    expect(finding).to.match(/^b\.toml:6:1: caller\/cart: .* also that of caller\/desk/);
+    expect(finding).not.to.include('a'.repeat(64));
+  });
+});
+
 describe('matchesSelector', () => {
   const empty = { equal: {}, anyOf: {}, noneOf: {}, exists: [], absent: [] };
 
