--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,6 +19,8 @@
 export { EndpointBackoff } from './lib/limits/endpoint-backoff.js';
 export { MemoryBudget } from './lib/limits/memory-budget.js';
 export type { HeldMemory } from './lib/limits/held-memory.js';
+export type { ReadingBody } from './lib/limits/reading-body.js';
+export { stalledBodies } from './lib/limits/stalled-bodies.js';
 export { RetryBudget } from './lib/limits/retry-budget.js';
 export { TokenBucket } from './lib/limits/token-bucket.js';
 export { defaultMembershipSettings } from './lib/membership/default-membership-settings.js';
--- a/packages/decisions/src/lib/limits/memory-budget.ts
+++ b/packages/decisions/src/lib/limits/memory-budget.ts
@@ -15,7 +15,7 @@
 
 /**
  * Limits the total of what a process buffers, over all kinds. A new holding has to fit; a holding that grows beyond the
- * limit evicts the largest evictable one.
+ * limit evicts the largest evictable one. Small ones are evicted only once the part that is reserved for them is used up.
  */
 export class MemoryBudget<Kind extends string> {
   readonly #limitBytes: number;
@@ -46,6 +46,11 @@
     return this.#usedBytes;
   }
 
+  /** Whether there is room for small holdings alone. */
+  get isShort(): boolean {
+    return this.#usedBytes > this.#largeLimitBytes;
+  }
+
   /** Total by kind, in bytes. */
   get bytesByKind(): ReadonlyMap<Kind, number> {
     return this.#bytesByKind;
@@ -90,10 +95,11 @@
   }
 
   #evictBeyondLimit(): void {
-    while (this.#usedBytes > this.#largeLimitBytes && this.#evictable.size > 0) {
+    while (this.isShort && this.#evictable.size > 0) {
       const largest = [...this.#evictable].reduce((left, right) =>
         right.bytes > left.bytes ? right : left,
       );
+      if (largest.bytes <= SMALL_BYTES_MAX && this.#usedBytes <= this.#limitBytes) return;
       this.#evictable.delete(largest);
       this.#onEvicted(largest.kind, largest.bytes);
       largest.evict?.();
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -16,6 +16,8 @@
   readonly processorShare: number;
   /** Memory after which the process is ended, in bytes. */
   readonly memoryBytes: number;
+  /** Number of sockets that the process may have open; Infinity if the platform sets no limit. */
+  readonly socketCountMax: number;
   /** Shared secret with which instances authenticate to each other. */
   readonly peerSecret: string;
   /** Addresses of possible other instances, which are contacted first to find the rest. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -54,12 +54,16 @@
  * and garbage that is not collected yet.
  */
 const HELD_MEMORY_SHARE = 0.2;
+/** Share of the process's sockets that callers may take; each of their requests may take another one to an endpoint. */
+const CALLER_SOCKET_SHARE = 0.6;
 const NO_LOAD: EndpointLoad = { count: 0, unreadTokenCount: 0 };
 /**
  * `Retry-After` of an instance that has no configuration or list of endpoints yet, or whose
  * configuration lacks the service, in milliseconds.
  */
 const NOT_READY_RETRY_MS = 500;
+/** Shortest time between two log lines on connections and bodies of callers that were given up, in milliseconds. */
+const SHED_LOG_PERIOD_MS = 1_000;
 /** Time between two checks of the open connections during a shutdown, in milliseconds. */
 const STOP_POLL_MS = 50;
 
@@ -97,6 +101,8 @@
   #peerLoads: Readonly<Record<string, EndpointLoad>> = {};
   #peerLoadsMs = -Infinity;
   #lastPlanMs = 0;
+  /** When the last log line on connections and bodies of callers that were given up was written. */
+  #shedLoggedMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   /** Set once the instance stops. */
   #shutdown: ShutdownTimes | undefined;
@@ -121,7 +127,7 @@
       this.#metrics.evictions.inc({ kind });
       this.#logger.warn(
         'memory_short',
-        'memory budget exceeded; dropping the largest buffered answer',
+        'memory budget exceeded; dropping the largest buffered answer or closing its connection',
         {
           kind,
           bytes,
@@ -240,6 +246,8 @@
       lagMs: () => this.#eventLoop.lagMs,
       limits: () => this.#config.config?.limits,
       memory: this.#memory,
+      connectionCountMax: Math.max(1, Math.floor(CALLER_SOCKET_SHARE * settings.socketCountMax)),
+      onShed: (what) => this.#noteShed(what),
       readHead: (headers) => ports.codec.readCaller(headers),
       onRequest: (exchange, head, body) => this.#onRequest(exchange, head, body),
     });
@@ -411,6 +419,18 @@
     this.#fleet.plan();
   }
 
+  #noteShed(what: string): void {
+    this.#metrics.shed.inc({ what });
+    const nowMs = Gateway.nowMs();
+    if (nowMs - this.#shedLoggedMs < SHED_LOG_PERIOD_MS) return;
+    this.#shedLoggedMs = nowMs;
+    this.#logger.warn('caller_shed', `a ${what} of a caller was given up to make room for others`, {
+      connections: this.#ingress.connectionCount,
+      waitingBodies: this.#ingress.waitingBodyCount,
+      usedBytes: this.#memory.usedBytes,
+    });
+  }
+
   #logReadiness(): void {
     if (this.isReady === this.#wasReady) return;
     this.#wasReady = this.isReady;
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -1,7 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { HeldMemory } from '@chervilseam/decisions';
+import type { HeldMemory, MemoryBudget } from '@chervilseam/decisions';
+import { MemoryKind } from './memory-kind.js';
 
 const MS_PER_SECOND = 1_000;
+/** Time after which a connection is closed whose caller takes nothing of a complete answer, in milliseconds. */
+const UNREAD_TIMEOUT_MS = 60_000;
 
 /** A caller's request and its HTTP response. */
 export class CallerExchange {
@@ -62,13 +65,22 @@
     });
   }
 
-  /** @param unsent - holds what the caller has not taken of the answer, until the response is closed */
-  holdUnsent(unsent: HeldMemory): void {
-    this.#unsent = unsent;
-    this.#response.once('close', () => {
+  /**
+   * Counts what the caller has not taken of the answer, until the response is closed. The connection is closed if it is
+   * the largest holding when memory is short.
+   *
+   * @param memory - memory budget of the instance
+   */
+  holdUnsent(memory: MemoryBudget<MemoryKind>): void {
+    const release = (): void => {
+      this.#unsent?.resize(0);
       this.#unsent = undefined;
-      unsent.resize(0);
+    };
+    this.#unsent = memory.hold(MemoryKind.unsent, () => {
+      release();
+      this.#request.socket.destroy();
     });
+    this.#response.once('close', release);
   }
 
   /** Headers of the request by name in lower case. */
@@ -105,7 +117,7 @@
       headers['retry-after'] = (retryAfterMs / MS_PER_SECOND).toFixed(2);
     }
     this.#response.writeHead(status, headers);
-    this.#response.end(body);
+    this.#endResponse(body);
   }
 
   /**
@@ -141,8 +153,14 @@
   end(data?: Buffer): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#endResponse(data);
+  }
+
+  #endResponse(data?: Buffer): void {
     this.#response.end(data);
     this.#countUnsent();
+    // The server sets the time of an idle connection in its place once the answer is taken.
+    this.#request.socket.setTimeout(UNREAD_TIMEOUT_MS);
   }
 
   #countUnsent(): void {
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -1,13 +1,14 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { BodyAdmission } from '@chervilseam/decisions';
+import { BodyAdmission, stalledBodies } from '@chervilseam/decisions';
 import type { HeldMemory, MemoryBudget } from '@chervilseam/decisions';
 import type { CallerLimits } from '@chervilseam/model';
 import type { CallerHead } from '../ports/caller-head.js';
+import { BodyReader } from './body-reader.js';
 import { CallerExchange } from './caller-exchange.js';
 import { MemoryKind } from './memory-kind.js';
-import { readRequestBody } from './read-request-body.js';
+import { RequestFeed } from './request-feed.js';
 
 /**
  * Largest head of a request that is parsed, in bytes; the limit of the configuration in force is checked
@@ -47,6 +48,9 @@
 /** Share of the memory budget that incomplete heads may take. */
 const HEADS_SHARE = 0.25;
 
+/** What was closed or given up to make room for others. */
+type ShedReason = 'connection' | 'stalled body';
+
 /** Dependencies of the server. */
 interface IngressContext {
   readonly nowMs: () => number;
@@ -56,6 +60,10 @@
   readonly limits: () => CallerLimits | undefined;
   /** Memory budget of buffered requests and answers. */
   readonly memory: MemoryBudget<MemoryKind>;
+  /** Number of connections that callers may have open at a time. */
+  readonly connectionCountMax: number;
+  /** Called when a connection is closed, or a body given up, to make room for others. */
+  readonly onShed: (what: ShedReason) => void;
   /** @returns what the headers of a request state */
   readonly readHead: (headers: IncomingMessage['headers']) => CallerHead;
   /** Called with a request whose body was read completely. */
@@ -66,12 +74,13 @@
 export class IngressServer {
   readonly #context: IngressContext;
   readonly #server: Server;
-  /** Number of open requests by connection. */
-  readonly #sockets = new Map<Socket, number>();
+  readonly #feeds = new Map<Socket, RequestFeed>();
   /** Connections without a request so far. */
   readonly #unused = new Set<Socket>();
-  /** Requests whose bodies have not been read completely. */
-  readonly #unread = new Set<CallerExchange>();
+  /** Connections without an open request, the longest idle one first. */
+  readonly #idle = new Set<Socket>();
+  /** Requests whose bodies have not been read completely, the oldest first. */
+  readonly #unread = new Map<CallerExchange, BodyReader>();
   readonly #admission: BodyAdmission<MemoryKind>;
   /** Bytes that each connection had received when its last request was read or answered. */
   readonly #readBytes = new WeakMap<Socket, number>();
@@ -87,25 +96,18 @@
     this.#server = createServer({ maxHeaderSize: HEADER_BYTES_PARSED }, (request, response) => {
       void this.#onRequest(request, response);
     });
-    this.#server.on('connection', (socket: Socket) => {
-      this.#sockets.set(socket, 0);
-      this.#unused.add(socket);
-      socket.on('close', () => {
-        this.#sockets.delete(socket);
-        this.#unused.delete(socket);
-      });
-    });
+    this.#server.on('connection', (socket: Socket) => this.#onConnection(socket));
     this.#server.requestTimeout = 0;
   }
 
   /** Number of requests that are not completely answered yet. */
   get openCount(): number {
-    return [...this.#sockets.values()].reduce((sum, count) => sum + count, 0);
+    return [...this.#feeds.values()].reduce((sum, { openCount }) => sum + openCount, 0);
   }
 
   /** Number of open connections of callers. */
   get connectionCount(): number {
-    return this.#sockets.size;
+    return this.#feeds.size;
   }
 
   /** Number of requests whose bodies wait unread until there is memory for them. */
@@ -117,6 +119,7 @@
   tick(): void {
     const nowMs = this.#context.nowMs();
     this.#admission.tick(nowMs);
+    this.#giveUpStalled(nowMs);
     if (nowMs < this.#headsDueMs) return;
     this.#headsDueMs = nowMs + HEADS_INTERVAL_MS;
     this.#boundHeads();
@@ -124,7 +127,7 @@
 
   /** Number of bytes of answers that the kernel has not taken yet. */
   get unsentBytes(): number {
-    return [...this.#sockets.keys()].reduce((sum, socket) => sum + socket.writableLength, 0);
+    return [...this.#feeds.keys()].reduce((sum, socket) => sum + socket.writableLength, 0);
   }
 
   /** @param address - host and port to listen at */
@@ -148,14 +151,12 @@
 
   /** Closes connections without an open request; a request that arrives at the same time is not read. */
   closeIdle(): void {
-    this.#sockets.forEach((count, socket) => {
-      if (count === 0) socket.destroy();
-    });
+    this.#idle.forEach((socket) => socket.destroy());
   }
 
   /** Refuses the requests whose bodies have not been read completely: they have not run and never will. */
   refuseUnread(): void {
-    this.#unread.forEach((exchange) => exchange.refuse(503, 'stopping', 0));
+    this.#unread.forEach((_, exchange) => exchange.refuse(503, 'stopping', 0));
   }
 
   /** Accepts no new connections. */
@@ -166,13 +167,17 @@
   async #onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { socket } = request;
     const { nowMs, lagMs, limits, memory, readHead, onRequest } = this.#context;
-    this.#sockets.set(socket, (this.#sockets.get(socket) ?? 0) + 1);
+    const feed = this.#feeds.get(socket);
+    // What was read before the connection was closed for another reason.
+    if (!feed || socket.destroyed) return;
+    feed.begin(request, response);
+    this.#idle.delete(socket);
     response.on('close', () => {
-      const count = this.#sockets.get(socket);
       this.#readBytes.set(socket, socket.bytesRead);
-      if (count !== undefined) this.#sockets.set(socket, count - 1);
+      if (feed.openCount > 0 || socket.destroyed) return;
+      this.#idle.add(socket);
       // The answer's head may have been sent with keep-alive before the shutdown began.
-      if (this.#isStopping && count === 1) socket.destroySoon();
+      if (this.#isStopping) socket.destroySoon();
     });
     if (this.#isStopping) response.shouldKeepAlive = false;
     const isFirst = this.#unused.delete(socket);
@@ -188,16 +193,17 @@
     }
     const held = memory.hold(MemoryKind.request);
     response.on('close', () => held.resize(0));
-    exchange.holdUnsent(memory.hold(MemoryKind.unsent));
-    this.#unread.add(exchange);
+    exchange.holdUnsent(memory);
     const head = readHead(request.headers);
-    const result = await readRequestBody(request, {
+    const reader = new BodyReader(request, {
       bytesMax: bodyBytesMax,
       timeoutMs: Math.min(BODY_TIMEOUT_MS, head.waitMs ?? BODY_TIMEOUT_MS),
       nowMs,
       admission: this.#admission,
       held,
     });
+    this.#unread.set(exchange, reader);
+    const result = await reader.read();
     this.#unread.delete(exchange);
     this.#readBytes.set(socket, socket.bytesRead);
     if (exchange.isOver || result.kind === 'broken') return;
@@ -209,11 +215,50 @@
     exchange.refuse(status, reason, retryAfterMs);
   }
 
+  #onConnection(socket: Socket): void {
+    const { nowMs, memory } = this.#context;
+    this.#feeds.set(socket, new RequestFeed(socket, nowMs, memory));
+    this.#unused.add(socket);
+    this.#idle.add(socket);
+    socket.on('close', () => {
+      this.#feeds.delete(socket);
+      this.#unused.delete(socket);
+      this.#idle.delete(socket);
+    });
+    if (this.#feeds.size > this.#context.connectionCountMax) this.#shedConnection();
+  }
+
+  // Closes a connection to stay within the limit: one whose body does not go on, or else the longest idle one, which may
+  // be the new one. None of them has a request that may run.
+  #shedConnection(): void {
+    const { nowMs, onShed } = this.#context;
+    const [stalled] = stalledBodies(this.#unread, nowMs());
+    const [longestIdle] = this.#idle;
+    if (stalled) stalled[0].cut();
+    else longestIdle.destroy();
+    onShed(stalled ? 'stalled body' : 'connection');
+  }
+
+  get #isMemoryNeeded(): boolean {
+    return this.#admission.waitingCount > 0 || this.#context.memory.isShort;
+  }
+
+  // Gives up bodies that don't go on while others need their memory.
+  #giveUpStalled(nowMs: number): void {
+    if (!this.#isMemoryNeeded) return;
+    stalledBodies(this.#unread, nowMs).forEach(([, reader]) => {
+      if (!this.#isMemoryNeeded) return;
+      reader.giveUp();
+      this.#context.onShed('stalled body');
+      this.#admission.tick(nowMs);
+    });
+  }
+
   // Counts the incomplete heads of connections without an open request. If they exceed their share of the budget, the
   // connections with the longest heads are closed: they have sent no request yet.
   #boundHeads(): void {
-    const partial = [...this.#sockets].flatMap(([socket, count]) => {
-      const bytes = count > 0 ? 0 : socket.bytesRead - (this.#readBytes.get(socket) ?? 0);
+    const partial = [...this.#idle].flatMap((socket) => {
+      const bytes = socket.bytesRead - (this.#readBytes.get(socket) ?? 0);
       return bytes > 0 ? [{ socket, bytes }] : [];
     });
     const { memory } = this.#context;
--- a/packages/gateway/src/lib/ingress/memory-kind.ts
+++ b/packages/gateway/src/lib/ingress/memory-kind.ts
@@ -4,6 +4,8 @@
   request: 'request',
   /** Incomplete heads of requests. */
   head: 'head',
+  /** What callers send ahead of the answer to their current request. */
+  ahead: 'ahead',
   /** Answers of endpoints that are not relayed yet: incomplete events, and bodies. */
   answer: 'answer',
   /** Answers that callers have not read yet. */
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -52,6 +52,11 @@
     'Buffered answers that were dropped to stay within the memory budget, by kind.',
     ['kind'],
   );
+  readonly shed = this.counter(
+    'callers_shed_total',
+    'Connections closed, and bodies that did not go on given up, to make room for others.',
+    ['what'],
+  );
   readonly instances = this.gauge('instances', 'Instances that are heard, with this one.', []);
   readonly endpoints = this.gauge('endpoints', 'Endpoints that have not left.', []);
   readonly configVersion = this.gauge('config_version', 'Version in force.', []);
