Decide who waits, goes or is refused by priority, time left and work

- A request waits for a slot while it is expected in time, and is refused at once otherwise.
- The queue orders by priority, objective, work and group, and tries a few requests of each lane.
- Retry-After follows when slots become free.

The waiter of an existing test has the new fields; what it asserts is unchanged.

--- a/packages/decisions/src/lib/serving/wait-limit-ms.ts
+++ b/packages/decisions/src/lib/serving/wait-limit-ms.ts
@@ -2,9 +2,15 @@
 const DEADLINE_SHARE = 0.55;
 /** Share of its latency objective that a request may wait for a slot. */
 const SLOT_WAIT_SHARE = 0.12;
+/**
+ * Share of its latency objective within which a request must be sent to be answered in time, besides the time that an
+ * endpoint takes until the answer begins.
+ */
+const IN_TIME_SHARE = 0.5;
 /** Share of the time after which callers disconnect that a request may wait for a model. */
 const MODEL_WAIT_SHARE = 0.7;
-
+/** Share of that time within which a model must be expected so that a request which waits for it goes on waiting. */
+const QUEUED_MODEL_WAIT_SHARE = 0.9;
 /** Share of its latency objective that a request may wait until an engine has read the prompts ahead. */
 const PREFILL_WAIT_SHARE = 0.4;
 
@@ -22,19 +28,35 @@
   readonly objectiveMs: number;
   /** Time without an answer after which callers disconnect, in milliseconds. */
   readonly callerPatienceMs: number;
+  /** Whether it is queued already; absent if not. */
+  readonly isQueued?: boolean;
+  /** Expected time until a slot becomes free for it, in milliseconds; absent when unknown. */
+  readonly slotEtaMs?: number;
+  /** Expected time from its dispatch to the first part of the answer, in milliseconds; 0 when unknown. */
+  readonly startMs?: number;
 }
 
+// A request waits for a slot that it is expected to get in time. Without an estimate it waits only a moment.
+const slotWaitMaxMs = ({ objectiveMs, slotEtaMs, startMs = 0, elapsedMs }: WaitCase): number => {
+  const inTimeMs = IN_TIME_SHARE * objectiveMs - startMs;
+  if (slotEtaMs === undefined || elapsedMs + slotEtaMs > inTimeMs) {
+    return SLOT_WAIT_SHARE * objectiveMs;
+  }
+  return Math.max(SLOT_WAIT_SHARE * objectiveMs, inTimeMs);
+};
+
 /** Longest wait without any answer, in milliseconds, by what a request waits for. */
 const waitMaxMsOf: Readonly<Record<WaitCase['waitsFor'], (request: WaitCase) => number>> = {
-  slot: ({ objectiveMs }) => SLOT_WAIT_SHARE * objectiveMs,
+  slot: slotWaitMaxMs,
   prefill: ({ objectiveMs }) => PREFILL_WAIT_SHARE * objectiveMs,
-  model: ({ callerPatienceMs }) => MODEL_WAIT_SHARE * callerPatienceMs,
+  model: ({ callerPatienceMs, isQueued }) =>
+    (isQueued ? QUEUED_MODEL_WAIT_SHARE : MODEL_WAIT_SHARE) * callerPatienceMs,
 };
 
 /**
  * Limits how long a request may wait when all slots are taken or no engine holds its model. For a
- * slot it waits only a small part of its objective, since further requests arrive meanwhile; a queue
- * of prompts shrinks at a known rate and is worth a longer wait. For a model that is being loaded it
+ * slot it waits as long as it is expected to get one in time, and otherwise only a small part of its objective, since
+ * further requests arrive meanwhile; a queue of prompts shrinks at a known rate and is worth a longer wait. For a model that is being loaded it
  * may wait longest, but a caller without any answer disconnects long before its deadline.
  *
  * @param request - the request
--- a/packages/decisions/src/lib/serving/wait-queue.ts
+++ b/packages/decisions/src/lib/serving/wait-queue.ts
@@ -1,70 +1,137 @@
+import { WaitingOrder } from './waiting-order.js';
+import type { WaitingRequest } from './waiting-request.js';
+
+/** Number of requests for the same model that are tried in vain before the others for it are passed over. */
+const LANE_FAILURES_MAX = 3;
+/** Number of requests served from the queue after which the one that has waited longest is tried first. */
+const TURN_COUNT = 8;
+
 /** A queued request. */
-export interface Waiter {
-  /** Priority of its route; 0 is served first. */
-  readonly priority: number;
+export interface Waiter extends WaitingRequest {
+  /**
+   * What an endpoint must hold to serve it, such as a model. Requests of one lane can be served by the same
+   * endpoints.
+   */
+  readonly lane: string;
   /** Model that it waits for, if it waits for one. */
   readonly model?: string;
+  /** Monotonic time at which it was queued, in milliseconds. */
+  readonly sinceMs: number;
   /** Monotonic time at which the wait ends, in milliseconds. */
   readonly untilMs: number;
   /**
+   * @param aheadCount - number of requests of its lane that were tried before it in vain
    * @returns whether the request leaves the queue: it was dispatched, refused, or its adapter is
    *   being loaded
    */
-  readonly tryDispatch: () => boolean;
+  readonly tryDispatch: (aheadCount: number) => boolean;
   /** Called when the request is dropped, since its wait has ended or the queue was cleared. */
   readonly onDropped: () => void;
 }
 
-/** A queue of requests that wait for an endpoint, ordered by priority and then by arrival. */
+/**
+ * A queue of requests that wait for an endpoint. A scan tries a few requests of each lane at most: while hundreds wait
+ * for one model, its cost follows the number of models.
+ */
 export class WaitQueue {
-  #waiters: Waiter[] = [];
+  readonly #order = new WaitingOrder<Waiter>();
+  /** Number of requests that wait for a place, by lane; those that wait for a model are not counted. */
+  readonly #placeCounts = new Map<string, number>();
+  /** Number of requests served since the one that had waited longest was tried first. */
+  #servedCount = 0;
 
   /** Number of queued requests. */
   get size(): number {
-    return this.#waiters.length;
+    return this.#order.size;
   }
 
   /** Models that queued requests wait for, once for each request. */
   get models(): readonly string[] {
-    return this.#waiters.flatMap(({ model }) => model ?? []);
+    return this.#order.inOrder(0).flatMap(({ model }) => model ?? []);
   }
 
   /** @param waiter - the request to queue */
   add(waiter: Waiter): void {
-    const index = this.#waiters.findIndex(({ priority }) => priority > waiter.priority);
-    if (index < 0) this.#waiters.push(waiter);
-    else this.#waiters.splice(index, 0, waiter);
+    this.#order.add(waiter);
+    this.#countPlace(waiter, 1);
   }
 
   /** Drops all queued requests: no endpoint will become available for them. */
   clear(): void {
-    const waiters = this.#waiters;
-    this.#waiters = [];
+    const waiters = this.#order.inOrder(0);
+    this.#order.clear();
+    this.#placeCounts.clear();
     waiters.forEach((waiter) => waiter.onDropped());
   }
 
   /** @param waiter - a request whose caller has disconnected */
   remove(waiter: Waiter): void {
-    this.#waiters = this.#waiters.filter((other) => other !== waiter);
+    if (this.#order.remove(waiter)) this.#countPlace(waiter, -1);
   }
 
   /**
-   * Tries to dispatch every queued request in order, and drops those whose wait has ended.
+   * Tries to dispatch the queued requests in order, and drops those whose wait has ended.
    *
    * @param nowMs - current time of a monotonic clock, in milliseconds
    */
   dispatchWaiting(nowMs: number): void {
-    const waiters = this.#waiters;
-    this.#waiters = [];
-    const remaining: Waiter[] = [];
+    if (this.size === 0) return;
+    this.#scan(this.#inTurn(nowMs), nowMs);
+  }
+
+  /**
+   * Tries the requests that wait for a place and go before a new one that the same endpoints can serve.
+   *
+   * @param request - the new request, which is not queued
+   * @param lane - its lane
+   * @param nowMs - current time of a monotonic clock, in milliseconds
+   * @returns number of requests that still wait before the new one
+   */
+  dispatchAhead(request: WaitingRequest, lane: string, nowMs: number): number {
+    if (!this.#placeCounts.has(lane)) return 0;
+    const ahead = this.#order
+      .inOrder(nowMs)
+      .filter((waiter) => waiter.lane === lane && waiter.model === undefined)
+      .filter(({ priority, dueMs, startMs }) => {
+        if (priority !== request.priority) return priority < request.priority;
+        return nowMs + startMs <= dueMs && dueMs <= request.dueMs;
+      });
+    this.#scan(ahead, nowMs);
+    return ahead.filter((waiter) => this.#order.has(waiter)).length;
+  }
+
+  #scan(waiters: readonly Waiter[], nowMs: number): void {
+    const failures = new Map<string, number>();
     waiters.forEach((waiter) => {
-      if (waiter.tryDispatch()) return;
-      if (nowMs >= waiter.untilMs) waiter.onDropped();
-      else remaining.push(waiter);
+      // An earlier attempt of the scan may have ended it.
+      if (!this.#order.has(waiter)) return;
+      const failureCount = failures.get(waiter.lane) ?? 0;
+      if (failureCount < LANE_FAILURES_MAX && waiter.tryDispatch(failureCount)) {
+        this.#servedCount += 1;
+        this.remove(waiter);
+        return;
+      }
+      failures.set(waiter.lane, failureCount + 1);
+      if (nowMs < waiter.untilMs) return;
+      this.remove(waiter);
+      waiter.onDropped();
     });
-    // Requests that were queued meanwhile go behind those of the same priority.
-    const added = this.#waiters;
-    this.#waiters = remaining;
-    added.forEach((waiter) => this.add(waiter));
+  }
+
+  // The queued requests in order; from time to time the one that has waited longest goes first, so that no group is
+  // passed over for good.
+  #inTurn(nowMs: number): Waiter[] {
+    const waiters = this.#order.inOrder(nowMs);
+    if (this.#servedCount < TURN_COUNT) return waiters;
+    this.#servedCount = 0;
+    const longest = waiters.reduce((one, other) => (other.sinceMs < one.sinceMs ? other : one));
+    return [longest, ...waiters.filter((waiter) => waiter !== longest)];
+  }
+
+  #countPlace({ lane, model }: Waiter, change: number): void {
+    if (model !== undefined) return;
+    const count = (this.#placeCounts.get(lane) ?? 0) + change;
+    if (count > 0) this.#placeCounts.set(lane, count);
+    else this.#placeCounts.delete(lane);
   }
 }
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -166,6 +166,12 @@
 describe('WaitQueue', () => {
   const waiter = (priority: number, log: string[], name: string, isServed = false): Waiter => ({
     priority,
+    group: 'a',
+    lane: name,
+    dueMs: 1_000,
+    startMs: 0,
+    workMs: 0,
+    sinceMs: 0,
     untilMs: 100,
     tryDispatch: () => {
       log.push(`try ${name}`);
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -178,6 +178,7 @@
       reason: this.#waitReason(untried, requirements),
       etaMs: 0,
       nextReplicaMs: this.#nextReplicaMs(requirements),
+      placeCount: untried.reduce((sum, { record }) => sum + record.slotCount, 0),
     };
   }
 
@@ -219,11 +220,12 @@
   }
 
   #hasFreeSlot(endpoint: Endpoint, requirements: PickRequirements): boolean {
-    const { service, paceMaxMs } = requirements;
+    const { service, paceMaxMs, slotShare = 1 } = requirements;
     const queueMax = service.engine ? 0 : PLAIN_QUEUE_MAX;
     const connections = CONNECTION_RATIO * service.connectionCountMax;
     const inFlightMax = Math.max(1, Math.floor(connections / this.#context.instanceCount()));
-    const slots = endpoint.record.slotCount * this.#slotRatio(endpoint, paceMaxMs);
+    const slotRatio = this.#slotRatio(endpoint, paceMaxMs) * (service.engine ? slotShare : 1);
+    const slots = endpoint.record.slotCount * slotRatio;
     const hasRoom = this.#outstandingCount(endpoint) < slots + queueMax;
     return hasRoom && endpoint.inFlightCount < inFlightMax;
   }
--- a/packages/gateway/src/lib/dispatch/pick-requirements.ts
+++ b/packages/gateway/src/lib/dispatch/pick-requirements.ts
@@ -13,6 +13,8 @@
   readonly objectiveMs: number;
   /** Whether an engine may end under the request: it is sent where it would take the fewest runs with it. */
   readonly isSuspect: boolean;
+  /** Fraction of an engine's slots that may be taken when the request is sent there; 1 if absent. */
+  readonly slotShare?: number;
   /** Identities of the endpoints that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
 }
--- a/packages/gateway/src/lib/dispatch/pick-result.ts
+++ b/packages/gateway/src/lib/dispatch/pick-result.ts
@@ -19,5 +19,7 @@
       readonly etaMs: number;
       /** Time until another replica of the model is ready, in milliseconds; absent if none is loading. */
       readonly nextReplicaMs?: number;
+      /** Number of slots of the endpoints that can serve the request, all of which are taken; absent if none can. */
+      readonly placeCount?: number;
     }
   | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -1,5 +1,12 @@
-import { endsBefore, waitLimitMs } from '@chervilseam/decisions';
-import type { HeldMemory, Waiter } from '@chervilseam/decisions';
+import {
+  callerReturnMs,
+  endsBefore,
+  placeEtaMs,
+  PrefillSpeed,
+  requestWork,
+  waitLimitMs,
+} from '@chervilseam/decisions';
+import type { HeldMemory, Waiter, WaitingRequest, WaitQueue } from '@chervilseam/decisions';
 import type { RouteSpec, ServiceSpec } from '@chervilseam/model';
 import type { CallerExchange } from '../ingress/caller-exchange.js';
 import { MemoryKind } from '../ingress/memory-kind.js';
@@ -42,13 +49,6 @@
  * one, in milliseconds: two endpoints must not work on a request together for long.
  */
 const TAKEOVER_MAX_MS = 250;
-/** Base of `Retry-After` when no estimate is known, in milliseconds. */
-const RETRY_AFTER_MS = 600;
-/**
- * Upper bound of the random time that is added to `Retry-After`, in milliseconds, so that callers
- * refused together do not retry together.
- */
-const RETRY_AFTER_SPREAD_MS = 1_200;
 /** Number of events after which an answer has got past its beginning. */
 const BEGINNING_EVENT_COUNT = 3;
 /** Number of engines that are asked in turn to load an adapter before the request is queued. */
@@ -70,7 +70,11 @@
   [PickReason.backoff]: 'slot',
 } as const;
 
+/** Expected speed of an engine that the request has not been sent to. */
+const EXPECTED_SPEED = new PrefillSpeed();
+
 type SendPick = Extract<PickResult, { kind: 'send' }>;
+type WaitPick = Extract<PickResult, { kind: 'wait' }>;
 
 // An attempt that this instance gave up after it was sent.
 const givenUp = (reason: string): AttemptFailure => ({
@@ -123,6 +127,8 @@
   #waitReason: PickReason = PickReason.full;
   /** Time until another replica of the model is ready as of the last pick, in milliseconds. */
   #nextReplicaMs: number | undefined;
+  /** Time until a slot becomes free for the request as of the last pick, in milliseconds. */
+  #slotEtaMs: number | undefined;
   /** Number of attempts that the endpoint ran or may have run. */
   #runCount = 0;
   /** Number of times that the request was sent. */
@@ -173,6 +179,7 @@
   start(): void {
     this.#context.openRuns.add(this);
     this.#context.onReceived(this.#head, this.#target);
+    this.#context.priorityMix(this.#service.name).record(this.#priority, this.#context.nowMs());
     this.#context.retryBudget(this.#service.name).earn(this.#context.nowMs());
     this.#dispatch();
   }
@@ -196,16 +203,50 @@
     return this.#route.isIdempotent && (!this.#relay.isOpen || this.#route.isResumable);
   }
 
+  // What decides the request's place among those that wait.
+  get #place(): WaitingRequest {
+    const { promptTokenCount } = this.#head;
+    const { engine, name } = this.#service;
+    const workMs = engine
+      ? EXPECTED_SPEED.prefillMs(requestWork(this.#head, engine.slotCount))
+      : (this.#context.holdTime(name).meanMs ?? 0);
+    return {
+      priority: this.#priority,
+      group: `${this.#target.access?.workspace?.name ?? ''} ${this.#route.name}`,
+      dueMs: this.#exchange.receivedMs - this.#exchange.readLagMs + this.#route.objectiveMs,
+      startMs: EXPECTED_SPEED.prefillMs(promptTokenCount),
+      workMs,
+    };
+  }
+
+  get #lane(): string {
+    return `${this.#head.model ?? ''}/${this.#head.adapter ?? ''}`;
+  }
+
+  get #queue(): WaitQueue {
+    return this.#context.queue(this.#service.name);
+  }
+
+  get #slotShare(): number {
+    const { priorityMix, nowMs } = this.#context;
+    const request = { priority: this.#priority, hasPartialAnswer: this.#relay.isOpen };
+    return priorityMix(this.#service.name).slotShare(request, nowMs());
+  }
+
   #dispatch(): void {
-    if (this.#isOver || this.#tryDispatch()) return;
+    if (this.#isOver) return;
+    // A place that others wait for may be free by now.
+    const aheadCount = this.#queue.dispatchAhead(this.#place, this.#lane, this.#context.nowMs());
+    if (this.#tryDispatch(aheadCount)) return;
     this.#enqueue();
   }
 
   /**
+   * @param aheadCount - number of requests that go before it when it has to wait for a place
    * @returns false when the request has to wait in the queue; true when it was sent, has ended, waits
    *   for an adapter to be loaded, or is dispatched after the next poll of the sockets
    */
-  #tryDispatch(): boolean {
+  #tryDispatch(aheadCount: number): boolean {
     if (this.#isOver || this.#deferIfOutdated() || this.#failIfUnservable()) return true;
     const pick = this.#pick();
     const handlers: Record<PickResult['kind'], () => boolean> = {
@@ -218,7 +259,8 @@
         return true;
       },
       wait: () => {
-        const { reason, etaMs, nextReplicaMs } = pick as Extract<PickResult, { kind: 'wait' }>;
+        const { reason, etaMs, nextReplicaMs, placeCount } = pick as WaitPick;
+        this.#slotEtaMs = this.#placeEtaMs(aheadCount, placeCount);
         if (reason === PickReason.tried && !this.#resetTriedOnce()) return this.#fail(reason);
         // Refuses a request at once if it could only be served after its longest wait.
         if (etaMs >= this.#waitMaxMs(reason)) return this.#fail(reason, nextReplicaMs ?? etaMs);
@@ -285,10 +327,16 @@
       promptTokenCount: this.#head.promptTokenCount,
       objectiveMs: this.#route.objectiveMs,
       isSuspect: this.#context.crashGuard.isSuspect(this.#parts),
+      slotShare: this.#slotShare,
       tried: this.#tried,
     };
   }
 
+  #placeEtaMs(aheadCount: number, placeCount = 0): number | undefined {
+    const holdMs = this.#context.holdTime(this.#service.name).meanMs;
+    return placeEtaMs({ aheadCount, placeCount, holdMs });
+  }
+
   // Allows a request that is safe to retry to use the endpoints that it has tried once more: one of
   // them may be the only one with the model.
   #resetTriedOnce(): boolean {
@@ -307,27 +355,37 @@
       remainingMs: this.#deadlineMs - nowMs,
       objectiveMs: this.#route.objectiveMs,
       callerPatienceMs: this.#route.callerPatienceMs,
+      isQueued: this.#waiter !== undefined,
+      slotEtaMs: this.#slotEtaMs,
+      startMs: this.#place.startMs,
     });
   }
 
   #enqueue(): void {
-    const { queue, nowMs } = this.#context;
+    const { nowMs, onWaited } = this.#context;
+    const sinceMs = nowMs();
     const waiter: Waiter = {
-      priority: this.#priority,
+      ...this.#place,
+      lane: this.#lane,
+      sinceMs,
       model: this.#waitReason === PickReason.model ? this.#head.model : undefined,
-      untilMs: nowMs() + this.#waitMaxMs(this.#waitReason),
-      tryDispatch: () => {
-        const isDispatched = this.#tryDispatch();
-        if (isDispatched) this.#waiter = undefined;
-        return isDispatched;
+      untilMs: sinceMs + this.#waitMaxMs(this.#waitReason),
+      tryDispatch: (aheadCount) => {
+        const isDispatched = this.#tryDispatch(aheadCount);
+        if (!isDispatched) return false;
+        // The attempt may have failed already and queued the request anew.
+        if (this.#waiter === waiter) this.#waiter = undefined;
+        onWaited(nowMs() - sinceMs);
+        return true;
       },
       onDropped: () => {
         this.#waiter = undefined;
+        onWaited(nowMs() - sinceMs);
         this.#fail(`waited in vain: ${this.#waitReason}`, this.#nextReplicaMs);
       },
     };
     this.#waiter = waiter;
-    queue(this.#service.name).add(waiter);
+    this.#queue.add(waiter);
   }
 
   async #loadAdapter(endpoints: readonly Endpoint[]): Promise<void> {
@@ -824,7 +882,6 @@
   // endpoint may have run the request, and otherwise refuses with 503 and `Retry-After`.
   #fail(reason: string, etaMs?: number): true {
     if (this.#isOver) return true;
-    const { randomUnit, retryAfterMinMs } = this.#context;
     if (this.#relay.isOpen) {
       this.#finish('cut', 0, reason);
       this.#exchange.cut();
@@ -835,16 +892,34 @@
       this.#exchange.refuse(502, reason);
       return true;
     }
-    const spreadMs = randomUnit() * RETRY_AFTER_SPREAD_MS;
-    const baseMs = etaMs === undefined || etaMs === 0 ? RETRY_AFTER_MS : etaMs;
-    return this.#refuse(reason, Math.max(retryAfterMinMs, baseMs + spreadMs));
+    return this.#refuse(reason, this.#returnAfterMs(etaMs));
+  }
+
+  // When the caller of a refused request should return.
+  #returnAfterMs(etaMs: number | undefined): number {
+    const { randomUnit, retryAfterMinMs, holdTime, nowMs } = this.#context;
+    const returnMs = callerReturnMs(
+      {
+        etaMs: etaMs || this.#slotEtaMs,
+        holdMs: holdTime(this.#service.name).meanMs,
+        remainingMs: this.#deadlineMs - nowMs(),
+      },
+      randomUnit(),
+    );
+    return Math.max(retryAfterMinMs, returnMs);
   }
 
   // Ends a request that has not run and never will.
-  #refuse(reason: string, retryAfterMs: number): true {
+  #refuse(reason: string, returnAfterMs: number): true {
     this.#context.onRefused(this.#head, this.#target);
-    this.#finish('refused', 503, reason);
-    this.#exchange.refuse(503, reason, retryAfterMs);
+    this.#finish('refused', 503, reason, {
+      priority: this.#priority,
+      retryAfterMs: Math.round(returnAfterMs),
+      slotEtaMs: this.#slotEtaMs && Math.round(this.#slotEtaMs),
+      slotShare: this.#slotShare,
+      waiting: this.#queue.size,
+    });
+    this.#exchange.refuse(503, reason, returnAfterMs);
     return true;
   }
 
@@ -885,11 +960,19 @@
   }
 
   #release(attempt: SentAttempt): void {
-    const { nowMs, onReleased } = this.#context;
-    if (attempt.release()) onReleased(nowMs() - attempt.sending.sentMs);
-  }
-
-  #finish(outcome: string, status: number, reason = ''): void {
+    const { nowMs, onReleased, holdTime } = this.#context;
+    if (!attempt.release()) return;
+    const holdMs = nowMs() - attempt.sending.sentMs;
+    holdTime(this.#service.name).record(holdMs);
+    onReleased(holdMs);
+  }
+
+  #finish(
+    outcome: string,
+    status: number,
+    reason = '',
+    inputs: Readonly<Record<string, unknown>> = {},
+  ): void {
     this.#isOver = true;
     this.#held.resize(0);
     const afterMs = this.#context.nowMs() - this.#exchange.receivedMs;
@@ -901,7 +984,7 @@
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#takeOverTimer);
     this.#silence.stop();
-    if (this.#waiter) this.#context.queue(this.#service.name).remove(this.#waiter);
+    if (this.#waiter) this.#queue.remove(this.#waiter);
     const last = (this.#current ?? this.#last)?.sending;
     this.#context.onFinished(
       { requestId: this.#head.requestId, route: this.#route.name, outcome, status, reason },
@@ -920,6 +1003,7 @@
         stoppingForMs: this.#context.stoppingForMs(),
         ...(outcome === 'cut' && { wasAtWork: this.#wasAtWork }),
         ...this.#relay.timing(),
+        ...inputs,
       },
     );
   }
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -1,6 +1,8 @@
 import type {
   AnswerTimes,
+  HoldTime,
   MemoryBudget,
+  PriorityMix,
   SharedRetryBudget,
   WaitQueue,
 } from '@chervilseam/decisions';
@@ -42,6 +44,10 @@
   readonly instanceCount: () => number;
   /** Queue of a service's waiting requests. */
   readonly queue: (service: string) => WaitQueue;
+  /** How long requests occupy the endpoints of a service. */
+  readonly holdTime: (service: string) => HoldTime;
+  /** Priorities that callers of a service use now. */
+  readonly priorityMix: (service: string) => PriorityMix;
   /** How long the answers of a route took. */
   readonly answerTimes: (route: string) => AnswerTimes;
   readonly retryBudget: (service: string) => SharedRetryBudget;
@@ -53,6 +59,8 @@
   readonly onRefused: (head: CallerHead, target: RunTarget) => void;
   /** Called when a request is sent to an endpoint. */
   readonly onSent: (endpoint: Endpoint, head: CallerHead) => void;
+  /** Called when a request that was queued leaves the queue after `waitedMs` milliseconds. */
+  readonly onWaited: (waitedMs: number) => void;
   /** Called when a request no longer occupies an endpoint; it occupied it for `holdMs` milliseconds. */
   readonly onReleased: (holdMs: number) => void;
   /**
--- a/packages/gateway/src/lib/dispatch/service-table.ts
+++ b/packages/gateway/src/lib/dispatch/service-table.ts
@@ -1,10 +1,21 @@
-import { AnswerTimes, SharedRetryBudget, WaitQueue } from '@chervilseam/decisions';
+import {
+  AnswerTimes,
+  HoldTime,
+  PriorityMix,
+  SharedRetryBudget,
+  WaitQueue,
+} from '@chervilseam/decisions';
 
-/** Holds the queue of waiting requests and the retry budget of each service, and the answer times of each route. */
+/**
+ * Holds the queue of waiting requests, the retry budget, the priorities in use and the hold time of each service, and
+ * the answer times of each route.
+ */
 export class ServiceTable {
   readonly #bounds: ConstructorParameters<typeof SharedRetryBudget>[0];
   readonly #queues = new Map<string, WaitQueue>();
   readonly #retryBudgets = new Map<string, SharedRetryBudget>();
+  readonly #holdTimes = new Map<string, HoldTime>();
+  readonly #priorityMixes = new Map<string, PriorityMix>();
   readonly #answerTimes = new Map<string, AnswerTimes>();
 
   /** @param bounds - bounds of the retry budgets, over all instances */
@@ -40,6 +51,24 @@
     return budget;
   }
 
+  /** @returns how long requests occupy the endpoints of a service; created on first use */
+  holdTime(service: string): HoldTime {
+    const known = this.#holdTimes.get(service);
+    if (known) return known;
+    const holdTime = new HoldTime();
+    this.#holdTimes.set(service, holdTime);
+    return holdTime;
+  }
+
+  /** @returns the priorities that callers of a service use; created on first use */
+  priorityMix(service: string): PriorityMix {
+    const known = this.#priorityMixes.get(service);
+    if (known) return known;
+    const mix = new PriorityMix();
+    this.#priorityMixes.set(service, mix);
+    return mix;
+  }
+
   /** @returns how long the answers of a route took; created on first use */
   answerTimes(route: string): AnswerTimes {
     const known = this.#answerTimes.get(route);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -524,6 +524,8 @@
       retryAfterMinMs: this.#settings.retryAfterMinMs,
       instanceCount: () => this.#instanceCount,
       queue: (service) => this.#services.queue(service),
+      holdTime: (service) => this.#services.holdTime(service),
+      priorityMix: (service) => this.#services.priorityMix(service),
       answerTimes: (route) => this.#services.answerTimes(route),
       retryBudget: (service) => this.#services.retryBudget(service),
       loadAdapter: (endpoint, model, adapter) =>
@@ -535,6 +537,7 @@
         this.#peerSync.noteDispatch();
         if (adapter !== undefined) this.#recordAdapterUse(endpoint.id, `${model}/${adapter}`);
       },
+      onWaited: (waitedMs) => this.#metrics.observe('queue_wait', waitedMs),
       onReleased: (holdMs) => {
         this.#metrics.observe('endpoint_hold', holdMs);
         this.#scheduleDispatch();
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -1,12 +1,13 @@
 import { MetricsRegistry } from '@chervilseam/observe';
 
 /**
- * What is timed: a request, its time to the first event, its time at an endpoint, a read of the
+ * What is timed: a request, its time in the queue, to the first event and at an endpoint, a read of the
  * configuration from another instance, a round of placement planning, how late the periodic work runs, and
  * the age that the list of endpoints had when it was replaced.
  */
 type LatencyName =
   | 'request'
+  | 'queue_wait'
   | 'first_event'
   | 'endpoint_hold'
   | 'config_read'
@@ -17,6 +18,7 @@
 /** Metrics of an instance: counters, gauges and latency histograms. */
 export class GatewayMetrics extends MetricsRegistry<LatencyName> {
   readonly requests = this.counter('requests_total', 'Requests by outcome.', ['outcome']);
+  readonly refusals = this.counter('refusals_total', 'Requests refused, by reason.', ['reason']);
   readonly dispatches = this.counter('dispatches_total', 'Requests sent to endpoints.', []);
   readonly failures = this.counter('attempt_failures_total', 'Attempts that failed.', []);
   readonly attemptEnds = this.counter(
--- a/packages/gateway/src/lib/observe/request-log.ts
+++ b/packages/gateway/src/lib/observe/request-log.ts
@@ -31,6 +31,7 @@
   logEnd({ requestId, ...end }: RunEnd, inputs: Inputs): void {
     const { afterMs, firstAfterMs } = inputs;
     this.#metrics.requests.inc({ outcome: end.outcome });
+    if (end.outcome === 'refused') this.#metrics.refusals.inc({ reason: end.reason });
     if (end.outcome === 'cut') {
       const isStopping = inputs.stoppingForMs !== undefined;
       this.#metrics.cuts.inc({ stopping: String(isStopping), at_work: String(inputs.wasAtWork) });
--- a/packages/gateway/src/lib/owner/demand-meter.ts
+++ b/packages/gateway/src/lib/owner/demand-meter.ts
@@ -1,18 +1,11 @@
-import { DemandEstimate } from '@chervilseam/decisions';
+import { DemandEstimate, requestWork } from '@chervilseam/decisions';
 import type { CallerHead } from '../ports/caller-head.js';
 
-/**
- * Cost of one decoding step of an engine's batch, as the number of prompt tokens that the engine reads
- * in the same time: 5 ms at 38 tokens per millisecond.
- */
-const STEP_TOKENS = 200;
 /**
  * Fraction of its work that a refused request still counts for. Its caller sends it again once, and
  * the request is counted again then.
  */
 const REFUSED_SHARE = 0.5;
-/** Greatest number of output tokens assumed for a request without a hint. */
-const OUTPUT_TOKENS_UNHINTED = 300;
 /** Demand below this is not published, in prompt-token equivalents per second. */
 const DEMAND_MIN = 20;
 /** Number of significant digits of published demand. */
@@ -55,7 +48,7 @@
     const { model } = head;
     if (model === undefined) return;
     if (isUrgent) this.#urgentMs.set(model, this.#windowStartMs);
-    this.#add(model, DemandMeter.#workOf(head, slotCount));
+    this.#add(model, requestWork(head, slotCount));
   }
 
   /**
@@ -67,7 +60,7 @@
   recordRefusal(head: CallerHead, slotCount: number): void {
     const { model } = head;
     if (model === undefined) return;
-    this.#add(model, (REFUSED_SHARE - 1) * DemandMeter.#workOf(head, slotCount));
+    this.#add(model, (REFUSED_SHARE - 1) * requestWork(head, slotCount));
   }
 
   /** Ends the current window and starts the next one. */
@@ -108,10 +101,4 @@
   #add(model: string, work: number): void {
     this.#work.set(model, (this.#work.get(model) ?? 0) + work);
   }
-
-  static #workOf(head: CallerHead, slotCount: number): number {
-    const { promptTokenCount, outputTokenCountMax, outputTokenHint } = head;
-    const unhinted = Math.min(outputTokenCountMax, OUTPUT_TOKENS_UNHINTED);
-    return promptTokenCount + (STEP_TOKENS / slotCount) * (outputTokenHint ?? unhinted);
-  }
 }
