--- /dev/null
+++ b/packages/decisions/src/lib/quota/quota-pool.ts
@@ -0,0 +1,160 @@
+import { DecayingRate } from './decaying-rate.js';
+import type { QuotaLease } from './quota-lease.js';
+import type { QuotaReport } from './quota-report.js';
+import { quotaTimes } from './quota-times.js';
+import { RecentMaximum } from './recent-maximum.js';
+import type { UnitsAnswer } from './units-answer.js';
+import type { UnitsAsk } from './units-ask.js';
+
+const MS_PER_SECOND = 1_000;
+/** Demand that rises counts within the first of these times; demand that falls, within the second. In milliseconds. */
+const RISE_TIME_CONSTANT_MS = 1_000;
+const FALL_TIME_CONSTANT_MS = 5_000;
+/** Time for which the size of a large request counts, in milliseconds. */
+const LARGEST_PERIOD_MS = 10_000;
+/** Share of the room below which units are given only to requests that wait. */
+const LOW_SHARE = 0.25;
+/** Share of the units beyond that one instance gets at most for its next requests. */
+const STOCK_SHARE = 0.25;
+/** Time between two looks for units that have expired, in milliseconds. */
+const EXPIRY_INTERVAL_MS = 100;
+/** Least wait that is told while callers ask for more than the pool gets, in milliseconds. */
+const CONTENDED_WAIT_MS = 500;
+/** Longest wait that is told to an instance, in milliseconds. */
+const WAIT_MAX_MS = 5_000;
+
+interface GivenUnits {
+  readonly count: number;
+  readonly untilMs: number;
+}
+
+/**
+ * The units of one workspace in a failure domain. They are added at the rate of the pool's lease and given to the
+ * instances of the domain as these need them.
+ */
+export class QuotaPool {
+  #lease: QuotaLease = { ratePerSecond: 0, room: 0 };
+  #leaseUntilMs = -Infinity;
+  #level = 0;
+  #filledMs = -Infinity;
+  /** Units that instances may still hold, by instance. */
+  readonly #given = new Map<string, GivenUnits>();
+  #givenCount = 0;
+  #expiryMs = -Infinity;
+  readonly #risingDemand = new DecayingRate(RISE_TIME_CONSTANT_MS);
+  readonly #lastingDemand = new DecayingRate(FALL_TIME_CONSTANT_MS);
+  readonly #largest = new RecentMaximum(LARGEST_PERIOD_MS);
+
+  /**
+   * Takes over a lease from the allocator.
+   *
+   * @param lease - the lease
+   * @param askedMs - when it was asked for, by the monotonic clock, in milliseconds
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns whether the pool holds less than before, which the allocator should know soon
+   */
+  renew(lease: QuotaLease, askedMs: number, nowMs: number): boolean {
+    this.#fill(nowMs);
+    const isLowered =
+      lease.ratePerSecond < this.#lease.ratePerSecond || lease.room < this.#lease.room;
+    this.#lease = lease;
+    this.#leaseUntilMs = askedMs + quotaTimes.leaseMs;
+    this.#clip();
+    return isLowered;
+  }
+
+  /** Gives up the lease and all units in the pool. */
+  release(): void {
+    this.#leaseUntilMs = -Infinity;
+    this.#lease = { ratePerSecond: 0, room: 0 };
+    this.#level = 0;
+  }
+
+  /**
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns what the pool holds and needs
+   */
+  report(nowMs: number): QuotaReport {
+    this.#fill(nowMs);
+    this.#forgetExpired(nowMs);
+    return {
+      ratePerSecond: this.#lease.ratePerSecond,
+      room: Math.max(this.#lease.room, this.#level + this.#givenCount),
+      demandPerSecond: Math.max(
+        this.#risingDemand.perSecond(nowMs),
+        this.#lastingDemand.perSecond(nowMs),
+      ),
+      largest: this.#largest.value(nowMs),
+    };
+  }
+
+  /**
+   * Gives an instance units.
+   *
+   * @param instance - its name
+   * @param ask - what it wants
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns the units, and when there are more if they are not enough
+   */
+  give(instance: string, ask: UnitsAsk, nowMs: number): UnitsAnswer {
+    this.#fill(nowMs);
+    this.#risingDemand.add(ask.asked, nowMs);
+    this.#lastingDemand.add(ask.asked, nowMs);
+    this.#largest.record(ask.largest, nowMs);
+    const units = this.#unitsFor(ask);
+    this.#level -= units;
+    const had = ask.held + units;
+    const unspent = had >= ask.waiting ? had - ask.waiting : had;
+    this.#givenCount += unspent - (this.#given.get(instance)?.count ?? 0);
+    const untilMs = nowMs + quotaTimes.unitsMs + quotaTimes.driftMs;
+    this.#given.set(instance, { count: unspent, untilMs });
+    this.#clip();
+    return { units, waitMs: units < ask.needed ? this.#waitMs(ask.needed, nowMs) : 0 };
+  }
+
+  #unitsFor({ held, waiting, needed, stock }: UnitsAsk): number {
+    const level = Math.floor(this.#level);
+    if (level < needed) return 0;
+    const missing = Math.min(level, Math.max(0, waiting - held));
+    const spare = Math.floor(STOCK_SHARE * (level - missing - LOW_SHARE * this.#lease.room));
+    return missing + Math.max(0, Math.min(stock - Math.max(0, held - waiting), spare));
+  }
+
+  #waitMs(needed: number, nowMs: number): number {
+    const { ratePerSecond } = this.#lease;
+    if (ratePerSecond === 0) return WAIT_MAX_MS;
+    const fillMs = ((needed - this.#level) * MS_PER_SECOND) / ratePerSecond;
+    // Others take what is added meanwhile.
+    const isContended = this.#lastingDemand.perSecond(nowMs) > ratePerSecond;
+    return Math.min(WAIT_MAX_MS, Math.max(fillMs, isContended ? CONTENDED_WAIT_MS : 0));
+  }
+
+  #fill(nowMs: number): void {
+    const untilMs = Math.min(nowMs, this.#leaseUntilMs);
+    if (untilMs > this.#filledMs) {
+      const added = ((untilMs - this.#filledMs) / MS_PER_SECOND) * this.#lease.ratePerSecond;
+      // The first fill only starts the clock.
+      if (this.#filledMs > -Infinity) this.#level += added;
+    }
+    this.#filledMs = nowMs;
+    if (nowMs >= this.#leaseUntilMs) this.release();
+    this.#clip();
+  }
+
+  // Expired units are forgotten only where that frees room, since it takes a look at all instances.
+  #clip(): void {
+    const { room } = this.#lease;
+    if (this.#level + this.#givenCount > room) this.#forgetExpired(this.#filledMs);
+    this.#level = Math.max(0, Math.min(this.#level, room - this.#givenCount));
+  }
+
+  #forgetExpired(nowMs: number): void {
+    if (nowMs < this.#expiryMs + EXPIRY_INTERVAL_MS) return;
+    this.#expiryMs = nowMs;
+    this.#given.forEach(({ count, untilMs }, instance) => {
+      if (nowMs < untilMs) return;
+      this.#givenCount -= count;
+      this.#given.delete(instance);
+    });
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/quota/refund-limit-ms.ts
@@ -0,0 +1,15 @@
+import type { QuotaBound } from './quota-bound.js';
+
+/** Part of the tolerance on the rate that is left for units that are given back. */
+const REFUND_PART = 0.5;
+
+/**
+ * Units of a request that is refused later than this after its admission are not given back: if they were spent before
+ * a window and given back in it, they would add to what the window may see.
+ *
+ * @param bound - how far quotas may be exceeded
+ * @returns the time, in milliseconds
+ */
+export function refundLimitMs({ windowMs, overRatio }: QuotaBound): number {
+  return (REFUND_PART * overRatio * windowMs) / (1 + overRatio);
+}
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -991,6 +991,7 @@
       {
         configVersion: this.#target.configVersion,
         workspace: this.#target.access?.workspace?.name,
+        units: this.#target.charge?.units,
         offers: this.#sendCount,
         model: this.#head.model,
         adapter: this.#head.adapter,
--- a/packages/gateway/src/lib/dispatch/run-target.ts
+++ b/packages/gateway/src/lib/dispatch/run-target.ts
@@ -1,4 +1,5 @@
 import type { RouteSpec, ServiceSpec, WorkspaceSpec } from '@chervilseam/model';
+import type { QuotaCharge } from '../quota/quota-charge.js';
 
 /** Route that a request matched, and the service chosen for it. */
 export interface RunTarget {
@@ -9,6 +10,8 @@
    * a public route.
    */
   readonly access?: { readonly workspace?: WorkspaceSpec };
+  /** What the request was charged of its workspace's quota; absent without one. */
+  readonly charge?: QuotaCharge;
   /** Version of the configuration that the request was routed by. */
   readonly configVersion: number;
 }
--- a/packages/gateway/src/lib/gateway-settings.ts
+++ b/packages/gateway/src/lib/gateway-settings.ts
@@ -42,6 +42,12 @@
   readonly loadWindowMs: number;
   /** Factor on the number of loads that the limit allows in a window; 1 for exactly that number. */
   readonly loadSlackRatio: number;
+  /** Window in which the use of a workspace's quota is bounded, in milliseconds. */
+  readonly quotaWindowMs: number;
+  /** Fraction by which a quota's rate and burst may be exceeded in a window. */
+  readonly quotaOverRatio: number;
+  /** Units by which a quota may be exceeded in a window in addition, over all instances together. */
+  readonly quotaSlackCount: number;
   /** Lower bound of `Retry-After`, in milliseconds. */
   readonly retryAfterMinMs: number;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,12 +3,16 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   chooseTarget,
+  hashOf,
   isStrings,
   MemoryBudget,
+  quotaCost,
+  quotaTimes,
   Random,
   weightedRendezvous,
 } from '@chervilseam/decisions';
 import { shownDigestOf } from '@chervilseam/model';
+import type { QuotaSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
@@ -42,6 +46,10 @@
 import { peerKey } from './peer/peer-key.js';
 import { PeerSync } from './peer/peer-sync.js';
 import { PeerTable } from './peer/peer-table.js';
+import { QuotaKeeper } from './quota/quota-keeper.js';
+import type { QuotaCharge } from './quota/quota-charge.js';
+import type { QuotaPeer } from './quota/quota-peer.js';
+import type { QuotaVerdict } from './quota/quota-verdict.js';
 
 /** Time between two runs of the periodic work, in milliseconds. */
 const TICK_MS = 50;
@@ -64,6 +72,11 @@
 const NOT_READY_RETRY_MS = 500;
 /** Shortest time between two log lines on connections and bodies of callers that were given up, in milliseconds. */
 const SHED_LOG_PERIOD_MS = 1_000;
+/** `Retry-After` of a request whose quota no reachable instance knows, in milliseconds. */
+const QUOTA_RETRY_MS = 1_000;
+/** Name whose share entitles its owner to divide the quotas. */
+const QUOTA_SHARE_NAME = 'quotas';
+const NO_QUOTAS: ReadonlyMap<string, QuotaSpec> = new Map();
 /** Time between two checks of the open connections during a shutdown, in milliseconds. */
 const STOP_POLL_MS = 50;
 
@@ -89,6 +102,7 @@
   readonly #picker: EndpointPicker;
   readonly #runContext: RunContext;
   readonly #services: ServiceTable;
+  readonly #quotas: QuotaKeeper;
   readonly #requestLog: RequestLog;
   /** Adapters used since the last report, each as MODEL/ADAPTER, by endpoint. */
   readonly #usedAdapters = new Map<string, Set<string>>();
@@ -103,6 +117,8 @@
   #lastPlanMs = 0;
   /** When the last log line on connections and bodies of callers that were given up was written. */
   #shedLoggedMs = -Infinity;
+  /** Quotas by workspace, of the configuration in force. */
+  #quotaSpecs = NO_QUOTAS;
   #timer: NodeJS.Timeout | undefined;
   /** Set once the instance stops. */
   #shutdown: ShutdownTimes | undefined;
@@ -168,8 +184,10 @@
         this.#metrics.configReads.inc({ source, outcome });
         if (source === 'peer') this.#metrics.observe('config_read', durationMs);
       },
-      onChange: ({ limits, version, routes }) => {
+      onChange: (config) => {
+        const { limits, version, routes } = config;
         this.#ingress.apply(limits);
+        this.#quotaSpecs = Gateway.#quotaSpecsOf(config);
         this.#services.keepRoutes(routes.map(({ name }) => name));
         this.#metrics.configVersion.set(version);
         this.#scheduleDispatch();
@@ -187,6 +205,7 @@
       state: () => this.#state(),
       loadAdapter: (request) => this.#fleet.loadAdapter(request),
       config: () => this.#config.encoded(),
+      quotaCall: (method, instance, params) => this.#quotas.receive(method, instance, params),
       beginMove: (endpoint, move) => this.#fleet.beginMove(endpoint, move),
       list: this.#endpointFeed,
       onState: (state) => this.#onPeerState(state),
@@ -221,6 +240,7 @@
       onLeaving: (endpoint) => this.#noteLeaving(endpoint),
       onPlanned: (busyMs) => this.#metrics.observe('plan', busyMs),
     });
+    this.#quotas = this.#createQuotaKeeper();
     this.#crashGuard = new CrashGuard({
       nowMs,
       logger: ports.logger('crash'),
@@ -405,6 +425,7 @@
         endpoints: () => this.#endpointFeed.tick(),
         exchange: () => this.#peerSync.tick(),
         engines: () => this.#fleet.tick(),
+        quotas: () => this.#quotas.tick(),
         readiness: () => this.#logReadiness(),
         plan: () => this.#plan(),
         queue: () => this.#dispatchQueued(),
@@ -455,6 +476,7 @@
 
   #onRequest(exchange: CallerExchange, head: CallerHead, body: Buffer): void {
     const { config, routes, workspaces } = this.#config;
+    const { retryAfterMinMs } = this.#settings;
     const refuse = (
       status: number,
       reason: string,
@@ -469,7 +491,7 @@
       exchange.refuse(status, reason, retryAfterMs);
     };
     if (this.#isTooLateToAccept()) {
-      refuse(503, 'stopping', this.#settings.retryAfterMinMs);
+      refuse(503, 'stopping', retryAfterMinMs);
       return;
     }
     if (!config || !routes || !this.#endpointFeed.isLoaded) {
@@ -496,7 +518,37 @@
       return;
     }
     const target = { route, service, access, configVersion: config.version };
-    new RequestRun(this.#runContext, exchange, target, head, body).start();
+    const start = (charge?: QuotaCharge): void =>
+      new RequestRun(this.#runContext, exchange, { ...target, charge }, head, body).start();
+    const { quota } = access?.workspace ?? {};
+    if (!access?.workspace || !quota) {
+      start();
+      return;
+    }
+    const startMs = Gateway.nowMs();
+    const verdict = this.#quotas.admit(access.workspace.name, quota, head);
+    const settle = (settled: QuotaVerdict): void => {
+      this.#metrics.quotaRequests.inc({ verdict: settled.kind });
+      this.#metrics.observe('quota_wait', Gateway.nowMs() - startMs);
+      if (exchange.isOver) return;
+      if (settled.kind === 'admitted') start(settled.charge);
+      else {
+        const isKnown = settled.kind === 'exceeded';
+        const retryAfterMs = isKnown ? settled.retryAfterMs : QUOTA_RETRY_MS;
+        refuse(
+          isKnown ? 429 : 503,
+          isKnown ? 'quota exceeded' : 'quota unknown',
+          Math.max(retryAfterMinMs, retryAfterMs),
+          {
+            workspace: access.workspace?.name,
+            units: quotaCost(quota, head),
+            retryAfterMs: Math.round(retryAfterMs),
+          },
+        );
+      }
+    };
+    if (verdict instanceof Promise) void verdict.then(settle);
+    else settle(verdict);
   }
 
   // A request that arrives late in a shutdown might not complete before the process exits.
@@ -531,7 +583,12 @@
       loadAdapter: (endpoint, model, adapter) =>
         this.#fleet.loadAdapterThroughOwner(endpoint, model, adapter),
       onReceived: (head, target) => this.#fleet.recordRequest(head, target),
-      onRefused: (head, target) => this.#fleet.recordRefusal(head, target),
+      onRefused: (head, target) => {
+        this.#fleet.recordRefusal(head, target);
+        if (!target.charge) return;
+        const isBack = this.#quotas.giveBack(target.charge);
+        this.#metrics.quotaRefunds.inc({ outcome: isBack ? 'returned' : 'late' });
+      },
       onSent: (endpoint, { model, adapter }) => {
         this.#metrics.dispatches.inc();
         this.#peerSync.noteDispatch();
@@ -567,6 +624,65 @@
     };
   }
 
+  static #quotaSpecsOf({ workspaces = new Map() }: ServingConfig): ReadonlyMap<string, QuotaSpec> {
+    const entries = [...workspaces.values()].flatMap(({ name, quota }) =>
+      quota ? [[name, quota] as const] : [],
+    );
+    return new Map(entries);
+  }
+
+  #createQuotaKeeper(): QuotaKeeper {
+    const { instance, failureDomain, quotaWindowMs, quotaOverRatio, quotaSlackCount, shareCount } =
+      this.#settings;
+    const share = hashOf(QUOTA_SHARE_NAME) % shareCount;
+    return new QuotaKeeper({
+      instance,
+      failureDomain,
+      startedMs: this.#startedMs,
+      bound: {
+        windowMs: quotaWindowMs,
+        overRatio: quotaOverRatio,
+        slackCount: quotaSlackCount,
+      },
+      logger: this.#ports.logger('quota'),
+      nowMs: Gateway.nowMs,
+      wallMs: Date.now,
+      randomUnit: () => this.#random.unit(),
+      quotas: () => this.#quotaSpecs,
+      owners: () => this.#quotaOwners(),
+      instanceCount: () => this.#instanceCount,
+      allocator: () =>
+        this.#member.shares.includes(share)
+          ? this.#ownPeer
+          : this.#peers.ownerOf(share, Gateway.nowMs()),
+      isAllocator: () => this.#member.shares.includes(share) && !this.#member.hasLapsed,
+      handoverMs: this.#member.leaseTtlMs,
+      isFreshFleet: () => this.#isFreshFleet(),
+      call: (peer, method, params) => this.#peerSync.callForQuotas(peer, method, params),
+    });
+  }
+
+  get #ownPeer(): QuotaPeer {
+    const { instance, failureDomain, processorShare, peerAddress } = this.#settings;
+    return { instance, failureDomain, processorShare, ...peerAddress };
+  }
+
+  #quotaOwners(): readonly QuotaPeer[] {
+    const others = this.#peers
+      .fresh(Gateway.nowMs())
+      .filter(({ shares, isStopping }) => shares.length > 0 && !isStopping);
+    const isOwner = this.#member.shares.length > 0 && !this.#shutdown;
+    return isOwner ? [...others, this.#ownPeer] : others;
+  }
+
+  // Whether no process that may hold a lease is known: every owner of a share has started only now.
+  #isFreshFleet(): boolean {
+    const nowMs = Gateway.nowMs();
+    const uptimesMs = this.#peers.fresh(nowMs).map(({ uptimeMs }) => uptimeMs);
+    uptimesMs.push(this.#fleet.handover.uptimeMs(nowMs));
+    return this.#knowsOwners() && uptimesMs.every((uptimeMs) => uptimeMs < quotaTimes.leaseMs);
+  }
+
   #noteLeaving(endpoint: Endpoint): void {
     if (endpoint.hasAnnouncedLeaving) return;
     this.#metrics.leaving.inc();
@@ -700,6 +816,8 @@
     this.#metrics.suspectParts.set(this.#crashGuard.suspectCount);
     this.#metrics.withheldParts.set(this.#crashGuard.withheldCount);
     this.#metrics.listAgeMs.set(this.#endpointFeed.ageMs);
+    this.#metrics.quotaPools.set(this.#quotas.poolCount);
+    this.#metrics.isQuotaAllocator.set(Number(this.#quotas.isAllocator));
     this.#metrics.ownedEngines.set(Object.keys(this.#fleet.ownStates()).length);
     return this.#metrics.text();
   }
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -12,6 +12,7 @@
   | 'endpoint_hold'
   | 'config_read'
   | 'plan'
+  | 'quota_wait'
   | 'event_loop_lag'
   | 'list_age_max';
 
@@ -95,5 +96,25 @@
     'Updates of the list of endpoints from other instances: applied, current, old, or gap (refused).',
     ['outcome'],
   );
+  readonly quotaRequests = this.counter(
+    'quota_requests_total',
+    'Requests of workspaces with a quota: admitted, exceeded, or unknown (no pool was reached).',
+    ['verdict'],
+  );
+  readonly quotaRefunds = this.counter(
+    'quota_refunds_total',
+    'Refused requests whose units were given back to their quota, or came too late for that.',
+    ['outcome'],
+  );
+  readonly quotaPools = this.gauge(
+    'quota_pools',
+    'Workspaces whose units this instance gives to the others of its failure domain.',
+    [],
+  );
+  readonly isQuotaAllocator = this.gauge(
+    'quota_allocator',
+    'Whether this instance divides the quotas among the pools.',
+    [],
+  );
   readonly ownedEngines = this.gauge('owned_engines', 'Engines that may be ordered from here.', []);
 }
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -96,6 +96,11 @@
     return this.#isStopped || this.#lease.hasLapsed(this.#context.nowMs());
   }
 
+  /** Time after which the owner of a share that was assigned to another must have stopped, in milliseconds. */
+  get leaseTtlMs(): number {
+    return this.#ttlMs;
+  }
+
   /** Shares that the store has assigned to this instance, including those it may not use yet. */
   get shares(): readonly number[] {
     return this.#lease.shares;
--- a/packages/gateway/src/lib/peer/peer-sync.ts
+++ b/packages/gateway/src/lib/peer/peer-sync.ts
@@ -5,6 +5,7 @@
 import { packedConfig } from '../feed/packed-config.js';
 import type { ListUpdate } from '../feed/list-update.js';
 import type { EngineMove } from '../owner/engine-move.js';
+import type { QuotaCalls } from '../quota/quota-calls.js';
 import type { AdapterLoadRequest } from './adapter-load-request.js';
 import { bestAggregator } from './best-aggregator.js';
 import type { InstanceState } from './instance-state.js';
@@ -56,6 +57,8 @@
 const REMOVAL_TIMEOUT_MS = 20_000;
 /** Timeout of a request to an owner to load an adapter, in milliseconds. */
 const ADAPTER_TIMEOUT_MS = 400;
+/** Timeout of a call for quotas, with the time until its connection is open, in milliseconds. */
+const QUOTA_TIMEOUT_MS = 300;
 
 /** Ranks that an owner without a recent answer loses: more than one in another failure domain. */
 const SILENCE_PENALTY = 2;
@@ -79,6 +82,12 @@
   readonly loadAdapter: (request: AdapterLoadRequest) => Promise<boolean>;
   /** Begins a change of the models on an engine that this instance owns. */
   readonly beginMove: (endpoint: string, move: EngineMove) => boolean;
+  /** Answers a call of another instance for quotas. */
+  readonly quotaCall: <M extends keyof QuotaCalls>(
+    method: M,
+    instance: string,
+    params: QuotaCalls[M]['params'],
+  ) => QuotaCalls[M]['answer'];
   /**
    * The configuration in force here, encoded for instances that do not read it from the store; rejects
    * when there is none.
@@ -103,6 +112,8 @@
   readonly #pool: PeerPool;
   /** Connections of large transfers, which would hold up the state exchange. */
   readonly #transfers: PeerPool;
+  /** Connections of calls for quotas, which callers wait for. */
+  readonly #quotas: PeerPool;
   readonly #server: PeerServer;
   readonly #links = new Map<string, PeerLink>();
   #ownKey = '';
@@ -156,6 +167,12 @@
         const { endpoint, move } = params as { endpoint: string; move: EngineMove };
         stream.end({ isBegun: context.beginMove(endpoint, move) });
       },
+      units: (params, stream, from) => {
+        stream.end(context.quotaCall('units', from, params as QuotaCalls['units']['params']));
+      },
+      lease: (params, stream, from) => {
+        stream.end(context.quotaCall('lease', from, params as QuotaCalls['lease']['params']));
+      },
       adapter: (params, stream) => {
         void context
           .loadAdapter(params as AdapterLoadRequest)
@@ -164,6 +181,7 @@
     };
     this.#pool = new PeerPool({ instance, secret, handlers: {} });
     this.#transfers = new PeerPool({ instance, secret, handlers: {} }, CALL_TIMEOUT_MS);
+    this.#quotas = new PeerPool({ instance, secret, handlers: {} }, QUOTA_TIMEOUT_MS);
     this.#server = new PeerServer({ instance, secret, handlers });
   }
 
@@ -306,11 +324,36 @@
     }
   }
 
+  /**
+   * Calls another instance for quotas.
+   *
+   * @param address - the instance
+   * @param method - what is asked
+   * @param params - parameters of the call
+   * @returns the answer
+   * @throws when there is no answer in time
+   */
+  async callForQuotas<M extends keyof QuotaCalls>(
+    address: PeerAddress,
+    method: M,
+    params: QuotaCalls[M]['params'],
+  ): Promise<QuotaCalls[M]['answer']> {
+    try {
+      const answer = await this.#quotas.call(address, method, params, QUOTA_TIMEOUT_MS);
+      return answer as QuotaCalls[M]['answer'];
+    } catch (error) {
+      // The connection may be dead without an error while a new one would work.
+      this.#quotas.drop(address);
+      throw error;
+    }
+  }
+
   /** Stops listening and closes all connections. */
   close(): void {
     this.#server.close();
     this.#pool.close();
     this.#transfers.close();
+    this.#quotas.close();
   }
 
   get #ownerLinks(): PeerLink[] {
--- /dev/null
+++ b/packages/gateway/src/lib/quota/quota-leases.ts
@@ -0,0 +1,106 @@
+import { QuotaAllocator, quotaTotal, quotaTimes } from '@chervilseam/decisions';
+import type { QuotaLease } from '@chervilseam/decisions';
+import { CallOrder } from './call-order.js';
+import type { QuotaCalls } from './quota-calls.js';
+import type { QuotaContext } from './quota-context.js';
+
+/** Time by which all that an allocator granted has ended, in milliseconds. */
+const SETTLING_MS = quotaTimes.leaseMs + quotaTimes.unitsMs + 2 * quotaTimes.driftMs;
+const NOTHING: QuotaLease = { ratePerSecond: 0, room: 0 };
+
+/**
+ * Divides the quotas of all workspaces among the pools while this instance owns the share that entitles it to. It
+ * grants nothing until its predecessor can no longer do so.
+ */
+export class QuotaLeases {
+  readonly #context: QuotaContext;
+  #allocators = new Map<string, QuotaAllocator>();
+  readonly #order = new CallOrder();
+  /** When this instance got the share; `undefined` while it has not got it, in milliseconds. */
+  #assignedMs: number | undefined;
+  #isSettled = false;
+
+  /** @param context - dependencies */
+  constructor(context: QuotaContext) {
+    this.#context = context;
+  }
+
+  /** Whether this instance divides the quotas now. */
+  get isGranting(): boolean {
+    const { nowMs, handoverMs } = this.#context;
+    return this.#assignedMs !== undefined && nowMs() >= this.#assignedMs + handoverMs;
+  }
+
+  /**
+   * Answers a pool that asks for its leases.
+   *
+   * @param instance - the pool's name
+   * @param params - what it holds and needs
+   * @returns the leases
+   */
+  grant(instance: string, params: QuotaCalls['lease']['params']): QuotaCalls['lease']['answer'] {
+    const { nowMs, quotas, bound } = this.#context;
+    this.tick();
+    if (!this.isGranting || !this.#order.isNewest(instance, params, nowMs())) return {};
+    const leases: Record<string, QuotaLease> = {};
+    const { startedMs, isLeaving } = params;
+    Object.entries(params.reports).forEach(([workspace, report]) => {
+      const allocator = this.#allocatorOf(workspace);
+      const holder = { instance, startedMs };
+      if (isLeaving) {
+        allocator.leave(holder, report, nowMs());
+        return;
+      }
+      const quota = quotas().get(workspace);
+      const total = quota ? quotaTotal(quota, bound) : NOTHING;
+      const lease = allocator.renew(holder, report, total, nowMs());
+      if (!quota && allocator.held(nowMs()).ratePerSecond === 0) this.#allocators.delete(workspace);
+      leases[workspace] = {
+        ratePerSecond: Math.floor(lease.ratePerSecond),
+        room: Math.floor(lease.room),
+      };
+    });
+    return { leases };
+  }
+
+  /** Notes whether this instance is the allocator. */
+  tick(): void {
+    const { isAllocator, nowMs, isFreshFleet, logger, quotas } = this.#context;
+    if (!isAllocator()) {
+      if (this.#assignedMs !== undefined) this.reset();
+      return;
+    }
+    if (this.#assignedMs === undefined) {
+      this.#assignedMs = nowMs();
+      if (quotas().size > 0) {
+        logger.info('quota_allocator', 'this instance divides the quotas of workspaces', {});
+      }
+    }
+    if (this.#isSettled || !this.isGranting) return;
+    const isFresh = isFreshFleet();
+    if (!isFresh && nowMs() < this.#settledMs) return;
+    this.#isSettled = true;
+    this.#allocators.forEach((allocator) => allocator.settle(nowMs()));
+    if (quotas().size === 0) return;
+    logger.info('quota_settled', 'no lease of an earlier allocator goes on', { isFresh });
+  }
+
+  /** Stops to divide the quotas until this instance is made the allocator anew. */
+  reset(): void {
+    this.#assignedMs = undefined;
+    this.#isSettled = false;
+    this.#allocators = new Map();
+  }
+
+  get #settledMs(): number {
+    return (this.#assignedMs ?? Infinity) + this.#context.handoverMs + SETTLING_MS;
+  }
+
+  #allocatorOf(workspace: string): QuotaAllocator {
+    const known = this.#allocators.get(workspace);
+    if (known) return known;
+    const allocator = new QuotaAllocator(this.#isSettled ? -Infinity : this.#settledMs);
+    this.#allocators.set(workspace, allocator);
+    return allocator;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/quota/quota-pools.ts
@@ -0,0 +1,163 @@
+import { QuotaPool } from '@chervilseam/decisions';
+import type { QuotaReport, UnitsAsk } from '@chervilseam/decisions';
+import { CallOrder } from './call-order.js';
+import { preferredPool } from './preferred-pool.js';
+import type { QuotaCalls, WireAnswer, WireAsk } from './quota-calls.js';
+import type { QuotaContext } from './quota-context.js';
+
+/** Time between two renewals of the leases, in milliseconds. */
+const RENEWAL_MS = 500;
+/** The same while the callers of a workspace ask for more than its pool gets. */
+const SHORT_RENEWAL_MS = 200;
+/** Time after which a pool that no instance asks gives up its leases, in milliseconds. */
+const UNUSED_MS = 3_000;
+/** Wait that is told for a workspace whose quota isn't known here yet, in milliseconds. */
+const UNKNOWN_WAIT_MS = 300;
+
+const decodeAsk = ([asked, held, waiting, needed, stock, largest]: WireAsk): UnitsAsk => ({
+  asked,
+  held,
+  waiting,
+  needed,
+  stock,
+  largest,
+});
+
+// Short on the wire, and never more than what is meant.
+const rounded = (report: QuotaReport): QuotaReport => ({
+  ratePerSecond: Math.ceil(report.ratePerSecond),
+  room: Math.ceil(report.room),
+  demandPerSecond: Math.round(report.demandPerSecond),
+  largest: report.largest,
+});
+
+/** The pools of this instance, one a workspace, which give units to the instances of its failure domain. */
+export class QuotaPools {
+  readonly #context: QuotaContext;
+  readonly #pools = new Map<string, QuotaPool>();
+  readonly #order = new CallOrder();
+  /** When an instance last asked for units, in milliseconds. */
+  #askedMs = -Infinity;
+  #renewalMs = -Infinity;
+  #isRenewing = false;
+  #sequence = 0;
+  /** Raised when all leases are given up: answers to earlier calls no longer count. */
+  #epoch = 0;
+
+  /** @param context - dependencies */
+  constructor(context: QuotaContext) {
+    this.#context = context;
+  }
+
+  /** Number of pools that this instance keeps. */
+  get count(): number {
+    return this.#pools.size;
+  }
+
+  /**
+   * Answers an instance that asks for units.
+   *
+   * @param instance - its name
+   * @param params - what it wants
+   * @returns the units
+   */
+  give(instance: string, params: QuotaCalls['units']['params']): QuotaCalls['units']['answer'] {
+    const nowMs = this.#context.nowMs();
+    if (!this.#isOwner || !this.#order.isNewest(instance, params, nowMs)) return {};
+    this.#askedMs = nowMs;
+    const answers: Record<string, WireAnswer> = {};
+    Object.entries(params.asks).forEach(([workspace, ask]) => {
+      const pool = this.#poolOf(workspace);
+      const answer = pool?.give(instance, decodeAsk(ask), nowMs);
+      answers[workspace] = answer ? [answer.units, Math.ceil(answer.waitMs)] : [0, UNKNOWN_WAIT_MS];
+    });
+    return { answers };
+  }
+
+  /** Renews the leases when that is due. */
+  tick(): void {
+    const nowMs = this.#context.nowMs();
+    if (this.#isRenewing || nowMs < this.#renewalMs) return;
+    if (this.#isUsed(nowMs)) {
+      void this.#renew(false);
+      return;
+    }
+    if (this.#pools.size === 0) return;
+    this.#pools.forEach((pool) => pool.release());
+    void this.#renew(true);
+  }
+
+  /** Gives up all leases, since they may have ended without notice. */
+  reset(): void {
+    this.#epoch += 1;
+    this.#pools.forEach((pool) => pool.release());
+  }
+
+  get #isOwner(): boolean {
+    const { owners, instance } = this.#context;
+    return owners().some((owner) => owner.instance === instance);
+  }
+
+  #isUsed(nowMs: number): boolean {
+    const { owners, instance, failureDomain } = this.#context;
+    if (!this.#isOwner) return false;
+    if (nowMs < this.#askedMs + UNUSED_MS) return true;
+    return preferredPool(failureDomain, owners())?.instance === instance;
+  }
+
+  #poolOf(workspace: string): QuotaPool | undefined {
+    const known = this.#pools.get(workspace);
+    if (known || !this.#context.quotas().has(workspace)) return known;
+    const pool = new QuotaPool();
+    this.#pools.set(workspace, pool);
+    return pool;
+  }
+
+  async #renew(isLeaving: boolean): Promise<void> {
+    const { quotas, nowMs, allocator, call, startedMs, logger } = this.#context;
+    const peer = allocator();
+    const askedMs = nowMs();
+    this.#renewalMs = askedMs + RENEWAL_MS;
+    if (!peer) return;
+    if (!isLeaving) quotas().forEach((_, workspace) => this.#poolOf(workspace));
+    const reports = Object.fromEntries(
+      [...this.#pools].map(([workspace, pool]) => [workspace, rounded(pool.report(askedMs))]),
+    );
+    const epoch = this.#epoch;
+    this.#sequence += 1;
+    this.#isRenewing = true;
+    try {
+      const order = { startedMs, sequence: this.#sequence };
+      const { leases } = await call(peer, 'lease', { ...order, reports, isLeaving });
+      if (epoch !== this.#epoch || !leases) return;
+      if (isLeaving) this.#pools.clear();
+      else this.#apply(leases, reports, askedMs);
+    } catch (error) {
+      const fields = { allocator: peer.instance, error: (error as Error).message };
+      logger.info('quota_allocator_silent', 'the allocator of quotas does not answer', fields);
+    } finally {
+      this.#isRenewing = false;
+    }
+  }
+
+  #apply(
+    leases: Required<QuotaCalls['lease']['answer']>['leases'],
+    reports: Readonly<Record<string, QuotaReport>>,
+    askedMs: number,
+  ): void {
+    const nowMs = this.#context.nowMs();
+    Object.entries(leases).forEach(([workspace, lease]) => {
+      const isLowered = this.#pools.get(workspace)?.renew(lease, askedMs, nowMs) ?? false;
+      // What was given up is free for others once the allocator knows.
+      if (isLowered) this.#renewalMs = nowMs;
+      else if (reports[workspace].demandPerSecond > lease.ratePerSecond) {
+        this.#renewalMs = Math.min(this.#renewalMs, askedMs + SHORT_RENEWAL_MS);
+      }
+    });
+    const { quotas } = this.#context;
+    this.#pools.forEach((_, workspace) => {
+      const isHeld = (leases[workspace]?.ratePerSecond ?? 0) > 0;
+      if (!quotas().has(workspace) && !isHeld) this.#pools.delete(workspace);
+    });
+  }
+}
--- a/packages/gateway/src/test/large-config_test.ts
+++ b/packages/gateway/src/test/large-config_test.ts
@@ -56,6 +56,7 @@
     state,
     loadAdapter: () => Promise.resolve(false),
     beginMove: () => false,
+    quotaCall: () => ({}),
     config: () => packedConfig.encode(config),
     list: {
       offset: undefined,
--- a/packages/gateway/src/test/peer-sync_test.ts
+++ b/packages/gateway/src/test/peer-sync_test.ts
@@ -48,6 +48,7 @@
       }),
       loadAdapter: () => Promise.resolve(false),
       beginMove: () => false,
+      quotaCall: () => ({}),
       config: () => Promise.reject(new Error('no configuration is in force')),
       list: this,
       onState: () => {
