--- a/packages/decisions/src/lib/quota/quota-allocator.ts
+++ b/packages/decisions/src/lib/quota/quota-allocator.ts
@@ -28,8 +28,15 @@
   readonly startedMs: number;
 }
 
+/** Change of a lease that isn't made, as a share of it. */
+const KEPT_SHARE = 0.05;
+
 const { leaseMs, unitsMs, driftMs, silentMs } = quotaTimes;
 
+// Small differences are left, since each change takes two calls.
+const isNear = (target: number, held: number): boolean =>
+  Math.abs(target - held) <= KEPT_SHARE * held;
+
 /**
  * Divides the quota of one workspace among the pools of the failure domains. All that pools may hold at a time, with
  * what this allocator cannot know to be given up, is within the quota: a pool is given more only from what is free or
@@ -77,9 +84,16 @@
     const target = this.#targetOf(holder.instance, available, nowMs);
     const freeRate = Math.max(0, available.ratePerSecond - this.#sum('rate'));
     const freeRoom = Math.max(0, available.room - this.#heldRoom);
+    const heldRate = this.#sum('rate');
     const lease = {
-      ratePerSecond: Math.min(target.ratePerSecond, report.ratePerSecond + freeRate),
-      room: Math.min(target.room, report.room + freeRoom),
+      ratePerSecond:
+        heldRate <= available.ratePerSecond && isNear(target.ratePerSecond, report.ratePerSecond)
+          ? report.ratePerSecond
+          : Math.min(target.ratePerSecond, report.ratePerSecond + freeRate),
+      room:
+        this.#heldRoom <= available.room && isNear(target.room, report.room)
+          ? report.room
+          : Math.min(target.room, report.room + freeRoom),
     };
     // If the answer is lost, the pool goes on with what it reported.
     holding.rate = Math.max(report.ratePerSecond, lease.ratePerSecond);
--- a/packages/decisions/src/lib/quota/quota-balance.ts
+++ b/packages/decisions/src/lib/quota/quota-balance.ts
@@ -11,7 +11,7 @@
 /** Share of the wanted stock below which units are fetched. */
 const FETCH_SHARE = 0.5;
 /** Share of it above which a call that is made for others fetches none. */
-const ENOUGH_SHARE = 0.8;
+const ENOUGH_SHARE = 0.6;
 
 /** Units of one workspace that this instance got from its pool and has not spent. */
 export class QuotaBalance {
--- a/packages/decisions/src/lib/quota/quota-pool.ts
+++ b/packages/decisions/src/lib/quota/quota-pool.ts
@@ -12,6 +12,12 @@
 const FALL_TIME_CONSTANT_MS = 5_000;
 /** Time for which the size of a large request counts, in milliseconds. */
 const LARGEST_PERIOD_MS = 10_000;
+/** Age at which a lease is renewed although the demand has not changed, in milliseconds. */
+const RENEWAL_MS = 2_000;
+/** The same for a pool without any rate. */
+const EMPTY_RENEWAL_MS = 500;
+/** Change of the demand, as a share of the lease's rate, that the allocator is told of. */
+const CHANGE_SHARE = 0.2;
 /** Share of the room below which units are given only to requests that wait. */
 const LOW_SHARE = 0.25;
 /** Share of the units beyond that one instance gets at most for its next requests. */
@@ -21,7 +27,7 @@
 /** Least wait that is told while callers ask for more than the pool gets, in milliseconds. */
 const CONTENDED_WAIT_MS = 500;
 /** Longest wait that is told to an instance, in milliseconds. */
-const WAIT_MAX_MS = 5_000;
+const WAIT_MAX_MS = 1_000;
 
 interface GivenUnits {
   readonly count: number;
@@ -41,6 +47,8 @@
   readonly #given = new Map<string, GivenUnits>();
   #givenCount = 0;
   #expiryMs = -Infinity;
+  #reportedMs = -Infinity;
+  #reportedDemand = 0;
   readonly #risingDemand = new DecayingRate(RISE_TIME_CONSTANT_MS);
   readonly #lastingDemand = new DecayingRate(FALL_TIME_CONSTANT_MS);
   readonly #largest = new RecentMaximum(LARGEST_PERIOD_MS);
@@ -57,12 +65,26 @@
     this.#fill(nowMs);
     const isLowered =
       lease.ratePerSecond < this.#lease.ratePerSecond || lease.room < this.#lease.room;
+    if (isLowered) this.#reportedMs = -Infinity;
     this.#lease = lease;
     this.#leaseUntilMs = askedMs + quotaTimes.leaseMs;
     this.#clip();
     return isLowered;
   }
 
+  /**
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns whether the allocator should hear of this pool now: its lease gets old, or its demand has changed
+   */
+  needsRenewal(nowMs: number): boolean {
+    const { ratePerSecond } = this.#lease;
+    const renewalMs = ratePerSecond > 0 ? RENEWAL_MS : EMPTY_RENEWAL_MS;
+    if (nowMs >= this.#reportedMs + renewalMs) return true;
+    const demand = this.#demandPerSecond(nowMs);
+    const change = Math.abs(demand - this.#reportedDemand);
+    return demand > ratePerSecond || change > CHANGE_SHARE * ratePerSecond;
+  }
+
   /** Gives up the lease and all units in the pool. */
   release(): void {
     this.#leaseUntilMs = -Infinity;
@@ -77,13 +99,12 @@
   report(nowMs: number): QuotaReport {
     this.#fill(nowMs);
     this.#forgetExpired(nowMs);
+    this.#reportedMs = nowMs;
+    this.#reportedDemand = this.#demandPerSecond(nowMs);
     return {
       ratePerSecond: this.#lease.ratePerSecond,
       room: Math.max(this.#lease.room, this.#level + this.#givenCount),
-      demandPerSecond: Math.max(
-        this.#risingDemand.perSecond(nowMs),
-        this.#lastingDemand.perSecond(nowMs),
-      ),
+      demandPerSecond: this.#reportedDemand,
       largest: this.#largest.value(nowMs),
     };
   }
@@ -112,6 +133,10 @@
     return { units, waitMs: units < ask.needed ? this.#waitMs(ask.needed, nowMs) : 0 };
   }
 
+  #demandPerSecond(nowMs: number): number {
+    return Math.max(this.#risingDemand.perSecond(nowMs), this.#lastingDemand.perSecond(nowMs));
+  }
+
   #unitsFor({ held, waiting, needed, stock }: UnitsAsk): number {
     const level = Math.floor(this.#level);
     if (level < needed) return 0;
@@ -122,7 +147,7 @@
 
   #waitMs(needed: number, nowMs: number): number {
     const { ratePerSecond } = this.#lease;
-    if (ratePerSecond === 0) return WAIT_MAX_MS;
+    if (ratePerSecond === 0) return CONTENDED_WAIT_MS;
     const fillMs = ((needed - this.#level) * MS_PER_SECOND) / ratePerSecond;
     // Others take what is added meanwhile.
     const isContended = this.#lastingDemand.perSecond(nowMs) > ratePerSecond;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -650,7 +650,6 @@
       randomUnit: () => this.#random.unit(),
       quotas: () => this.#quotaSpecs,
       owners: () => this.#quotaOwners(),
-      instanceCount: () => this.#instanceCount,
       allocator: () =>
         this.#member.shares.includes(share)
           ? this.#ownPeer
--- a/packages/gateway/src/lib/quota/quota-admission.ts
+++ b/packages/gateway/src/lib/quota/quota-admission.ts
@@ -7,9 +7,7 @@
 import type { QuotaVerdict } from './quota-verdict.js';
 
 /** How long the units that are fetched ahead should last, in milliseconds. */
-const STOCK_MS = 800;
-/** Number of instances up to which that holds; beyond, it grows with it. */
-const INSTANCE_COUNT = 100;
+const STOCK_MS = 1_400;
 /** Longest time that a request waits until there is room for it, in milliseconds. */
 const WAIT_MAX_MS = 300;
 /** Time for which a pool that did not answer is avoided, in milliseconds. */
@@ -91,10 +89,6 @@
     this.#balances.forEach((balance) => balance.clear());
   }
 
-  get #scale(): number {
-    return Math.max(1, this.#context.instanceCount() / INSTANCE_COUNT);
-  }
-
   #balanceOf(workspace: string): QuotaBalance {
     const known = this.#balances.get(workspace);
     if (known) return known;
@@ -119,9 +113,8 @@
   #ask(): void {
     if (this.#isAsking) return;
     const nowMs = this.#context.nowMs();
-    const stockMs = STOCK_MS * this.#scale;
     const isDue = [...this.#balances].some(([workspace, balance]) =>
-      this.#waiting.has(workspace) ? balance.shortMs(nowMs) === 0 : balance.isLow(stockMs, nowMs),
+      this.#waiting.has(workspace) ? balance.shortMs(nowMs) === 0 : balance.isLow(STOCK_MS, nowMs),
     );
     if (!isDue) return;
     const asks: Record<string, WireAsk> = {};
@@ -130,7 +123,7 @@
       const isShort = balance.shortMs(nowMs) > 0;
       const waiting = isShort ? [] : (this.#waiting.get(workspace) ?? []);
       const units = waiting.map((request) => request.units);
-      const ask = balance.ask(units, stockMs, nowMs);
+      const ask = balance.ask(units, STOCK_MS, nowMs);
       if (!ask) return;
       const { held, waiting: waitingUnits, needed, stock, largest } = ask;
       asks[workspace] = [ask.asked, held, waitingUnits, needed, stock, largest];
--- a/packages/gateway/src/lib/quota/quota-context.ts
+++ b/packages/gateway/src/lib/quota/quota-context.ts
@@ -21,8 +21,6 @@
   readonly quotas: () => ReadonlyMap<string, QuotaSpec>;
   /** Instances that own shares and do not stop, this one included if it is one. */
   readonly owners: () => readonly QuotaPeer[];
-  /** Number of instances. */
-  readonly instanceCount: () => number;
   /** The instance that divides the quotas, as far as it is known. */
   readonly allocator: () => QuotaPeer | undefined;
   /** Whether the store has assigned this instance the share whose owner divides the quotas. */
--- a/packages/gateway/src/lib/quota/quota-leases.ts
+++ b/packages/gateway/src/lib/quota/quota-leases.ts
@@ -1,11 +1,23 @@
 import { QuotaAllocator, quotaTotal, quotaTimes } from '@chervilseam/decisions';
-import type { QuotaLease } from '@chervilseam/decisions';
+import type { QuotaLease, QuotaReport } from '@chervilseam/decisions';
 import { CallOrder } from './call-order.js';
-import type { QuotaCalls } from './quota-calls.js';
+import type { QuotaCalls, WireLease, WireReport } from './quota-calls.js';
 import type { QuotaContext } from './quota-context.js';
 
 /** Time by which all that an allocator granted has ended, in milliseconds. */
 const SETTLING_MS = quotaTimes.leaseMs + quotaTimes.unitsMs + 2 * quotaTimes.driftMs;
+const decodeReport = ([
+  ratePerSecond,
+  room,
+  demandPerSecond,
+  largest,
+]: WireReport): QuotaReport => ({
+  ratePerSecond,
+  room,
+  demandPerSecond,
+  largest,
+});
+
 const NOTHING: QuotaLease = { ratePerSecond: 0, room: 0 };
 
 /**
@@ -42,9 +54,10 @@
     const { nowMs, quotas, bound } = this.#context;
     this.tick();
     if (!this.isGranting || !this.#order.isNewest(instance, params, nowMs())) return {};
-    const leases: Record<string, QuotaLease> = {};
+    const leases: Record<string, WireLease> = {};
     const { startedMs, isLeaving } = params;
-    Object.entries(params.reports).forEach(([workspace, report]) => {
+    Object.entries(params.reports).forEach(([workspace, wireReport]) => {
+      const report = decodeReport(wireReport);
       const allocator = this.#allocatorOf(workspace);
       const holder = { instance, startedMs };
       if (isLeaving) {
@@ -55,10 +68,7 @@
       const total = quota ? quotaTotal(quota, bound) : NOTHING;
       const lease = allocator.renew(holder, report, total, nowMs());
       if (!quota && allocator.held(nowMs()).ratePerSecond === 0) this.#allocators.delete(workspace);
-      leases[workspace] = {
-        ratePerSecond: Math.floor(lease.ratePerSecond),
-        room: Math.floor(lease.room),
-      };
+      leases[workspace] = [Math.floor(lease.ratePerSecond), Math.floor(lease.room)];
     });
     return { leases };
   }
--- a/packages/gateway/src/lib/quota/quota-pools.ts
+++ b/packages/gateway/src/lib/quota/quota-pools.ts
@@ -2,13 +2,11 @@
 import type { QuotaReport, UnitsAsk } from '@chervilseam/decisions';
 import { CallOrder } from './call-order.js';
 import { preferredPool } from './preferred-pool.js';
-import type { QuotaCalls, WireAnswer, WireAsk } from './quota-calls.js';
+import type { QuotaCalls, WireAnswer, WireAsk, WireReport } from './quota-calls.js';
 import type { QuotaContext } from './quota-context.js';
 
-/** Time between two renewals of the leases, in milliseconds. */
-const RENEWAL_MS = 500;
-/** The same while the callers of a workspace ask for more than its pool gets. */
-const SHORT_RENEWAL_MS = 200;
+/** Least time between two renewals of leases, in milliseconds. */
+const RENEWAL_MS = 250;
 /** Time after which a pool that no instance asks gives up its leases, in milliseconds. */
 const UNUSED_MS = 3_000;
 /** Wait that is told for a workspace whose quota isn't known here yet, in milliseconds. */
@@ -23,13 +21,13 @@
   largest,
 });
 
-// Short on the wire, and never more than what is meant.
-const rounded = (report: QuotaReport): QuotaReport => ({
-  ratePerSecond: Math.ceil(report.ratePerSecond),
-  room: Math.ceil(report.room),
-  demandPerSecond: Math.round(report.demandPerSecond),
-  largest: report.largest,
-});
+// Rounded so that the allocator never takes the pool to hold less than it does.
+const encodeReport = (report: QuotaReport): WireReport => [
+  Math.ceil(report.ratePerSecond),
+  Math.ceil(report.room),
+  Math.round(report.demandPerSecond),
+  report.largest,
+];
 
 /** The pools of this instance, one a workspace, which give units to the instances of its failure domain. */
 export class QuotaPools {
@@ -78,6 +76,7 @@
   tick(): void {
     const nowMs = this.#context.nowMs();
     if (this.#isRenewing || nowMs < this.#renewalMs) return;
+    this.#renewalMs = nowMs + RENEWAL_MS;
     if (this.#isUsed(nowMs)) {
       void this.#renew(false);
       return;
@@ -117,11 +116,12 @@
     const { quotas, nowMs, allocator, call, startedMs, logger } = this.#context;
     const peer = allocator();
     const askedMs = nowMs();
-    this.#renewalMs = askedMs + RENEWAL_MS;
     if (!peer) return;
     if (!isLeaving) quotas().forEach((_, workspace) => this.#poolOf(workspace));
+    const due = [...this.#pools].filter(([, pool]) => isLeaving || pool.needsRenewal(askedMs));
+    if (due.length === 0) return;
     const reports = Object.fromEntries(
-      [...this.#pools].map(([workspace, pool]) => [workspace, rounded(pool.report(askedMs))]),
+      due.map(([workspace, pool]) => [workspace, encodeReport(pool.report(askedMs))]),
     );
     const epoch = this.#epoch;
     this.#sequence += 1;
@@ -131,7 +131,7 @@
       const { leases } = await call(peer, 'lease', { ...order, reports, isLeaving });
       if (epoch !== this.#epoch || !leases) return;
       if (isLeaving) this.#pools.clear();
-      else this.#apply(leases, reports, askedMs);
+      else this.#apply(leases, askedMs);
     } catch (error) {
       const fields = { allocator: peer.instance, error: (error as Error).message };
       logger.info('quota_allocator_silent', 'the allocator of quotas does not answer', fields);
@@ -140,24 +140,15 @@
     }
   }
 
-  #apply(
-    leases: Required<QuotaCalls['lease']['answer']>['leases'],
-    reports: Readonly<Record<string, QuotaReport>>,
-    askedMs: number,
-  ): void {
-    const nowMs = this.#context.nowMs();
-    Object.entries(leases).forEach(([workspace, lease]) => {
-      const isLowered = this.#pools.get(workspace)?.renew(lease, askedMs, nowMs) ?? false;
+  #apply(leases: Readonly<Record<string, readonly [number, number]>>, askedMs: number): void {
+    const { quotas, nowMs } = this.#context;
+    Object.entries(leases).forEach(([workspace, [ratePerSecond, room]]) => {
+      const isLowered = this.#pools
+        .get(workspace)
+        ?.renew({ ratePerSecond, room }, askedMs, nowMs());
       // What was given up is free for others once the allocator knows.
-      if (isLowered) this.#renewalMs = nowMs;
-      else if (reports[workspace].demandPerSecond > lease.ratePerSecond) {
-        this.#renewalMs = Math.min(this.#renewalMs, askedMs + SHORT_RENEWAL_MS);
-      }
-    });
-    const { quotas } = this.#context;
-    this.#pools.forEach((_, workspace) => {
-      const isHeld = (leases[workspace]?.ratePerSecond ?? 0) > 0;
-      if (!quotas().has(workspace) && !isHeld) this.#pools.delete(workspace);
+      if (isLowered) this.#renewalMs = nowMs();
+      if (!quotas().has(workspace) && ratePerSecond === 0) this.#pools.delete(workspace);
     });
   }
 }
--- a/packages/gateway/src/test/quota/simulated-quotas.ts
+++ b/packages/gateway/src/test/quota/simulated-quotas.ts
@@ -1,12 +1,12 @@
 import { Random, TokenBucket, quotaTotal } from '@chervilseam/decisions';
 import type { QuotaBound } from '@chervilseam/decisions';
-import { QuotaUnit } from '@chervilseam/model';
 import type { QuotaSpec } from '@chervilseam/model';
 import { PartLogger } from '@chervilseam/observe';
 import { QuotaKeeper } from '../../lib/quota/quota-keeper.js';
 import type { QuotaPeer } from '../../lib/quota/quota-peer.js';
 import type { QuotaVerdict } from '../../lib/quota/quota-verdict.js';
 import { SimulatedTime } from '../fleet/simulated-time.js';
+import { cborBytes } from './cbor-bytes.js';
 
 const TICK_MS = 50;
 const CALL_TIMEOUT_MS = 300;
@@ -16,6 +16,8 @@
 const OWNER_COUNT_MAX = 24;
 /** Frame, TCP and IP headers of a message, in bytes. */
 const HEADER_BYTES = 70;
+/** Wall-clock time of the beginning, in milliseconds. */
+const EPOCH_MS = 1.7e12;
 const STEP_MS = 5;
 const MS_PER_SECOND = 1_000;
 const UNITS_MIN = 200;
@@ -23,7 +25,6 @@
 
 interface SimulatedInstance {
   readonly peer: QuotaPeer;
-  readonly isOwner: boolean;
   keeper: QuotaKeeper;
   startedMs: number;
   isRunning: boolean;
@@ -53,17 +54,19 @@
   readonly evenCounts: number[];
 }
 
+const sumOf = (counts: readonly number[], fromMs: number, untilMs: number): number =>
+  counts.slice(fromMs / STEP_MS, untilMs / STEP_MS).reduce((sum, count) => sum + (count ?? 0), 0);
+
 /** Instances that keep quotas together, in simulated time, without sockets. */
 export class SimulatedQuotas {
   readonly time = new SimulatedTime();
   readonly instances: SimulatedInstance[];
+  readonly #owners: SimulatedInstance[];
   /** Messages and bytes between different instances. */
-  readonly kinds = { admitted: 0, exceeded: 0, unknown: 0 };
   readonly traffic = { messages: 0, bytes: 0 };
   readonly #random: Random;
   readonly #bound: QuotaBound;
   readonly #uses = new Map<string, Use>();
-  readonly #waits: number[] = [];
 
   constructor(
     instanceCount: number,
@@ -83,13 +86,13 @@
           port: index,
           processorShare: 0.25 + (index % 3) / 2,
         },
-        isOwner: index < OWNER_COUNT_MAX,
         isRunning: false,
         side: 0,
         quotas,
       };
       return instance as SimulatedInstance;
     });
+    this.#owners = this.instances.slice(0, OWNER_COUNT_MAX);
     this.instances.forEach((instance, index) => {
       this.start(instance);
       this.time.after(1 + ((7 * index) % TICK_MS), () => this.#tick(instance));
@@ -121,7 +124,7 @@
     entry.keeper = new QuotaKeeper({
       instance: peer.instance,
       failureDomain: peer.failureDomain,
-      startedMs,
+      startedMs: EPOCH_MS + startedMs,
       bound: this.#bound,
       logger: PartLogger.forInstance(peer.instance, 'fatal')('quota'),
       nowMs: () => this.time.nowMs,
@@ -129,7 +132,6 @@
       randomUnit: () => this.#random.unit(),
       quotas: () => instance.quotas,
       owners: () => this.#ownersFor(instance).map((owner) => owner.peer),
-      instanceCount: () => this.instances.length,
       allocator: () => this.#allocatorFor(instance)?.peer,
       isAllocator: () => this.#allocatorFor(instance) === instance,
       handoverMs: HANDOVER_MS,
@@ -138,14 +140,14 @@
         const target = this.instances[to.port];
         this.#countMessage([method, params]);
         await this.time.wait(1 + this.#random.unit() * 3);
-        if (!this.#reaches(instance, target) || entry.startedMs !== startedMs) {
+        if (!SimulatedQuotas.#reaches(instance, target) || entry.startedMs !== startedMs) {
           await this.time.wait(CALL_TIMEOUT_MS);
           throw new Error('no answer');
         }
         const answer = target.keeper.receive(method, peer.instance, params);
         this.#countMessage(answer);
         await this.time.wait(1 + this.#random.unit() * 3);
-        if (!this.#reaches(instance, target)) {
+        if (!SimulatedQuotas.#reaches(instance, target)) {
           await this.time.wait(CALL_TIMEOUT_MS);
           throw new Error('no answer');
         }
@@ -154,6 +156,24 @@
     });
   }
 
+  /** Ends the process of an instance. */
+  static stop(instance: SimulatedInstance): void {
+    Object.assign(instance, { isRunning: false, startedMs: -1 });
+  }
+
+  /** Cuts instances off from those on other sides. */
+  static setSide(instances: readonly SimulatedInstance[], side: number): void {
+    instances.forEach((instance) => Object.assign(instance, { side }));
+  }
+
+  /** Puts other quotas in force at some instances. */
+  static configure(
+    instances: readonly SimulatedInstance[],
+    quotas: ReadonlyMap<string, QuotaSpec>,
+  ): void {
+    instances.forEach((instance) => Object.assign(instance, { quotas }));
+  }
+
   /** Sends requests from now on. */
   send(loads: readonly Load[], untilMs: number): void {
     const { nowMs } = this.time;
@@ -196,18 +216,22 @@
   /** @returns shares of what is below the quota that were admitted, here and with even parts, in a period */
   servedShares(workspace: string, fromMs: number, untilMs: number): { own: number; even: number } {
     const { admitted, idealCounts, evenCounts } = this.#uses.get(workspace) as Use;
-    const sumOf = (counts: readonly number[]): number =>
-      counts
-        .slice(fromMs / STEP_MS, untilMs / STEP_MS)
-        .reduce((sum, count) => sum + (count ?? 0), 0);
-    const ideal = sumOf(idealCounts);
-    return { own: sumOf(admitted) / ideal, even: sumOf(evenCounts) / ideal };
+    const ideal = sumOf(idealCounts, fromMs, untilMs);
+    return {
+      own: sumOf(admitted, fromMs, untilMs) / ideal,
+      even: sumOf(evenCounts, fromMs, untilMs) / ideal,
+    };
   }
 
-  /** Longest time that a request waited for its admission, in milliseconds, of all but one in a hundred. */
-  get waitMs(): number {
-    const sorted = [...this.#waits].sort((left, right) => left - right);
-    return sorted[Math.floor(0.99 * sorted.length)] ?? 0;
+  /** @returns the same over all workspaces */
+  servedShareOfAll(fromMs: number, untilMs: number): { own: number; even: number } {
+    const sums = { own: 0, even: 0, ideal: 0 };
+    this.#uses.forEach(({ admitted, evenCounts, idealCounts }) => {
+      sums.own += sumOf(admitted, fromMs, untilMs);
+      sums.even += sumOf(evenCounts, fromMs, untilMs);
+      sums.ideal += sumOf(idealCounts, fromMs, untilMs);
+    });
+    return { own: sums.own / sums.ideal, even: sums.even / sums.ideal };
   }
 
   #request(workspace: string, instance: SimulatedInstance, units: number): void {
@@ -226,10 +250,8 @@
     const quota = instance.quotas.get(workspace) as QuotaSpec;
     const head = { statesTokenCounts: true, promptTokenCount: units, outputTokenCountMax: 0 };
     const settle = ({ kind }: QuotaVerdict): void => {
-      this.kinds[kind] += 1;
       if (kind !== 'admitted' || instance.startedMs !== startedMs) return;
       count(use.admitted, this.time.nowMs);
-      this.#waits.push(this.time.nowMs - nowMs);
     };
     const verdict = instance.keeper.admit(workspace, quota, head);
     if (verdict instanceof Promise) void verdict.then(settle);
@@ -245,12 +267,12 @@
     return instance.isRunning ? this.time.nowMs - instance.startedMs : 0;
   }
 
-  #reaches(from: SimulatedInstance, to: SimulatedInstance): boolean {
+  static #reaches(from: SimulatedInstance, to: SimulatedInstance): boolean {
     return from.isRunning && to.isRunning && from.side === to.side;
   }
 
   #ownersFor(instance: SimulatedInstance): SimulatedInstance[] {
-    return this.instances.filter((other) => other.isOwner && this.#reaches(instance, other));
+    return this.#owners.filter((other) => SimulatedQuotas.#reaches(instance, other));
   }
 
   // The store is on the first side. It takes its time to notice that the owner is gone.
@@ -262,14 +284,6 @@
 
   #countMessage(message: unknown): void {
     this.traffic.messages += 1;
-    this.traffic.bytes += JSON.stringify(message).length + HEADER_BYTES;
+    this.traffic.bytes += cborBytes(message) + HEADER_BYTES;
   }
 }
-
-/** Builds a quota in tokens. */
-export const quotaOf = (ratePerSecond: number, burst = ratePerSecond): QuotaSpec => ({
-  unit: QuotaUnit.tokens,
-  ratePerSecond,
-  burst,
-  plainTokenCount: 200,
-});
