--- a/packages/gateway/src/test/quota_test.ts
+++ b/packages/gateway/src/test/quota_test.ts
@@ -112,6 +112,25 @@
       expectBound(fleet);
     });
 
+    // The instance that divides the quotas ends while a failure domain is cut off: the next one can't know what is held there.
+    it(`hold when the allocator ends during a partition, at ${count} instances`, async () => {
+      const fleet = new SimulatedQuotas(count, DOMAIN_COUNT, quotas, BOUND);
+      await fleet.time.runUntil(TRAFFIC_MS);
+      fleet.send(fewLoads({ [large]: { perSecond: () => 3 * rateOf(large) } }), 24_000);
+      await fleet.time.runUntil(10_000);
+      const cutOff = fleet.instances.filter(({ peer }) => peer.failureDomain === 'd-1');
+      SimulatedQuotas.setSide(cutOff, 1);
+      await fleet.time.runUntil(10_300);
+      const [allocator] = fleet.instances;
+      SimulatedQuotas.stop(allocator);
+      await fleet.time.runUntil(12_000);
+      fleet.start(allocator);
+      await fleet.time.runUntil(17_000);
+      SimulatedQuotas.setSide(cutOff, 0);
+      await fleet.time.runUntil(24_000);
+      expectBound(fleet);
+    });
+
     // The quota falls to a tenth while instances of one failure domain are away. It binds one window after all have been
     // in touch for three seconds.
     it(`hold a quota that is lowered meanwhile, at ${count} instances`, async () => {
