--- a/packages/gateway/src/lib/ingress/body-buffer.ts
+++ b/packages/gateway/src/lib/ingress/body-buffer.ts
@@ -1,6 +1,6 @@
-/** Length of the first block whose bytes are copied together, in bytes; each further one is twice as long. */
+/** Length of the first block of a body whose length is not known, in bytes; each further one is twice as long. */
 const FIRST_BLOCK_BYTES = 1_024;
-/** Length of the longest block, in bytes. */
+/** Length of the longest of these blocks, in bytes. */
 const BLOCK_BYTES_MAX = 16 * 1024;
 
 /**
@@ -9,9 +9,15 @@
  */
 export class BodyBuffer {
   readonly #blocks: Buffer[] = [];
+  readonly #firstBlockBytes: number;
   /** Number of bytes used of the last block. */
   #usedBytes = 0;
 
+  /** @param bytes - length of the body, if it is known */
+  constructor(bytes: number | undefined) {
+    this.#firstBlockBytes = bytes ?? FIRST_BLOCK_BYTES;
+  }
+
   /** @param part - further bytes of the body; they are copied */
   append(part: Buffer): void {
     let copiedBytes = 0;
@@ -34,7 +40,7 @@
   #blockWithRoom(): Buffer {
     const last = this.#blocks.at(-1);
     if (last && this.#usedBytes < last.length) return last;
-    const bytes = Math.min(BLOCK_BYTES_MAX, last ? 2 * last.length : FIRST_BLOCK_BYTES);
+    const bytes = last ? Math.min(BLOCK_BYTES_MAX, 2 * last.length) : this.#firstBlockBytes;
     const block = Buffer.allocUnsafeSlow(bytes);
     this.#blocks.push(block);
     this.#usedBytes = 0;
--- a/packages/gateway/src/lib/ingress/body-reader.ts
+++ b/packages/gateway/src/lib/ingress/body-reader.ts
@@ -8,6 +8,13 @@
 /** Bytes by which more is held for a body whose length is not known; the first ones are a small holding. */
 const STEP_BYTES = 64 * 1024 - REQUEST_BYTES;
 
+/**
+ * What is held for a body of known length while it is read, as a share of its length and at most in bytes: what it was
+ * copied from is not collected at once.
+ */
+const READING_SHARE = 0.5;
+const READING_BYTES_MAX = 2 * 1024 * 1024;
+
 /** Result of reading a request's body. */
 type BodyResult =
   | { readonly kind: 'whole'; readonly body: Buffer }
@@ -43,7 +50,8 @@
   readonly startedMs: number;
   readonly #request: IncomingMessage;
   readonly #context: BodyContext;
-  readonly #buffer = new BodyBuffer();
+  readonly #declaredBytes: number | undefined;
+  readonly #buffer: BodyBuffer;
   #bytes = 0;
   #lastByteMs: number;
   #isSettled = false;
@@ -59,6 +67,8 @@
   constructor(request: IncomingMessage, context: BodyContext) {
     this.#request = request;
     this.#context = context;
+    this.#declaredBytes = declaredBytes(request);
+    this.#buffer = new BodyBuffer(this.#declaredBytes);
     this.startedMs = context.nowMs();
     this.#lastByteMs = this.startedMs;
   }
@@ -89,20 +99,30 @@
   #start(): void {
     const request = this.#request;
     const { bytesMax, timeoutMs } = this.#context;
-    const declared = declaredBytes(request);
+    const declared = this.#declaredBytes;
     if (declared !== undefined && declared > bytesMax) {
       this.#settle({ kind: 'too-large' });
       return;
     }
     this.#timer = setTimeout(() => this.#settle({ kind: 'late' }), timeoutMs);
-    request.on('end', () => this.#settle({ kind: 'whole', body: this.#buffer.join() }));
+    request.on('end', () => this.#onEnd());
     request.on('error', () => this.#settle({ kind: 'broken' }));
     request.on('close', () => this.#settle({ kind: 'broken' }));
-    this.#admit(REQUEST_BYTES + (declared ?? STEP_BYTES), () =>
+    const firstBytes =
+      declared === undefined
+        ? STEP_BYTES
+        : declared + Math.min(READING_BYTES_MAX, Math.ceil(READING_SHARE * declared));
+    this.#admit(REQUEST_BYTES + firstBytes, () =>
       request.on('data', (chunk: Buffer) => this.#onData(chunk)),
     );
   }
 
+  #onEnd(): void {
+    if (this.#isSettled) return;
+    this.#context.held.resize(REQUEST_BYTES + this.#bytes);
+    this.#settle({ kind: 'whole', body: this.#buffer.join() });
+  }
+
   #settle(result: BodyResult): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
--- a/packages/gateway/src/lib/ingress/request-feed.ts
+++ b/packages/gateway/src/lib/ingress/request-feed.ts
@@ -133,7 +133,8 @@
     // A part keeps the whole of what was read in memory.
     this.#held.resize(this.#ahead?.buffer.byteLength ?? 0);
     const aheadBytes = this.#ahead?.length ?? 0;
-    if (aheadBytes >= AHEAD_BYTES_MAX) {
+    const isBodyLeftUnread = this.#request?.complete === false && !this.#isOpen;
+    if (aheadBytes >= (isBodyLeftUnread ? 1 : AHEAD_BYTES_MAX)) {
       this.#isHoldingBack = true;
       this.#socket.pause();
     } else if (this.#isHoldingBack && aheadBytes === 0) {
