An answer with a status above 599 is no answer

An engine that answered 600 or 999 had this passed on as its answer (the test failed with 600 and 999 in place of 502).

--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -25,6 +25,8 @@
 
 /** Lower status codes are interim responses (1xx). */
 const FIRST_FINAL_STATUS = 200;
+/** Higher status codes mean nothing in HTTP: whatever sent them has not answered. */
+const LAST_FINAL_STATUS = 599;
 /** Number of interim responses from which an endpoint is taken for faulty. */
 const INTERIM_COUNT_MAX = 16;
 
@@ -101,10 +103,11 @@
     if (this.#isOver) return true;
     if (status < FIRST_FINAL_STATUS) {
       this.#interimCount += 1;
-      if (this.#interimCount <= INTERIM_COUNT_MAX) return true;
-      const abort = this.#abort;
-      this.onError(new Error('too many interim responses'));
-      abort?.();
+      if (this.#interimCount > INTERIM_COUNT_MAX) this.#giveUp('too many interim responses');
+      return true;
+    }
+    if (status > LAST_FINAL_STATUS) {
+      this.#giveUp(`answer with status ${status}, which HTTP does not have`);
       return true;
     }
     this.#resume = resume;
@@ -114,6 +117,13 @@
     return true;
   }
 
+  // Closes the connection and reports a failure.
+  #giveUp(reason: string): void {
+    const abort = this.#abort;
+    this.onError(new Error(reason));
+    abort?.();
+  }
+
   onData(chunk: Buffer): boolean {
     return this.#isOver || this.#listener.onData(chunk);
   }
