Bound what all instances send to an engine by its memory; leave streams unread for slow callers

Engines end if the requests that they hold exceed their memory, and instances knew only how many there were, not how large: loads carry the tokens of prompts and longest outputs, and a request waits while the sum would pass KvCapacity. Up to 64 KB are read ahead of the caller, 16 KB before; an endpoint that cuts off what was left unread is not blamed. urgent-request_test states the new requirement (outputTokenCountMax); nothing in it is checked less.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -71,6 +71,7 @@
 export { chooseTarget } from './lib/serving/choose-target.js';
 export { ConfigSources } from './lib/serving/config-sources.js';
 export { EndpointHealth } from './lib/serving/endpoint-health.js';
+export { fitsEngineMemory } from './lib/serving/fits-engine-memory.js';
 export { endsBefore } from './lib/serving/ends-before.js';
 export { EngineInventory } from './lib/serving/engine-inventory.js';
 export type { EngineOrder } from './lib/serving/engine-order.js';
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -1,4 +1,4 @@
-import { chooseEndpoint, hashOf, prefillLimitMs } from '@chervilseam/decisions';
+import { chooseEndpoint, fitsEngineMemory, hashOf, prefillLimitMs } from '@chervilseam/decisions';
 import type { EngineSpec, ModelSpec } from '@chervilseam/model';
 import type { Endpoint } from '../feed/endpoint.js';
 import { PickReason } from './pick-reason.js';
@@ -210,13 +210,27 @@
 
   #waitReason(untried: readonly Endpoint[], requirements: PickRequirements): PickReason {
     if (untried.length === 0) return PickReason.tried;
-    const hasSlot = untried.some((endpoint) => this.#hasFreeSlot(endpoint, requirements));
-    return hasSlot ? PickReason.prefill : PickReason.full;
+    const withSlot = untried.filter((endpoint) => this.#hasFreeSlot(endpoint, requirements));
+    if (withSlot.length === 0) return PickReason.full;
+    const hasMemory = withSlot.some((endpoint) => this.#hasMemory(endpoint, requirements));
+    return hasMemory ? PickReason.prefill : PickReason.memory;
   }
 
   #isAvailable(endpoint: Endpoint, requirements: PickRequirements): boolean {
     if (!this.#hasFreeSlot(endpoint, requirements)) return false;
-    return !requirements.service.engine || this.#isPrefillInTime(endpoint, requirements);
+    if (!requirements.service.engine) return true;
+    return this.#hasMemory(endpoint, requirements) && this.#isPrefillInTime(endpoint, requirements);
+  }
+
+  #hasMemory(endpoint: Endpoint, requirements: PickRequirements): boolean {
+    const { service, promptTokenCount, outputTokenCountMax } = requirements;
+    const { heldTokenCount = 0 } = this.#context.peerLoad(endpoint.id);
+    return fitsEngineMemory({
+      heldCount: this.#outstandingCount(endpoint),
+      heldTokenCount: endpoint.heldTokenCount + heldTokenCount,
+      tokenCount: promptTokenCount + outputTokenCountMax,
+      kvTokenCount: service.engine?.kvTokenCount ?? Infinity,
+    });
   }
 
   #hasFreeSlot(endpoint: Endpoint, requirements: PickRequirements): boolean {
--- a/packages/gateway/src/lib/dispatch/pick-reason.ts
+++ b/packages/gateway/src/lib/dispatch/pick-reason.ts
@@ -2,6 +2,7 @@
 export const PickReason = {
   full: 'all places taken',
   prefill: 'too many prompts queued',
+  memory: 'no memory at the engines',
   tried: 'every endpoint tried',
   model: 'model absent',
   adapter: 'adapter absent',
--- a/packages/gateway/src/lib/dispatch/pick-requirements.ts
+++ b/packages/gateway/src/lib/dispatch/pick-requirements.ts
@@ -9,6 +9,8 @@
   readonly paceMaxMs: number;
   /** Number of tokens of its prompt; 0 without a prompt. */
   readonly promptTokenCount: number;
+  /** Largest number of tokens of its output; 0 if it states none. */
+  readonly outputTokenCountMax: number;
   /** Longest time to the first event that meets the route's objective, in milliseconds. */
   readonly objectiveMs: number;
   /** Whether an engine may end under the request: it is sent where it would take the fewest runs with it. */
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -55,6 +55,8 @@
 const ADAPTER_LOAD_ATTEMPTS = 3;
 /** Longest delay that a timer of Node.js can have, in milliseconds; a longer one would run at once. */
 const TIMER_MAX_MS = 2 ** 31 - 1;
+/** Shortest time that a stream is left unread before its endpoint may cut it off for that, in milliseconds. */
+const UNREAD_MS = 1_000;
 /** Time by which an endpoint may be early or late in ending a request at its deadline, in milliseconds. */
 const DEADLINE_SLACK_MS = 60;
 const OK_MAX = 299;
@@ -64,6 +66,7 @@
 const waitKindOf = {
   [PickReason.full]: 'slot',
   [PickReason.prefill]: 'prefill',
+  [PickReason.memory]: 'slot',
   [PickReason.tried]: 'model',
   [PickReason.model]: 'model',
   [PickReason.adapter]: 'model',
@@ -138,6 +141,12 @@
   /** Whether an endpoint ran or may have run the request: it can no longer be refused as not run. */
   #mayHaveRun = false;
   #isOver = false;
+  /** Whether the endpoint's stream is left unread until the caller reads on. */
+  #isCallerBehind = false;
+  /** When that began, in milliseconds. */
+  #behindSinceMs = 0;
+  /** Whether the endpoint may have cut off the stream since it was left unread. */
+  #wasLeftUnread = false;
   /** Whether an endpoint was at work on the request when this instance cut the answer, for the log. */
   #wasAtWork = false;
   /** Whether all that had arrived before the current decision has been read. */
@@ -171,7 +180,7 @@
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), leftMs);
     Object.assign(exchange, {
       onGone: () => this.#onCallerGone(),
-      onDrain: () => this.#current?.exchange.resume(),
+      onDrain: () => this.#onCallerReady(),
     });
   }
 
@@ -325,6 +334,7 @@
       adapter: this.#head.adapter,
       paceMaxMs: this.#route.paceMaxMs,
       promptTokenCount: this.#head.promptTokenCount,
+      outputTokenCountMax: this.#head.outputTokenCountMax,
       objectiveMs: this.#route.objectiveMs,
       isSuspect: this.#context.crashGuard.isSuspect(this.#parts),
       slotShare: this.#slotShare,
@@ -456,6 +466,10 @@
       sentMs: nowMs(),
       givenMs: remainingMs,
       promptTokenCount,
+      heldTokenCount: Math.min(
+        promptTokenCount + this.#head.outputTokenCountMax,
+        this.#service.engine?.kvTokenCount ?? 0,
+      ),
       readTokenCount,
       isTest,
     });
@@ -521,8 +535,20 @@
     this.#silence.start(this.#current?.answer ? STALL_TIMEOUT_MS : headTimeoutMs);
   }
 
+  #onCallerReady(): void {
+    const unreadMs = this.#context.nowMs() - this.#behindSinceMs;
+    if (this.#isCallerBehind && unreadMs > UNREAD_MS) this.#wasLeftUnread = true;
+    this.#isCallerBehind = false;
+    this.#current?.exchange.resume();
+  }
+
   #onSilent(): void {
     if (!this.#current || this.#successor || this.#isOver) return;
+    // The stream is left unread since the caller does not read it.
+    if (this.#isCallerBehind) {
+      this.#silence.start(STALL_TIMEOUT_MS);
+      return;
+    }
     // Whatever keeps the request from being sent elsewhere now is checked again later.
     if (!this.#startSuccessor()) this.#silence.start(STALL_TIMEOUT_MS);
   }
@@ -633,6 +659,8 @@
     if (eventCount > 0) this.#recordEvents(attempt, eventCount);
     if (gapMs !== undefined) attempt.endpoint.health.recordEventGap(gapMs, nowMs());
     this.#updateHeld();
+    if (!isWritable && !this.#isCallerBehind) this.#behindSinceMs = nowMs();
+    this.#isCallerBehind = !isWritable;
     return isWritable;
   }
 
@@ -830,8 +858,8 @@
   #recordFailure(attempt: SentAttempt, failure: AttemptFailure): void {
     const { nowMs } = this.#context;
     const { health } = attempt.endpoint;
-    if (failure.wasSent) health.recordNoAnswer(nowMs());
-    else health.recordConnectFailure(nowMs());
+    if (failure.wasSent && !this.#wasLeftUnread) health.recordNoAnswer(nowMs());
+    else if (!failure.wasSent) health.recordConnectFailure(nowMs());
     this.#release(attempt);
     if (failure.wasSent) {
       this.#hasArrived = true;
--- a/packages/gateway/src/lib/dispatch/sent-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/sent-attempt.ts
@@ -10,6 +10,8 @@
   /** Time that the endpoint was given for its answer, in milliseconds. */
   readonly givenMs: number;
   readonly promptTokenCount: number;
+  /** Tokens of its prompt and of its longest output. */
+  readonly heldTokenCount: number;
   /** Prompt tokens that the endpoint prefills before the first event. */
   readonly readTokenCount: number;
   /** Whether the request was sent although it was suspected to end engines. */
@@ -32,6 +34,7 @@
     this.sending = sending;
     this.#isPrefilling = sending.readTokenCount > 0;
     sending.endpoint.requestSent(sending.promptTokenCount);
+    this.endpoint.heldTokenCount += sending.heldTokenCount;
   }
 
   get endpoint(): Endpoint {
@@ -121,6 +124,7 @@
     this.#isReleased = true;
     if (this.#isPrefilling) this.#endPrefill();
     this.endpoint.requestEnded();
+    this.endpoint.heldTokenCount -= this.sending.heldTokenCount;
     return true;
   }
 
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -32,6 +32,8 @@
   inFlightCount = 0;
   /** Prompt tokens of this instance's requests there that have not produced their first event yet. */
   unreadTokenCount = 0;
+  /** Tokens of the prompts and longest outputs of this instance's requests in flight there. */
+  heldTokenCount = 0;
   #record: EndpointRecord;
   #leftMs: number | undefined;
   #hasAnnouncedLeaving = false;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -785,9 +785,13 @@
       instanceCount: 1,
       configVersion: this.#config.version,
       loads: Object.fromEntries(
-        inUse.map(({ id, inFlightCount, unreadTokenCount }) => [
+        inUse.map(({ id, inFlightCount, unreadTokenCount, heldTokenCount }) => [
           id,
-          { count: inFlightCount, unreadTokenCount },
+          {
+            count: inFlightCount,
+            unreadTokenCount,
+            ...(heldTokenCount > 0 && { heldTokenCount }),
+          },
         ]),
       ),
       demand: this.#fleet.ownDemand(),
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -3,6 +3,8 @@
 import { MemoryKind } from './memory-kind.js';
 
 const MS_PER_SECOND = 1_000;
+/** Number of bytes that are read of an endpoint's stream ahead of what its caller takes. */
+const UNREAD_BYTES_MAX = 64 * 1024;
 /** Time after which a connection is closed whose caller takes nothing of a complete answer, in milliseconds. */
 const UNREAD_TIMEOUT_MS = 60_000;
 
@@ -136,13 +138,13 @@
    * Sends a part of the body.
    *
    * @param data - the bytes
-   * @returns whether the caller can take more data now; otherwise wait for `onDrain`
+   * @returns whether more data can be written now; otherwise wait for `onDrain`
    */
   write(data: Buffer): boolean {
     if (this.#isOver) return true;
     const isWritable = this.#response.write(data);
     this.#countUnsent();
-    return isWritable;
+    return isWritable || this.#response.writableLength < UNREAD_BYTES_MAX;
   }
 
   /**
--- a/packages/gateway/src/lib/peer/endpoint-load.ts
+++ b/packages/gateway/src/lib/peer/endpoint-load.ts
@@ -4,4 +4,9 @@
   readonly count: number;
   /** Total prompt tokens of those requests that have not received their first event yet. */
   readonly unreadTokenCount: number;
+  /**
+   * Tokens of the prompts and longest outputs of those requests; left out if there are none, and by instances of an
+   * earlier version.
+   */
+  readonly heldTokenCount?: number;
 }
--- a/packages/gateway/src/lib/peer/sum-states.ts
+++ b/packages/gateway/src/lib/peer/sum-states.ts
@@ -17,11 +17,12 @@
   const loads: Record<string, EndpointLoad> = {};
   const demand: Record<string, number> = {};
   parts.forEach((part) => {
-    Object.entries(part.loads).forEach(([id, { count, unreadTokenCount }]) => {
+    Object.entries(part.loads).forEach(([id, { count, unreadTokenCount, heldTokenCount = 0 }]) => {
       const known = loads[id] ?? { count: 0, unreadTokenCount: 0 };
       loads[id] = {
         count: known.count + count,
         unreadTokenCount: known.unreadTokenCount + unreadTokenCount,
+        heldTokenCount: (known.heldTokenCount ?? 0) + heldTokenCount,
       };
     });
     Object.entries(part.demand).forEach(([model, value]) => {
--- a/packages/gateway/src/test/urgent-request_test.ts
+++ b/packages/gateway/src/test/urgent-request_test.ts
@@ -41,6 +41,7 @@
       model: 'm',
       paceMaxMs: 300,
       promptTokenCount: 100,
+      outputTokenCountMax: 0,
       objectiveMs: 300,
       isSuspect: false,
       slotShare,
