--- a/packages/decisions/src/lib/serving/wait-queue.ts
+++ b/packages/decisions/src/lib/serving/wait-queue.ts
@@ -118,14 +118,17 @@
     });
   }
 
-  // The queued requests in order; from time to time the one that has waited longest goes first, so that no group is
-  // passed over for good.
+  // The queued requests in order; from time to time the one that has waited longest for a place goes first, so that no
+  // group is passed over for good.
   #inTurn(nowMs: number): Waiter[] {
     const waiters = this.#order.inOrder(nowMs);
     if (this.#servedCount < TURN_COUNT) return waiters;
     this.#servedCount = 0;
-    const longest = waiters.reduce((one, other) => (other.sinceMs < one.sinceMs ? other : one));
-    return [longest, ...waiters.filter((waiter) => waiter !== longest)];
+    const [first, ...others] = waiters
+      .filter(({ model }) => model === undefined)
+      .sort((one, other) => one.sinceMs - other.sinceMs);
+    if (!first || others.length === 0) return waiters;
+    return [first, ...waiters.filter((waiter) => waiter !== first)];
   }
 
   #countPlace({ lane, model }: Waiter, change: number): void {
