--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -128,8 +128,8 @@
   #isProven = false;
   #hasResetTried = false;
   #waitReason: PickReason = PickReason.full;
-  /** Time until another replica of the model is ready as of the last pick, in milliseconds. */
-  #nextReplicaMs: number | undefined;
+  /** Time until the model, or another replica of it, is ready as of the last pick, in milliseconds. */
+  #modelEtaMs: number | undefined;
   /** Time until a slot becomes free for the request as of the last pick, in milliseconds. */
   #slotEtaMs: number | undefined;
   /** Number of attempts that the endpoint ran or may have run. */
@@ -274,7 +274,7 @@
         // Refuses a request at once if it could only be served after its longest wait.
         if (etaMs >= this.#waitMaxMs(reason)) return this.#fail(reason, nextReplicaMs ?? etaMs);
         this.#waitReason = reason;
-        this.#nextReplicaMs = nextReplicaMs;
+        this.#modelEtaMs = nextReplicaMs ?? etaMs;
         return false;
       },
       refuse: () => {
@@ -391,7 +391,7 @@
       onDropped: () => {
         this.#waiter = undefined;
         onWaited(nowMs() - sinceMs);
-        this.#fail(`waited in vain: ${this.#waitReason}`, this.#nextReplicaMs);
+        this.#fail(`waited in vain: ${this.#waitReason}`, this.#modelEtaMs);
       },
     };
     this.#waiter = waiter;
