A store that comes back from a copy: positions and tokens are ordered by the era of the store (not yet all tests)

Cause: after a copy offsets and generations are given out again; records were missed, engines vanished or came back, and two owners could have one token.

--- a/packages/decisions/src/lib/serving/ownership-lease.ts
+++ b/packages/decisions/src/lib/serving/ownership-lease.ts
@@ -1,3 +1,5 @@
+import { eraNumber } from '@chervilseam/model';
+
 /** Times of an ownership lease, in milliseconds. */
 interface LeaseTimes {
   /** Time without a renewal after which the store assigns a member's shares to other members. */
@@ -16,7 +18,9 @@
 
 /** A share of the endpoints that this instance owns. */
 interface OwnedShare {
-  /** Fencing token: generation of the group when this instance got the share. */
+  /**
+   * Fencing token: generation of the group when this instance got the share, ordered by the era of the store.
+   */
   readonly token: number;
   /** Monotonic time from which this instance may give orders, in milliseconds. */
   readonly usableFromMs: number;
@@ -41,7 +45,7 @@
     this.#times = times;
   }
 
-  /** Generation of the group in the latest answer of the store. */
+  /** Generation of the group in the latest answer of the store, ordered by the era of the store (see `eraNumber`). */
   get generation(): number {
     return this.#generation;
   }
@@ -87,8 +91,11 @@
     const { generation, shares } = answer;
     const { ttlMs, handoverMs } = this.#times;
     // If the lease had lapsed and the generation changed, another instance may have owned a share
-    // in between, so the share gets a new token and a new waiting time.
-    const isContinuous = generation === this.#generation || nowMs < this.#heldUntilMs;
+    // in between, so the share gets a new token and a new waiting time. A store that came back from a copy may have
+    // forgotten who owned the share.
+    const isSameEra = eraNumber.eraOf(generation) === eraNumber.eraOf(this.#generation);
+    const isHeld = isSameEra && nowMs < this.#heldUntilMs;
+    const isContinuous = generation === this.#generation || isHeld;
     const next = new Map<number, OwnedShare>();
     shares.forEach((share) => {
       const known = isContinuous ? this.#shares.get(share) : undefined;
--- a/packages/decisions/src/test/serving/ownership-lease_test.ts
+++ b/packages/decisions/src/test/serving/ownership-lease_test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { OwnershipLease } from '@chervilseam/decisions';
+import { eraNumber } from '@chervilseam/model';
 
 const TTL_MS = 2_000;
 const HANDOVER_MS = 3_000;
@@ -101,4 +102,28 @@
     renew(2, 14_000);
     expect(lease.tokenOf(1, 14_001)).to.equal(undefined);
   });
+
+  // A store that came back from a copy gave out generations again: two owners of a share had the same token, and the store
+  // no longer knew which one had it last.
+  it('starts anew in each era of the store, with a higher token, whatever the generation is', () => {
+    renewRegularly(9, 0, 10_000);
+    expect(lease.tokenOf(1, 10_001)).to.equal(9);
+    let lastToken = 9;
+    [1, 2].forEach((era) => {
+      const startMs = era * 20_000;
+      renewRegularly(eraNumber.of(era, 8), startMs, startMs + WAIT_MS);
+      expect(lease.tokenOf(1, startMs + WAIT_MS - 1)).to.equal(undefined);
+      const token = lease.tokenOf(1, startMs + WAIT_MS) ?? 0;
+      expect(token).to.be.greaterThan(lastToken);
+      expect(Number.isSafeInteger(token)).to.equal(true);
+      lastToken = token;
+    });
+  });
+
+  it('starts anew in a new era also while it is held or extended, and with the same generation', () => {
+    renewRegularly(9, 0, 10_000);
+    lease.extend(11_700, 11_500);
+    renew(eraNumber.of(1, 9), 11_600);
+    expect(lease.tokenOf(1, 11_601)).to.equal(undefined);
+  });
 });
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -22,7 +22,7 @@
 export interface RunContext {
   readonly picker: EndpointPicker;
   /** Log offset and age, in milliseconds, of the list of endpoints that the picker chooses from. */
-  readonly listState: () => { readonly listOffset?: number; readonly listAgeMs: number };
+  readonly listState: () => { readonly listOffset?: number | string; readonly listAgeMs: number };
   /** Knows the parts of prompts under which engines end. */
   readonly crashGuard: CrashGuard;
   readonly codec: EndpointCodec;
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -1,3 +1,4 @@
+import { eraNumber } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
 import { StoreBusyError } from '../ports/store-busy-error.js';
@@ -21,6 +22,8 @@
 const READ_PAUSE_SHARE = 0.5;
 /** Time from an update that does not fit to an own read, unless one that fits arrives first, in milliseconds. */
 const GAP_READ_DELAY_MS = 200;
+/** Age up to which the list shows what the store has removed, in milliseconds. */
+const CURRENT_AGE_MS = 1_500;
 /** Shortest time between two log lines on updates that were refused, in milliseconds. */
 const REFUSAL_LOG_MS = 1_000;
 
@@ -108,7 +111,7 @@
   /** Marks suspected endpoints that are due as left, and reads the list when a read is due. */
   tick(): void {
     const { registry, nowMs, onTransitions } = this.#context;
-    const transitions = registry.expire(nowMs());
+    const transitions = registry.expire(nowMs(), this.ageMs < CURRENT_AGE_MS);
     if (transitions.length > 0) this.#logTransitions(transitions, 'settled');
     if (transitions.length > 0) onTransitions();
     if (!this.#isReading && nowMs() >= this.#nextReadMs) void this.#read();
@@ -178,9 +181,9 @@
       'an update of the list does not cover all changes since the offset known here',
       {
         from,
-        fromOffset,
-        nextOffset,
-        offset: registry.offset,
+        fromOffset: eraNumber.shown(fromOffset),
+        nextOffset: eraNumber.shown(nextOffset),
+        offset: eraNumber.shown(registry.offset),
         ageMs: Math.round(this.ageMs),
         count: this.#refusalCount,
       },
@@ -207,8 +210,11 @@
       this.#failureCount = 0;
       this.#offsetAhead = -Infinity;
       const { offset } = registry;
-      // Another instance may have sent newer changes during the read.
-      const isOvertaken = offset !== fromOffset && page.nextOffset < (offset ?? 0);
+      // Another instance may have sent newer changes during the read, or may have heard from the store since it came back
+      // from a copy.
+      const isOvertaken =
+        page.nextOffset < (offset ?? 0) &&
+        (offset !== fromOffset || EndpointFeed.#isNewEra(page.nextOffset, offset));
       if (!isOvertaken) this.#apply(page, startMs, 'store');
       relay(offset);
       this.#schedule(READ_PAUSE_SHARE);
@@ -239,15 +245,25 @@
     const { registry, nowMs, onTransitions, onReplaced } = this.#context;
     if (this.isLoaded) onReplaced(this.ageMs);
     this.#readMs = Math.max(this.#readMs, readMs);
+    if (EndpointFeed.#isNewEra(registry.offset, page.nextOffset)) {
+      this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
+      this.#offsetAhead = -Infinity;
+    }
     const transitions = registry.apply(page, nowMs(), nowMs() < this.#storeUnstableUntilMs);
     this.#logTransitions(transitions, source, from);
     onTransitions();
   }
 
+  static #isNewEra(earlier: number | undefined, later: number | undefined): boolean {
+    if (earlier === undefined || later === undefined) return false;
+    return eraNumber.eraOf(later) > eraNumber.eraOf(earlier);
+  }
+
   #logTransitions(transitions: readonly EndpointTransition[], source: string, from?: string): void {
     const { logger, registry } = this.#context;
     transitions.forEach(({ id, what, service }) => {
-      const fields = { endpoint: id, service, what, source, from, offset: registry.offset };
+      const offset = eraNumber.shown(registry.offset);
+      const fields = { endpoint: id, service, what, source, from, offset };
       logger.info('endpoint_news', `endpoint ${what}`, fields);
     });
   }
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -1,3 +1,4 @@
+import { eraNumber } from '@chervilseam/model';
 import type { EndpointRecord } from '@chervilseam/model';
 import type { EndpointPage } from '../ports/endpoint-page.js';
 import { Endpoint } from './endpoint.js';
@@ -17,6 +18,24 @@
  */
 const LATE_ENTRY_COUNT_MAX = 2;
 
+/**
+ * Time after the store came back from a copy in which an endpoint that the copy lacks may write its entry again, in
+ * milliseconds. The bound for leaving endpoints holds only afterwards.
+ */
+const REWRITE_MS = 2_500;
+/**
+ * Time for which an endpoint that has left does not come back because a copy of the store still lists it, unless it writes
+ * its entry again, in milliseconds: the store removes the entries of endpoints that are silent for so long.
+ */
+const COPIED_ENTRY_DOUBT_MS = 5_000;
+
+/** An entry in a copy of the store, of an endpoint that was known to have left. */
+interface CopiedEntry {
+  readonly record: EndpointRecord;
+  /** Time from which the entry is believed if it is still listed, in milliseconds. */
+  readonly untilMs: number;
+}
+
 /** Endpoints by service, according to the platform's list of endpoints. */
 export class EndpointRegistry {
   readonly #endpoints = new Map<string, Endpoint>();
@@ -29,6 +48,8 @@
   readonly #lateEntries = new Map<string, { readonly count: number; readonly offset?: number }>();
   /** Endpoints that have announced that they are about to exit, in the order of their announcements. */
   readonly #announced = new Set<string>();
+  /** Entries in a copy of the store that are not believed yet, by the endpoint's id. */
+  readonly #copied = new Map<string, CopiedEntry>();
   readonly #suspicionMs: number;
   readonly #history = new ListHistory();
   #byService = new Map<string, Endpoint[]>();
@@ -78,17 +99,31 @@
   apply(page: ListUpdate, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
     const { offset } = this;
     if (!page.isWhole && offset !== undefined && page.nextOffset <= offset) return [];
-    const transitions = this.#withoutRemoved(page.changes).flatMap(({ id, record }) =>
-      record ? this.#addIfUsable(record) : this.#remove(id, nowMs, isStoreUnstable),
-    );
+    const isCopy = offset !== undefined && EndpointRegistry.#isNewEra(offset, page.nextOffset);
+    const doubtMs = EndpointRegistry.#doubtMs(isCopy, isStoreUnstable, this.#suspicionMs);
+    const doubted = new Set(this.#copied.keys());
+    // An entry in a whole list may be the one in the copy; a change of the list has been written since.
+    const isWritten = !page.isWhole && !page.isNet;
+    page.changes.forEach(({ id, record }) => {
+      if (isWritten || !record) this.#copied.delete(id);
+    });
+    const transitions = this.#withoutRemoved(page.changes).flatMap(({ id, record }) => {
+      if (!record) return this.#remove(id, nowMs, doubtMs);
+      if (isCopy && (this.#isCopied(record) || this.#isGone(record))) {
+        return this.#doubtCopied(record, nowMs);
+      }
+      return this.#isCopied(record) ? [] : this.#addIfUsable(record);
+    });
     if (page.isWhole) {
       const missing = this.#missingFrom(page);
-      transitions.push(...missing.flatMap((id) => this.#remove(id, nowMs, isStoreUnstable)));
+      missing.forEach((id) => this.#copied.delete(id));
+      transitions.push(...missing.flatMap((id) => this.#remove(id, nowMs, doubtMs)));
     }
-    // A late entry of an earlier run has to be sent again until it is accepted or replaced.
+    // A late entry of an earlier run has to be sent again until it is accepted or replaced, and others may still wait for
+    // an entry to be written again.
     this.#history.apply(page, nowMs, ({ id, bornMs }) => {
       const known = this.#endpoints.get(id);
-      return known !== undefined && known.record.bornMs !== bornMs;
+      return doubted.has(id) || (known !== undefined && known.record.bornMs !== bornMs);
     });
     this.#index();
     return transitions;
@@ -120,11 +155,16 @@
    * `LEFT_RETENTION_MS` ago.
    *
    * @param nowMs - monotonic clock, in milliseconds
+   * @param isCurrent - whether the list has been read recently, so that entries in it that a copy of the store may have
+   *   brought back are believed when they are due
    * @returns the changes of endpoints
    */
-  expire(nowMs: number): EndpointTransition[] {
+  expire(nowMs: number, isCurrent = true): EndpointTransition[] {
     const due = [...this.#suspected].filter(([, untilMs]) => nowMs >= untilMs);
-    const transitions = due.flatMap(([id]) => this.#remove(id, nowMs, false));
+    const transitions = due.flatMap(([id]) => this.#remove(id, nowMs, 0));
+    const believed = [...this.#copied].filter(([, { untilMs }]) => isCurrent && nowMs >= untilMs);
+    believed.forEach(([id]) => this.#copied.delete(id));
+    transitions.push(...believed.flatMap(([, { record }]) => this.#addIfUsable(record)));
     this.#endpoints.forEach((endpoint, id) => {
       if (endpoint.leftMs === undefined || nowMs < endpoint.leftMs + LEFT_RETENTION_MS) return;
       endpoint.close();
@@ -225,13 +265,40 @@
     return count < LATE_ENTRY_COUNT_MAX;
   }
 
-  #remove(id: string, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
+  static #isNewEra(earlier: number, later: number): boolean {
+    return eraNumber.eraOf(later) > eraNumber.eraOf(earlier);
+  }
+
+  static #doubtMs(isCopy: boolean, isStoreUnstable: boolean, suspicionMs: number): number {
+    if (isCopy) return REWRITE_MS;
+    return isStoreUnstable ? suspicionMs : 0;
+  }
+
+  // Whether the run of an endpoint that a record describes has left, or is suspected of it.
+  #isGone({ id, bornMs }: EndpointRecord): boolean {
+    const known = this.#endpoints.get(id);
+    if (!known || known.record.bornMs !== bornMs) return false;
+    return known.leftMs !== undefined || this.#suspected.has(id);
+  }
+
+  #isCopied({ id, bornMs }: EndpointRecord): boolean {
+    return this.#copied.get(id)?.record.bornMs === bornMs;
+  }
+
+  #doubtCopied(record: EndpointRecord, nowMs: number): EndpointTransition[] {
+    const { id, service } = record;
+    this.#copied.set(id, { record, untilMs: nowMs + COPIED_ENTRY_DOUBT_MS });
+    return [{ id, service, what: 'doubted' }];
+  }
+
+  // Without a time for which the removal is doubted, the endpoint has left at once.
+  #remove(id: string, nowMs: number, doubtMs: number): EndpointTransition[] {
     const known = this.#endpoints.get(id);
     if (!known || known.leftMs !== undefined) return [];
     const { service } = known.record;
-    if (isStoreUnstable) {
+    if (doubtMs > 0) {
       if (this.#suspected.has(id)) return [];
-      this.#suspected.set(id, nowMs + this.#suspicionMs);
+      this.#suspected.set(id, nowMs + doubtMs);
       return [{ id, service, what: 'doubted' }];
     }
     this.#suspected.delete(id);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -11,7 +11,7 @@
   Random,
   weightedRendezvous,
 } from '@chervilseam/decisions';
-import { shownDigestOf } from '@chervilseam/model';
+import { eraNumber, shownDigestOf } from '@chervilseam/model';
 import type { QuotaSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
@@ -25,6 +25,7 @@
 import { EndpointFeed } from './feed/endpoint-feed.js';
 import type { Endpoint } from './feed/endpoint.js';
 import { EndpointRegistry } from './feed/endpoint-registry.js';
+import { EraCheckedStore } from './feed/era-checked-store.js';
 import { listTimesOf } from './feed/list-times.js';
 import { runIdOf } from './feed/run-id-of.js';
 import type { GatewayPorts } from './gateway-ports.js';
@@ -160,8 +161,13 @@
     const { nowMs } = Gateway;
     const { readPeriodMs, suspicionMs } = listTimesOf(settings.leaveBoundMs);
     this.#registry = new EndpointRegistry(suspicionMs);
-    this.#endpointFeed = new EndpointFeed({
+    const store = new EraCheckedStore({
       store: ports.store,
+      logger: ports.logger('store'),
+      onEra: (era) => this.#metrics.storeEra.set(era),
+    });
+    this.#endpointFeed = new EndpointFeed({
+      store,
       registry: this.#registry,
       logger: ports.logger('list'),
       nowMs,
@@ -173,7 +179,7 @@
       onTransitions: () => this.#scheduleDispatch(),
     });
     this.#config = new ConfigFeed({
-      store: ports.store,
+      store,
       logger: ports.logger('config'),
       nowMs,
       isInformed: () => this.#member.shares.length === 0 && this.#peerSync.isFollowing,
@@ -212,7 +218,7 @@
       onNoOwner: () => this.#member.scheduleMembersRead(),
     });
     this.#member = new GroupMember({
-      store: ports.store,
+      store,
       logger: ports.logger('group'),
       nowMs,
       wallMs: Date.now,
@@ -561,7 +567,7 @@
     return {
       picker: this.#picker,
       listState: () => ({
-        listOffset: this.#endpointFeed.offset,
+        listOffset: eraNumber.shown(this.#endpointFeed.offset),
         listAgeMs: Math.round(this.#endpointFeed.ageMs),
       }),
       crashGuard: this.#crashGuard,
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -1,4 +1,5 @@
 import { OwnershipLease } from '@chervilseam/decisions';
+import { eraNumber } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
 
@@ -166,7 +167,7 @@
     if (this.#isExtended || this.hasLapsed) return;
     this.#isExtended = true;
     logger.info('lease_kept_up', 'no instance can reach the store; extending the lease', {
-      generation: this.generation,
+      generation: eraNumber.shown(this.generation),
       shares: this.shares,
     });
   }
@@ -180,7 +181,7 @@
       ? 'the lease has lapsed; no orders until it is renewed'
       : 'the lease is valid; orders may be given';
     this.#context.logger.info(event, text, {
-      generation: this.generation,
+      generation: eraNumber.shown(this.generation),
       shares: this.shares,
       failures: this.#failureCount,
     });
@@ -253,8 +254,9 @@
       }
       if (hasChanged) {
         logger.info('shares_changed', 'the generation of the group has changed', {
-          ...answer,
-          previous: generation,
+          shares: answer.shares,
+          generation: eraNumber.shown(answer.generation),
+          previous: eraNumber.shown(generation),
         });
       }
     } catch (error) {
--- a/packages/gateway/src/lib/ports/endpoint-page.ts
+++ b/packages/gateway/src/lib/ports/endpoint-page.ts
@@ -5,6 +5,6 @@
   /** Whether `changes` is the whole list, so that endpoints missing from it have left. */
   readonly isWhole: boolean;
   readonly changes: readonly EndpointChange[];
-  /** Log offset where the next read begins. */
+  /** Log offset where the next read begins, ordered by the era of the store (see `eraNumber`). */
   readonly nextOffset: number;
 }
--- a/packages/gateway/src/lib/ports/state-store.ts
+++ b/packages/gateway/src/lib/ports/state-store.ts
@@ -4,6 +4,10 @@
 /**
  * The platform's store. Every call throws when the store does not answer or refuses the call; a `StoreBusyError` when it
  * is sound and only gets too many calls.
+ *
+ * The store may come back from a copy that is some seconds old, and starts a new era then. Offsets and generations are
+ * ordered by its era first (see `eraNumber`). A read from an offset of an earlier era reads the newest configuration or
+ * the whole list instead.
  */
 export interface StateStore {
   /**
--- a/packages/gateway/src/test/fleet/fleet-trouble.ts
+++ b/packages/gateway/src/test/fleet/fleet-trouble.ts
@@ -16,6 +16,8 @@
   busyStore: 'busyStore',
   /** The log of the list has expired: only the whole list can be read. */
   compaction: 'compaction',
+  /** The store does not answer for a while, and comes back from a copy. */
+  storeCopy: 'storeCopy',
   /** A tenth of the instances start again. */
   restarts: 'restarts',
   /** A tenth of the instances stand still. */
--- a/packages/gateway/src/test/fleet/simulated-endpoints.ts
+++ b/packages/gateway/src/test/fleet/simulated-endpoints.ts
@@ -41,7 +41,7 @@
   }
 
   #beat(id: string): void {
-    const record = this.#fleet.list.newest.get(id);
+    const record = this.#fleet.list.written.get(id);
     if (!record) return;
     this.#fleet.list.put(record);
     this.#fleet.time.after(HEARTBEAT_MS, () => this.#beat(id));
@@ -51,7 +51,7 @@
     const { list, time } = this.#fleet;
     time.after(this.#random.exponential(LEAVING_INTERVAL_MS), () => {
       if (time.nowMs >= untilMs) return;
-      const staying = [...list.newest.values()].filter(({ isDraining }) => !isDraining);
+      const staying = [...list.written.values()].filter(({ isDraining }) => !isDraining);
       const record = this.#random.pick(staying);
       if (record) this.#leave(record);
       this.#leaveLater(untilMs);
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -23,6 +23,8 @@
   readonly registry: EndpointRegistry;
   readonly feed: EndpointFeed;
   readonly relay: ListRelay;
+  /** Runs of endpoints that were seen to be avoided after they had left. */
+  readonly avoided: Set<string>;
 }
 
 interface FleetOptions {
@@ -113,7 +115,7 @@
       list: feed,
     });
     this.#instances.get(name)?.registry.close();
-    this.#instances.set(name, { name, registry, feed, relay });
+    this.#instances.set(name, { name, registry, feed, relay, avoided: new Set() });
   }
 
   /** Releases what the instances hold. */
@@ -219,15 +221,21 @@
   #check(): void {
     const { leaveBoundMs, conditions } = this.#options;
     const { nowMs } = this.time;
-    this.list
-      .leavingsBetween(nowMs - CHECKED_MS, nowMs - leaveBoundMs)
-      .forEach(({ id, bornMs }) => {
-        this.#instances.forEach(({ name, registry }) => {
-          const known = registry.get(id);
-          if (!known || known.record.bornMs !== bornMs || known.isLeaving) return;
-          if (conditions.isBound?.(name, nowMs) ?? true) this.#late.add(`${name} uses ${id}`);
-        });
+    this.list.leavingsBetween(nowMs - CHECKED_MS, nowMs).forEach(({ id, bornMs, atMs, isLost }) => {
+      this.#instances.forEach(({ name, registry, avoided }) => {
+        const known = registry.get(id);
+        if (!known || known.record.bornMs !== bornMs) return;
+        const run = `${id}@${bornMs}`;
+        if (known.isLeaving) {
+          avoided.add(run);
+          return;
+        }
+        // Nobody can know of a leaving that a copy of the store lacks, but whoever knew it has to go on obeying it.
+        if (isLost && avoided.has(run)) this.#late.add(`${name} uses ${id} again`);
+        if (isLost || atMs > nowMs - leaveBoundMs) return;
+        if (conditions.isBound?.(name, nowMs) ?? true) this.#late.add(`${name} uses ${id}`);
       });
+    });
     this.time.after(CHECK_INTERVAL_MS, () => this.#check());
   }
 }
--- a/packages/gateway/src/test/fleet/simulated-list.ts
+++ b/packages/gateway/src/test/fleet/simulated-list.ts
@@ -1,3 +1,4 @@
+import { eraNumber } from '@chervilseam/model';
 import type { EndpointRecord } from '@chervilseam/model';
 import type { EndpointChange } from '../../lib/ports/endpoint-change.js';
 import type { EndpointPage } from '../../lib/ports/endpoint-page.js';
@@ -7,14 +8,23 @@
   readonly id: string;
   readonly bornMs: number;
   readonly atMs: number;
+  /** Whether a copy of the store lacks it, so that only those who had learnt it can still obey it. */
+  readonly isLost: boolean;
+}
+
+interface LoggedChange extends EndpointChange {
+  readonly atMs: number;
 }
 
 /** The list of endpoints in the platform's store: a log of entries, and what they add up to. */
 export class SimulatedList {
   readonly #nowMs: () => number;
   readonly #isStable: () => boolean;
-  readonly #log: EndpointChange[] = [];
+  #log: LoggedChange[] = [];
   readonly #newest = new Map<string, EndpointRecord>();
+  /** Entries as their endpoints wrote them last, which a copy of the store may lack. */
+  readonly #written = new Map<string, EndpointRecord>();
+  #era = 0;
   /** Entries that a stable store acknowledged as draining or removed and that did not come back, in their order. */
   #leavings: readonly Leaving[] = [];
   #hasExpired = false;
@@ -33,6 +43,33 @@
     return this.#newest;
   }
 
+  /** Entries by endpoint, as these wrote them last; endpoints that have left have none. */
+  get written(): ReadonlyMap<string, EndpointRecord> {
+    return this.#written;
+  }
+
+  /**
+   * Goes back to a copy of the list, in a new era of the store.
+   *
+   * @param ageMs - age of the copy, in milliseconds
+   * @returns endpoints that the copy lists although they have left
+   */
+  returnFromCopy(ageMs: number): readonly string[] {
+    this.#era += 1;
+    const copiedMs = this.#nowMs() - ageMs;
+    this.#log = this.#log.filter(({ atMs }) => atMs <= copiedMs);
+    this.#leavings = this.#leavings.map((leaving) => ({
+      ...leaving,
+      isLost: leaving.isLost || leaving.atMs > copiedMs,
+    }));
+    this.#newest.clear();
+    this.#log.forEach(({ id, record }) => {
+      if (record) this.#newest.set(id, record);
+      else this.#newest.delete(id);
+    });
+    return [...this.#newest.keys()].filter((id) => !this.#written.has(id));
+  }
+
   /** @param hasExpired - whether earlier entries have expired, so that only the newest of each endpoint can be read */
   expireHistory(hasExpired: boolean): void {
     this.#hasExpired = hasExpired;
@@ -40,8 +77,9 @@
 
   /** @param record - entry that its endpoint writes */
   put(record: EndpointRecord): void {
-    const previous = this.#newest.get(record.id);
-    this.#log.push({ id: record.id, record });
+    const previous = this.#written.get(record.id);
+    this.#log.push({ id: record.id, record, atMs: this.#nowMs() });
+    this.#written.set(record.id, record);
     this.#newest.set(record.id, record);
     if (!record.isDraining) this.#forgetLeaving(record);
     if (record.isDraining && !previous?.isDraining) this.#noteLeaving(record);
@@ -49,10 +87,10 @@
 
   /** @param id - endpoint whose entry is removed */
   remove(id: string): void {
-    const previous = this.#newest.get(id);
+    const previous = this.#written.get(id) ?? this.#newest.get(id);
     if (!previous) return;
-    this.#log.push({ id });
-    this.#newest.delete(id);
+    this.#written.delete(id);
+    if (this.#newest.delete(id)) this.#log.push({ id, atMs: this.#nowMs() });
     if (!previous.isDraining) this.#noteLeaving(previous);
   }
 
@@ -61,12 +99,14 @@
    * @returns the answer of the store at this moment
    */
   read(fromOffset: number | undefined): EndpointPage {
-    const nextOffset = this.#log.length;
-    if (fromOffset === undefined || this.#hasExpired) {
+    const nextOffset = eraNumber.of(this.#era, this.#log.length);
+    const isOtherEra = eraNumber.eraOf(fromOffset ?? 0) !== this.#era;
+    if (fromOffset === undefined || this.#hasExpired || isOtherEra) {
       const changes = [...this.#newest].map(([id, record]) => ({ id, record }));
       return { isWhole: true, changes, nextOffset };
     }
-    return { isWhole: false, changes: this.#log.slice(fromOffset), nextOffset };
+    const changes = this.#log.slice(eraNumber.numberIn(fromOffset));
+    return { isWhole: false, changes, nextOffset };
   }
 
   /** @returns endpoints that left between two times and did not come back */
@@ -76,7 +116,7 @@
 
   #noteLeaving({ id, bornMs }: EndpointRecord): void {
     if (!this.#isStable()) return;
-    this.#leavings = [...this.#leavings, { id, bornMs, atMs: this.#nowMs() }];
+    this.#leavings = [...this.#leavings, { id, bornMs, atMs: this.#nowMs(), isLost: false }];
   }
 
   // The entry of an endpoint that runs may lapse and come back.
--- a/packages/gateway/src/test/fleet/troubled-conditions.ts
+++ b/packages/gateway/src/test/fleet/troubled-conditions.ts
@@ -8,6 +8,10 @@
 const SLOW_STORE_MAX_MS = 900;
 const COPY_MAX_MS = 2_000;
 const LAPSE_MS = 1_500;
+/** Greatest age of a copy that the store comes back from, in milliseconds. */
+const COPY_AGE_MAX_MS = 8_000;
+/** Time without a heartbeat after which the store removes an entry, in milliseconds. */
+const ENTRY_TTL_MS = 3_000;
 /** Time after a trouble from which the bound for leaving endpoints holds again, in milliseconds. */
 const STABLE_WINDOW_MS = 4_000;
 /** Mean time between two occurrences of a trouble, in milliseconds. */
@@ -66,6 +70,7 @@
   read = (instance: string, nowMs: number): ReturnType<FleetConditions['read']> => {
     const isLost =
       this.#isUnder(FleetTrouble.silentStore, nowMs) ||
+      this.#isUnder(FleetTrouble.storeCopy, nowMs) ||
       this.#isUnder(FleetTrouble.cut, nowMs, instance);
     const isSlow = this.#isUnder(FleetTrouble.slowStore, nowMs);
     const slowMs = isSlow ? SLOW_STORE_MAX_MS * this.#random.unit() : 0;
@@ -159,6 +164,20 @@
   > = {
     slowStore: (conditions, _, { untilMs }) => conditions.#releaseAll(untilMs),
     silentStore: (conditions, _, { untilMs }) => conditions.#releaseAll(untilMs),
+    storeCopy: (conditions, { list, time }, { untilMs }) => {
+      conditions.#releaseAll(untilMs);
+      time.after(untilMs - time.nowMs, () => {
+        // Those that the store still refuses learn of the copy only later.
+        const busy = conditions.#occurrences.get(FleetTrouble.busyStore);
+        if (busy && busy.untilMs > untilMs) conditions.#release(busy.instances, busy.untilMs);
+        const left = list.returnFromCopy(COPY_AGE_MAX_MS * conditions.#random.unit());
+        left.forEach((id) =>
+          time.after(ENTRY_TTL_MS, () => {
+            if (!list.written.has(id)) list.remove(id);
+          }),
+        );
+      });
+    },
     cut: (conditions, _, { untilMs, instances }) => conditions.#release(instances, untilMs),
     standstill: (conditions, _, { untilMs, instances }) => conditions.#release(instances, untilMs),
     restarts: (conditions, fleet, { instances }) => {
--- a/packages/gateway/src/test/list-fleet_test.ts
+++ b/packages/gateway/src/test/list-fleet_test.ts
@@ -182,4 +182,52 @@
     expect(lateFollowers).to.deep.equal([]);
     fleet.close();
   });
+
+  // The store came back from a copy. Its offsets were given out again for other records, so that those below an instance's
+  // offset were never read; engines that the copy lacked vanished, and those that had left came back.
+  [
+    [2, 4],
+    [24, 396],
+  ].forEach(([ownerCount, followerCount]) => {
+    const title = `${ownerCount} owners and ${followerCount} followers`;
+    it(`keeps what a copy of the store lacks until it can be written again, at ${title}`, async () => {
+      const fleet = fleetOf({}, ownerCount, followerCount);
+      const { list, time } = fleet;
+      await time.runUntil(2_000);
+      list.put(endpointRecordOf('late'));
+      list.remove('b');
+      await time.runUntil(4_000);
+      expect(list.returnFromCopy(3_000)).to.deep.equal(['b']);
+      list.put(endpointRecordOf('new'));
+      Array.from({ length: 9 }).forEach(() => list.put(endpointRecordOf('a')));
+      for (let atMs = 4_000; atMs <= 6_000; atMs += 250) {
+        // eslint-disable-next-line no-await-in-loop
+        await time.runUntil(atMs);
+        const used = new Set(fleet.names.map((name) => fleet.usedBy(name).join()));
+        const all = ['a,c,late', 'a,c,late,new'];
+        expect(all).to.include.members([...used]);
+        if (atMs >= 5_500) expect([...used]).to.deep.equal(all.slice(1));
+      }
+      list.put(endpointRecordOf('late'));
+      await time.runUntil(7_000);
+      list.remove('b');
+      await time.runUntil(12_000);
+      fleet.names.forEach((name) =>
+        expect(fleet.usedBy(name)).to.deep.equal(['a', 'c', 'late', 'new']),
+      );
+      expect(fleet.late).to.deep.equal([]);
+      fleet.close();
+    }).timeout(60_000);
+  });
+
+  it('loses what a copy of the store lacks and nobody writes again', async () => {
+    const fleet = fleetOf({}, 2, 4);
+    await fleet.time.runUntil(2_000);
+    fleet.list.put(endpointRecordOf('late'));
+    await fleet.time.runUntil(4_000);
+    fleet.list.returnFromCopy(3_000);
+    await fleet.time.runUntil(8_000);
+    fleet.names.forEach((name) => expect(fleet.usedBy(name)).to.deep.equal(['a', 'b', 'c']));
+    fleet.close();
+  });
 });
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -25,6 +25,7 @@
 export type { CallerLimits } from './lib/serving/caller-limits.js';
 export type { EndpointRecord } from './lib/serving/endpoint-record.js';
 export type { EngineSpec } from './lib/serving/engine-spec.js';
+export { eraNumber } from './lib/serving/era-number.js';
 export type { ModelSpec } from './lib/serving/model-spec.js';
 export type { QuotaSpec } from './lib/serving/quota-spec.js';
 export { QuotaUnit } from './lib/serving/quota-unit.js';
