--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -25,7 +25,7 @@
 const REWRITE_MS = 2_500;
 /**
  * Time for which an endpoint that has left does not come back because a copy of the store still lists it, unless it writes
- * its entry again, in milliseconds: the store removes the entries of endpoints that are silent for so long.
+ * its entry again, in milliseconds: longer than the store keeps the entries of endpoints that are silent.
  */
 const COPIED_ENTRY_DOUBT_MS = 5_000;
 
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -90,7 +90,11 @@
   );
   readonly suspectParts = this.gauge('suspect_parts', 'Parts of prompts that are suspected.', []);
   readonly withheldParts = this.gauge('withheld_parts', 'Parts of prompts that are withheld.', []);
-  readonly storeEra = this.gauge('store_era', 'Era of the store; rises when it returns from a copy.', []);
+  readonly storeEra = this.gauge(
+    'store_era',
+    'Era of the store; rises when it returns from a copy.',
+    [],
+  );
   readonly listAgeMs = this.gauge('list_age_ms', 'Age of the list of endpoints.', []);
   readonly listUpdates = this.counter(
     'list_updates_total',
--- a/packages/gateway/src/test/fleet/simulated-fleet.ts
+++ b/packages/gateway/src/test/fleet/simulated-fleet.ts
@@ -23,7 +23,7 @@
   readonly registry: EndpointRegistry;
   readonly feed: EndpointFeed;
   readonly relay: ListRelay;
-  /** Runs of endpoints that were seen to be avoided after they had left. */
+  /** Leavings of endpoints that it was seen to obey. */
   readonly avoided: Set<string>;
 }
 
@@ -225,13 +225,13 @@
       this.#instances.forEach(({ name, registry, avoided }) => {
         const known = registry.get(id);
         if (!known || known.record.bornMs !== bornMs) return;
-        const run = `${id}@${bornMs}`;
+        const leaving = `${id} at ${atMs}`;
         if (known.isLeaving) {
-          avoided.add(run);
+          avoided.add(leaving);
           return;
         }
         // Nobody can know of a leaving that a copy of the store lacks, but whoever knew it has to go on obeying it.
-        if (isLost && avoided.has(run)) this.#late.add(`${name} uses ${id} again`);
+        if (isLost && avoided.has(leaving)) this.#late.add(`${name} uses ${id} again`);
         if (isLost || atMs > nowMs - leaveBoundMs) return;
         if (conditions.isBound?.(name, nowMs) ?? true) this.#late.add(`${name} uses ${id}`);
       });
--- a/packages/gateway/src/test/fleet/troubled-conditions.ts
+++ b/packages/gateway/src/test/fleet/troubled-conditions.ts
@@ -10,6 +10,8 @@
 const LAPSE_MS = 1_500;
 /** Greatest age of a copy that the store comes back from, in milliseconds. */
 const COPY_AGE_MAX_MS = 8_000;
+/** Time within which endpoints write their entries again after that, in milliseconds. */
+const REWRITE_MAX_MS = 2_000;
 /** Time without a heartbeat after which the store removes an entry, in milliseconds. */
 const ENTRY_TTL_MS = 3_000;
 /** Time after a trouble from which the bound for leaving endpoints holds again, in milliseconds. */
@@ -171,6 +173,12 @@
         const busy = conditions.#occurrences.get(FleetTrouble.busyStore);
         if (busy && busy.untilMs > untilMs) conditions.#release(busy.instances, busy.untilMs);
         const left = list.returnFromCopy(COPY_AGE_MAX_MS * conditions.#random.unit());
+        [...list.written.keys()].forEach((id) =>
+          time.after(REWRITE_MAX_MS * conditions.#random.unit(), () => {
+            const record = list.written.get(id);
+            if (record) list.put(record);
+          }),
+        );
         left.forEach((id) =>
           time.after(ENTRY_TTL_MS, () => {
             if (!list.written.has(id)) list.remove(id);
@@ -189,14 +197,14 @@
       time.after(untilMs - time.nowMs, () => list.expireHistory(false));
     },
     lapses: (conditions, { list, time }) => {
-      const records = conditions.#random.shuffle([...list.newest.values()]).slice(0, 5);
+      const records = conditions.#random.shuffle([...list.written.values()]).slice(0, 5);
       records.forEach((record) => {
         list.remove(record.id);
         time.after(LAPSE_MS, () => list.put(record));
       });
     },
     rebirths: (conditions, { list, time }) => {
-      const records = conditions.#random.shuffle([...list.newest.values()]).slice(0, 5);
+      const records = conditions.#random.shuffle([...list.written.values()]).slice(0, 5);
       records
         .filter(({ isDraining }) => !isDraining)
         .forEach((record) => list.put({ ...record, bornMs: 2 + time.nowMs }));
