--- a/packages/decisions/src/test/serving/ownership-lease_test.ts
+++ b/packages/decisions/src/test/serving/ownership-lease_test.ts
@@ -122,8 +122,12 @@
 
   it('starts anew in a new era also while it is held or extended, and with the same generation', () => {
     renewRegularly(9, 0, 10_000);
-    lease.extend(11_700, 11_500);
-    renew(eraNumber.of(1, 9), 11_600);
-    expect(lease.tokenOf(1, 11_601)).to.equal(undefined);
+    renew(eraNumber.of(1, 9), 10_500);
+    expect(lease.tokenOf(1, 10_501)).to.equal(undefined);
+    renewRegularly(eraNumber.of(1, 9), 11_000, 20_000);
+    expect(lease.tokenOf(1, 20_001)).to.equal(eraNumber.of(1, 9));
+    lease.extend(21_700, 21_500);
+    renew(eraNumber.of(2, 9), 21_600);
+    expect(lease.tokenOf(1, 21_601)).to.equal(undefined);
   });
 });
