Quotas: a fleet counts as fresh only while nobody holds a lease; a pool that leaves says what it gave up

Cause: a share that moved between two instances that had just started let the next allocator take the quota for free, though pools held leases of the first. A pool that stopped reported nothing, so that its rate was missing for 12 s at an allocator that was new too.

--- a/packages/decisions/src/lib/quota/quota-allocator.ts
+++ b/packages/decisions/src/lib/quota/quota-allocator.ts
@@ -102,15 +102,18 @@
   }
 
   /**
-   * Takes back the lease of a pool that no longer is one.
+   * Takes back the lease of a pool that has given it up.
    *
    * @param holder - the pool's instance
-   * @param report - what it holds until its instances have spent it
+   * @param report - what it held; its instances may still have units of that
    * @param nowMs - monotonic clock, in milliseconds
    */
   leave(holder: Holder, report: QuotaReport, nowMs: number): void {
     this.#expire(nowMs);
-    this.#record(holder, report, nowMs).askedMs = -Infinity;
+    const holding = this.#record(holder, report, nowMs);
+    this.#remainders.push({ room: holding.room, untilMs: nowMs + unitsMs + driftMs });
+    // The entry stays, so that a repeat of the call adds nothing to what is known.
+    Object.assign(holding, { rate: 0, room: 0, askedMs: -Infinity });
   }
 
   get #heldRoom(): number {
--- a/packages/decisions/src/test/quota/quota-allocator_test.ts
+++ b/packages/decisions/src/test/quota/quota-allocator_test.ts
@@ -70,6 +70,15 @@
     expect(room).to.equal(TOTAL.room);
   });
 
+  // An owner of shares stops, and the answer to its farewell is lost.
+  it('gives what a pool has given up to others once, however often it says so', () => {
+    const allocator = new QuotaAllocator(10_000);
+    const held = { ratePerSecond: 300, room: 600 };
+    [0, 1].forEach((nowMs) => allocator.leave(holder('a'), reportOf(held, 0), nowMs));
+    const next = allocator.renew(holder('b'), reportOf(EMPTY, 5_000), TOTAL, 2);
+    expect(next).to.deep.equal({ ratePerSecond: held.ratePerSecond, room: 0 });
+  });
+
   // A quota is lowered far below what its workspace sends.
   it('takes back what a lower quota does not allow', () => {
     const allocator = new QuotaAllocator(NO_TIME);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -680,12 +680,17 @@
     return isOwner ? [...others, this.#ownPeer] : others;
   }
 
-  // Whether no process that may hold a lease is known: every owner of a share has started only now.
+  // Whether no lease of a quota can go on that is known of here: every owner of a share has started only now and
+  // holds none.
   #isFreshFleet(): boolean {
     const nowMs = Gateway.nowMs();
-    const uptimesMs = this.#peers.fresh(nowMs).map(({ uptimeMs }) => uptimeMs);
-    uptimesMs.push(this.#fleet.handover.uptimeMs(nowMs));
-    return this.#knowsOwners() && uptimesMs.every((uptimeMs) => uptimeMs < quotaTimes.leaseMs);
+    const uptimeMs = this.#fleet.handover.uptimeMs(nowMs);
+    const own = { uptimeMs, hasQuotaLeases: this.#quotas.hasLeases };
+    const all = [own, ...this.#peers.fresh(nowMs)];
+    const isFresh = all.every(
+      (state) => state.uptimeMs < quotaTimes.leaseMs && !state.hasQuotaLeases,
+    );
+    return isFresh && this.#knowsOwners();
   }
 
   #noteLeaving(endpoint: Endpoint): void {
@@ -811,6 +816,7 @@
       engines: this.#fleet.ownStates(),
       engineEnds: this.#crashGuard.published(),
       leavingRuns: this.#registry.announcedRuns,
+      ...(this.#quotas.hasLeases && { hasQuotaLeases: true }),
       owners: this.#peerSync.owners,
     };
   }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -56,6 +56,8 @@
    * from an instance of an earlier version.
    */
   readonly leavingRuns?: readonly string[];
+  /** Set when the instance holds parts of quotas; `undefined` otherwise, and from an instance of an earlier version. */
+  readonly hasQuotaLeases?: true;
   /** Addresses of the owners of shares that answer the instance, each as `host:port`. */
   readonly owners: readonly string[];
 }
--- a/packages/gateway/src/lib/quota/quota-context.ts
+++ b/packages/gateway/src/lib/quota/quota-context.ts
@@ -27,7 +27,7 @@
   readonly isAllocator: () => boolean;
   /** Time after which the one before it can no longer take itself for the allocator, in milliseconds. */
   readonly handoverMs: number;
-  /** Whether all owners of shares are known here and have started only now: no earlier lease goes on. */
+  /** Whether all owners of shares are known here, have started only now and hold no lease: no earlier one goes on. */
   readonly isFreshFleet: () => boolean;
   /**
    * Calls another instance.
--- a/packages/gateway/src/lib/quota/quota-keeper.ts
+++ b/packages/gateway/src/lib/quota/quota-keeper.ts
@@ -44,6 +44,11 @@
     return this.#pools.count;
   }
 
+  /** Whether this instance may hold a part of a quota for its failure domain. */
+  get hasLeases(): boolean {
+    return this.#pools.hasLeases;
+  }
+
   /** Whether this instance divides the quotas. */
   get isAllocator(): boolean {
     return this.#leases.isGranting;
--- a/packages/gateway/src/lib/quota/quota-pools.ts
+++ b/packages/gateway/src/lib/quota/quota-pools.ts
@@ -1,4 +1,4 @@
-import { QuotaPool } from '@chervilseam/decisions';
+import { QuotaPool, quotaTimes } from '@chervilseam/decisions';
 import type { QuotaReport, UnitsAsk } from '@chervilseam/decisions';
 import { CallOrder } from './call-order.js';
 import { preferredPool } from './preferred-pool.js';
@@ -39,6 +39,10 @@
   #renewalMs = -Infinity;
   #isRenewing = false;
   #sequence = 0;
+  /** When the last lease of this instance ends, in milliseconds. */
+  #leasedUntilMs = -Infinity;
+  /** What this instance held when it gave up its leases, until the allocator has heard of that. */
+  #givenUp: Readonly<Record<string, WireReport>> | undefined;
   /** Raised when all leases are given up: answers to earlier calls no longer count. */
   #epoch = 0;
 
@@ -47,6 +51,11 @@
     this.#context = context;
   }
 
+  /** Whether this instance may hold a lease. */
+  get hasLeases(): boolean {
+    return this.#context.nowMs() < this.#leasedUntilMs;
+  }
+
   /** Number of pools that this instance keeps. */
   get count(): number {
     return this.#pools.size;
@@ -81,14 +90,13 @@
       void this.#renew(false);
       return;
     }
-    if (this.#pools.size === 0) return;
-    this.#pools.forEach((pool) => pool.release());
-    void this.#renew(true);
+    if (this.#pools.size > 0) void this.#renew(true);
   }
 
   /** Gives up all leases, since they may have ended without notice. */
   reset(): void {
     this.#epoch += 1;
+    this.#givenUp = undefined;
     this.#pools.forEach((pool) => pool.release());
   }
 
@@ -118,11 +126,14 @@
     const askedMs = nowMs();
     if (!peer) return;
     if (!isLeaving) quotas().forEach((_, workspace) => this.#poolOf(workspace));
+    if (!isLeaving) this.#givenUp = undefined;
     const due = [...this.#pools].filter(([, pool]) => isLeaving || pool.needsRenewal(askedMs));
     if (due.length === 0) return;
-    const reports = Object.fromEntries(
-      due.map(([workspace, pool]) => [workspace, encodeReport(pool.report(askedMs))]),
-    );
+    const reports = isLeaving
+      ? this.#giveUp(askedMs)
+      : Object.fromEntries(
+          due.map(([workspace, pool]) => [workspace, encodeReport(pool.report(askedMs))]),
+        );
     const epoch = this.#epoch;
     this.#sequence += 1;
     this.#isRenewing = true;
@@ -130,7 +141,7 @@
       const order = { startedMs, sequence: this.#sequence };
       const { leases } = await call(peer, 'lease', { ...order, reports, isLeaving });
       if (epoch !== this.#epoch || !leases) return;
-      if (isLeaving) this.#pools.clear();
+      if (isLeaving) this.#forget();
       else this.#apply(leases, askedMs);
     } catch (error) {
       const fields = { allocator: peer.instance, error: (error as Error).message };
@@ -140,8 +151,24 @@
     }
   }
 
+  // Releases the leases before the allocator hears of it. What they were is told until it has heard.
+  #giveUp(nowMs: number): Readonly<Record<string, WireReport>> {
+    this.#givenUp ??= Object.fromEntries(
+      [...this.#pools].map(([workspace, pool]) => [workspace, encodeReport(pool.report(nowMs))]),
+    );
+    this.#pools.forEach((pool) => pool.release());
+    this.#leasedUntilMs = -Infinity;
+    return this.#givenUp;
+  }
+
+  #forget(): void {
+    this.#givenUp = undefined;
+    this.#pools.clear();
+  }
+
   #apply(leases: Readonly<Record<string, readonly [number, number]>>, askedMs: number): void {
     const { quotas, nowMs } = this.#context;
+    this.#leasedUntilMs = askedMs + quotaTimes.leaseMs;
     Object.entries(leases).forEach(([workspace, [ratePerSecond, room]]) => {
       const isLowered = this.#pools
         .get(workspace)
--- a/packages/gateway/src/test/quota/simulated-quotas.ts
+++ b/packages/gateway/src/test/quota/simulated-quotas.ts
@@ -12,6 +12,8 @@
 const CALL_TIMEOUT_MS = 300;
 /** Time until others know of an instance's end or start, and until the store gives its share to another, in milliseconds. */
 const NOTICE_MS = 2_000;
+/** Age up to which an instance counts as started only now, in milliseconds. */
+const YOUNG_MS = 8_000;
 const HANDOVER_MS = 2_100;
 const OWNER_COUNT_MAX = 24;
 /** Frame, TCP and IP headers of a message, in bytes. */
@@ -135,7 +137,10 @@
       allocator: () => this.#allocatorFor(instance)?.peer,
       isAllocator: () => this.#allocatorFor(instance) === instance,
       handoverMs: HANDOVER_MS,
-      isFreshFleet: () => this.#ownersFor(instance).every((owner) => this.#uptimeMs(owner) < 8_000),
+      isFreshFleet: () =>
+        this.#ownersFor(instance).every(
+          (owner) => this.#uptimeMs(owner) < YOUNG_MS && !owner.keeper.hasLeases,
+        ),
       call: async (to, method, params) => {
         const target = this.instances[to.port];
         this.#countMessage([method, params]);
