--- a/packages/gateway/src/lib/quota/quota-leases.ts
+++ b/packages/gateway/src/lib/quota/quota-leases.ts
@@ -92,7 +92,10 @@
     this.#isSettled = true;
     this.#allocators.forEach((allocator) => allocator.settle(nowMs()));
     if (quotas().size === 0) return;
-    logger.info('quota_settled', 'no lease of an earlier allocator goes on', { isFresh });
+    logger.info('quota_settled', 'no lease of an earlier allocator goes on', {
+      isFresh,
+      leasedShare: this.#leasedShare,
+    });
   }
 
   /** Stops to divide the quotas until this instance is made the allocator anew. */
@@ -102,6 +105,17 @@
     this.#allocators = new Map();
   }
 
+  // Share of the rates of all quotas that pools hold.
+  get #leasedShare(): number {
+    const { quotas, bound, nowMs } = this.#context;
+    const sums = { leased: 0, total: 0 };
+    quotas().forEach((quota, workspace) => {
+      sums.leased += this.#allocators.get(workspace)?.held(nowMs()).ratePerSecond ?? 0;
+      sums.total += quotaTotal(quota, bound).ratePerSecond;
+    });
+    return sums.leased / sums.total;
+  }
+
   get #settledMs(): number {
     return (this.#assignedMs ?? Infinity) + this.#context.handoverMs + SETTLING_MS;
   }
--- a/packages/gateway/src/lib/quota/quota-pools.ts
+++ b/packages/gateway/src/lib/quota/quota-pools.ts
@@ -38,6 +38,7 @@
   #askedMs = -Infinity;
   #renewalMs = -Infinity;
   #isRenewing = false;
+  #wasUsed = false;
   #sequence = 0;
   /** When the last lease of this instance ends, in milliseconds. */
   #leasedUntilMs = -Infinity;
@@ -86,7 +87,9 @@
     const nowMs = this.#context.nowMs();
     if (this.#isRenewing || nowMs < this.#renewalMs) return;
     this.#renewalMs = nowMs + RENEWAL_MS;
-    if (this.#isUsed(nowMs)) {
+    const isUsed = this.#isUsed(nowMs);
+    this.#logUse(isUsed);
+    if (isUsed) {
       void this.#renew(false);
       return;
     }
@@ -112,6 +115,15 @@
     return preferredPool(failureDomain, owners())?.instance === instance;
   }
 
+  #logUse(isUsed: boolean): void {
+    if (isUsed === this.#wasUsed) return;
+    this.#wasUsed = isUsed;
+    const text = isUsed
+      ? 'this instance keeps the pools of quotas for its failure domain'
+      : 'this instance gives up the pools of quotas';
+    this.#context.logger.info('quota_pool', text, { isUsed, workspaces: this.#pools.size });
+  }
+
   #poolOf(workspace: string): QuotaPool | undefined {
     const known = this.#pools.get(workspace);
     if (known || !this.#context.quotas().has(workspace)) return known;
