Quotas: a pool whose lease has just changed reports again at once

Cause: after a restart of all instances the first pool that asked got the whole rate and kept it until its next renewal, 2 s later.

--- a/packages/decisions/src/lib/quota/quota-pool.ts
+++ b/packages/decisions/src/lib/quota/quota-pool.ts
@@ -65,7 +65,9 @@
     this.#fill(nowMs);
     const isLowered =
       lease.ratePerSecond < this.#lease.ratePerSecond || lease.room < this.#lease.room;
-    if (isLowered) this.#reportedMs = -Infinity;
+    // Until its lease no longer changes, the pool reports often: it may hold what others are waiting for.
+    const change = Math.abs(lease.ratePerSecond - this.#lease.ratePerSecond);
+    if (isLowered || change > CHANGE_SHARE * lease.ratePerSecond) this.#reportedMs = -Infinity;
     this.#lease = lease;
     this.#leaseUntilMs = askedMs + quotaTimes.leaseMs;
     this.#clip();
--- a/packages/gateway/src/test/quota_test.ts
+++ b/packages/gateway/src/test/quota_test.ts
@@ -112,6 +112,19 @@
       expectBound(fleet);
     });
 
+    // All instances start again at once while callers go on: the first pool that asks must not keep what the others need.
+    it(`admit again soon after a restart of all, at ${count} instances`, async () => {
+      const fleet = new SimulatedQuotas(count, DOMAIN_COUNT, quotas, BOUND);
+      await fleet.time.runUntil(TRAFFIC_MS);
+      fleet.send(loadsOf({}), 16_000);
+      await fleet.time.runUntil(8_000);
+      fleet.instances.forEach((instance) => fleet.start(instance));
+      await fleet.time.runUntil(16_000);
+      expectBound(fleet);
+      // A new allocator waits 2.1 s for the one before it; a second later all pools have their parts.
+      expect(fleet.servedShareOfAll(11_500, 16_000).own).to.be.at.least(0.95);
+    });
+
     // The instance that divides the quotas ends while a failure domain is cut off: the next one can't know what is held there.
     it(`hold when the allocator ends during a partition, at ${count} instances`, async () => {
       const fleet = new SimulatedQuotas(count, DOMAIN_COUNT, quotas, BOUND);
