--- a/packages/gateway/src/lib/ingress/request-feed.ts
+++ b/packages/gateway/src/lib/ingress/request-feed.ts
@@ -4,8 +4,8 @@
 import { MemoryKind } from './memory-kind.js';
 
 /**
- * Bytes that are parsed at a time: up to the end of a head, but within these bounds. What was read may hold thousands
- * of requests, or of chunks of a body.
+ * Bytes that are parsed at a time: up to the end of a head, but within these bounds, or all of a body of known length.
+ * What was read may hold thousands of requests, or of chunks of a body.
  */
 const PIECE_BYTES_MIN = 128;
 const PIECE_BYTES_MAX = 2 * 1024;
@@ -32,6 +32,8 @@
   #ahead: Buffer | undefined;
   /** The last request that was parsed. */
   #request: IncomingMessage | undefined;
+  /** Number of bytes that are known to belong to its body and were not parsed. */
+  #bodyBytes = 0;
   #openCount = 0;
   #isHoldingBack = false;
   #isScheduled = false;
@@ -106,23 +108,38 @@
   }
 
   #advance(): void {
-    const endMs = this.#nowMs() + TURN_MS;
-    do {
-      if (!this.#ahead || !this.#isOpen) break;
-      const window = this.#ahead.subarray(0, PIECE_BYTES_MAX);
-      const headEnd = window.indexOf(HEAD_END);
-      const piece =
-        headEnd < 0
-          ? window
-          : window.subarray(0, Math.max(PIECE_BYTES_MIN, headEnd + HEAD_END.length));
-      const isLast = piece.length === this.#ahead.length;
-      this.#ahead = isLast ? undefined : this.#ahead.subarray(piece.length);
-      this.#parse(piece);
-    } while (this.#ahead && this.#nowMs() < endMs);
+    let endMs: number | undefined;
+    while (this.#ahead && this.#isOpen) {
+      this.#parseNext(this.#ahead);
+      if (!this.#ahead) break;
+      endMs ??= this.#nowMs() + TURN_MS;
+      if (this.#nowMs() > endMs) break;
+    }
     this.#holdBack();
     if (this.#ahead && (this.#isOpen || this.#isDeliveringBody)) this.#schedule();
   }
 
+  #parseNext(ahead: Buffer): void {
+    const bytes = this.#bodyBytes > 0 ? this.#bodyBytes : RequestFeed.#pieceBytes(ahead);
+    const piece = ahead.subarray(0, bytes);
+    this.#ahead = piece.length === ahead.length ? undefined : ahead.subarray(piece.length);
+    const previous = this.#request;
+    this.#bodyBytes = Math.max(0, this.#bodyBytes - piece.length);
+    this.#parse(piece);
+    const request = this.#request;
+    // Without a byte of the body, the piece ended with the head.
+    if (!request || request === previous || request.complete || request.readableLength > 0) return;
+    this.#bodyBytes = Number(request.headers['content-length'] ?? 0);
+  }
+
+  static #pieceBytes(ahead: Buffer): number {
+    const window = ahead.subarray(0, PIECE_BYTES_MAX);
+    const headEnd = window.indexOf(HEAD_END);
+    return headEnd < 0
+      ? window.length
+      : Math.min(window.length, Math.max(PIECE_BYTES_MIN, headEnd + HEAD_END.length));
+  }
+
   // Whether the reader of a body gets what was pushed to it once this turn of the event loop is over.
   get #isDeliveringBody(): boolean {
     return this.#request?.readableFlowing === true && !this.#request.complete;
