--- /dev/null
+++ b/packages/decisions/src/lib/placement/order-delay-ms.ts
@@ -0,0 +1,17 @@
+/**
+ * Time from when a model is published as leaving until the order to unload it, in milliseconds. All
+ * instances can stop sending requests for it by then.
+ */
+const UNLOAD_NOTICE_MS = 130;
+/** Time from the end of an unload until the engine's report shows it, in milliseconds. */
+const UNLOAD_REPORT_MS = 350;
+
+/**
+ * @param unloadCount - number of models that a move unloads
+ * @param runsMs - expected time until the runs on these models have ended, in milliseconds
+ * @returns expected time from the decision on the move to the order of its load, in milliseconds
+ */
+export function orderDelayMs(unloadCount: number, runsMs: number): number {
+  if (unloadCount === 0) return 0;
+  return Math.max(UNLOAD_NOTICE_MS, runsMs) + unloadCount * UNLOAD_REPORT_MS;
+}
--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -12,8 +12,12 @@
    * for a model without demand.
    */
   readonly isLatencyTolerant?: boolean;
+  /** Whether the model was loaded only since there was free memory, and nobody has asked for it since. */
+  readonly isUnasked?: boolean;
   /** Requested tokens per second. */
   readonly demand: number;
+  /** What its callers lose for each token that is not served, compared to the mean; 1 by default. */
+  readonly lossWeight?: number;
   /** Tokens per second to prepare for; defaults to the demand. */
   readonly forecast?: number;
 }
@@ -21,6 +25,8 @@
 /** An engine, as input to placement. */
 interface PlacementEngine {
   readonly name: string;
+  /** Failure domain, over which the replicas of a model are spread where it costs nothing else. */
+  readonly failureDomain?: string;
   readonly capacityBytes: number;
   /** Throughput at which it still meets the target time between tokens, in tokens per second. */
   readonly tokensPerSecond: number;
@@ -32,6 +38,11 @@
   readonly otherBytes: number;
   /** Load time of each model on this engine, in milliseconds; 0 for a missing model. */
   readonly loadMsByModel?: Pick<ReadonlyMap<string, number>, 'get'>;
+  /**
+   * Expected time to unload each model from this engine, which waits for the runs on it, in milliseconds; 0
+   * for a missing model.
+   */
+  readonly unloadMsByModel?: Pick<ReadonlyMap<string, number>, 'get'>;
 }
 
 /** Input of one placement round. */
--- a/packages/decisions/src/lib/placement/placement-move.ts
+++ b/packages/decisions/src/lib/placement/placement-move.ts
@@ -5,6 +5,8 @@
   readonly engine: string;
   readonly load: string;
   readonly unload: readonly string[];
+  /** Expected time until those models are unloaded, in milliseconds. */
+  readonly unloadMs: number;
   /** Expected net gain of the move, in tokens per second. */
   readonly gain: number;
   readonly reason: MoveReason;
--- a/packages/decisions/src/lib/placement/placement-option.ts
+++ b/packages/decisions/src/lib/placement/placement-option.ts
@@ -6,4 +6,6 @@
   readonly unload: readonly string[];
   /** Tokens per second that the move adds, less those that the unloaded replicas made. */
   readonly gain: number;
+  /** Expected time until the models are unloaded, in milliseconds. */
+  readonly unloadMs: number;
 }
--- a/packages/decisions/src/lib/placement/placement-round.ts
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -8,10 +8,17 @@
  */
 const TARGET_SHARE = 0.9;
 /**
- * Penalty for each second of load time when engines are ranked, as a share of the engine's tokens
- * per second.
+ * Penalty for each second until a load is done when engines and the replicas to unload are ranked, as a
+ * share of the engine's tokens per second.
  */
-const LOAD_SECOND_SHARE = 0.2;
+const DELAY_SECOND_SHARE = 0.2;
+/**
+ * What the only replica of a requested model in a failure domain is worth beyond what it serves, as a share of
+ * the engine's tokens per second.
+ */
+const SPREAD_SHARE = 0.05;
+/** What the last replica of a model that nobody has asked for is worth, compared to others without demand. */
+const UNASKED_SHARE = 0.5;
 /**
  * Share of an engine's tokens per second up to which it takes a model without demand: while it loads
  * one it cannot load anything else.
@@ -26,24 +33,35 @@
 interface EvictableReplica {
   readonly model: Model;
   readonly value: number;
+  /** Expected time to unload it, in milliseconds. */
+  readonly unloadMs: number;
 }
 
 /** Replicas to unload for a load, with what they are worth together in tokens per second. */
 interface Eviction {
   readonly models: readonly Model[];
   readonly value: number;
+  /** Expected time until all are unloaded, in milliseconds. */
+  readonly unloadMs: number;
 }
 
-const NO_EVICTION: Eviction = { models: [], value: 0 };
+const NO_EVICTION: Eviction = { models: [], value: 0, unloadMs: 0 };
+
+const lossWeightOf = ({ lossWeight = 1 }: Model): number => lossWeight;
 
 const forecastOf = ({ demand, forecast = demand }: Model): number => forecast;
 
-// An engine that can load from a nearby copy serves seconds sooner than one that loads from the
-// weight store.
-const scoreOf = ({ engine, gain }: PlacementOption, { name }: Model): number => {
-  const loadMs = engine.loadMsByModel?.get(name) ?? 0;
-  return gain - (LOAD_SECOND_SHARE * engine.tokensPerSecond * loadMs) / MS_PER_SECOND;
-};
+// What a delay on an engine is worth, in tokens per second.
+const delayCost = ({ tokensPerSecond }: Engine, delayMs: number): number =>
+  (DELAY_SECOND_SHARE * tokensPerSecond * delayMs) / MS_PER_SECOND;
+
+// An engine that can load from a nearby copy, and one that has no runs to finish before it unloads, serve
+// seconds sooner than the others.
+const scoreOf = ({ engine, gain, unloadMs }: PlacementOption, { name }: Model): number =>
+  gain - delayCost(engine, (engine.loadMsByModel?.get(name) ?? 0) + unloadMs);
+
+const unloadMsOf = ({ unloadMsByModel }: Engine, { name }: Model): number =>
+  unloadMsByModel?.get(name) ?? 0;
 
 /** The state of one planning round; each planned move updates it. */
 export class PlacementRound {
@@ -120,7 +138,7 @@
       .sort(
         (left, right) =>
           Number(left.isLatencyTolerant === true) - Number(right.isLatencyTolerant === true) ||
-          right.demand - left.demand,
+          lossWeightOf(right) * right.demand - lossWeightOf(left) * left.demand,
       );
   }
 
@@ -150,13 +168,14 @@
     );
   }
 
-  /** Models whose unserved demand exceeds `unservedMin` tokens per second, the largest first. */
+  /** Models whose unserved demand exceeds `unservedMin` tokens per second, those whose callers lose most first. */
   underserved(unservedMin: number, isForecast: boolean): Model[] {
     const allocation = this.#allocationOf(isForecast);
     const unserved = ({ name }: Model): number => allocation.unservedByModel.get(name) ?? 0;
+    const loss = (model: Model): number => lossWeightOf(model) * unserved(model);
     return [...this.#models.values()]
       .filter((model) => unserved(model) > unservedMin)
-      .sort((left, right) => unserved(right) - unserved(left));
+      .sort((left, right) => loss(right) - loss(left));
   }
 
   /** Engines that could take a further replica of a model, the best first. */
@@ -201,7 +220,8 @@
     return engines
       .flatMap((engine) => {
         const option = this.#option(model, engine, reason, gainShareMin);
-        return option ? { option, score: scoreOf(option, model) } : [];
+        if (!option) return [];
+        return { option, score: scoreOf(option, model) + this.#spreadValue(model, engine) };
       })
       .sort(
         (left, right) =>
@@ -235,13 +255,15 @@
     const allocation = this.#allocationOf(reason === MoveReason.forecast);
     const unserved = allocation.unservedByModel.get(model.name) ?? 0;
     const lost = eviction.value;
-    const gain = Math.min(unserved, allocation.spare(engine)) - lost;
-    const isGainEnough = gain >= gainShareMin * engine.tokensPerSecond;
+    const gain = lossWeightOf(model) * Math.min(unserved, allocation.spare(engine)) - lost;
+    const { unloadMs } = eviction;
+    const isGainEnough =
+      gain - delayCost(engine, unloadMs) >= gainShareMin * engine.tokensPerSecond;
     if (reason !== MoveReason.reach && !isGainEnough) return undefined;
     const lossShareLimit =
       model.isLatencyTolerant === true ? this.#latencyTolerantLossShareMax : this.#lossShareMax;
     if (lost > lossShareLimit * engine.tokensPerSecond) return undefined;
-    return { engine, unload: eviction.models.map(({ name }) => name), gain };
+    return { engine, unload: eviction.models.map(({ name }) => name), gain, unloadMs };
   }
 
   // Value of a replica in tokens per second: its part of the model's demand, less what the model's
@@ -259,10 +281,24 @@
     }, 0);
     const demandPerReplica = forecastOf(model) / (others.length + 1);
     const isIdle = reason === MoveReason.reach && forecastOf(model) === 0;
-    const lastReplicaShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
+    const keptShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
+    const lastReplicaShare = model.isUnasked === true ? UNASKED_SHARE * keptShare : keptShare;
     const isLastToKeep = others.length === 0 && model.isLatencyTolerant !== true;
     const lastReplicaValue = isLastToKeep ? lastReplicaShare * engine.tokensPerSecond : 0;
-    return Math.max(0, demandPerReplica - spare) + lastReplicaValue;
+    const served = lossWeightOf(model) * Math.max(0, demandPerReplica - spare);
+    return served + lastReplicaValue + this.#spreadValue(model, engine);
+  }
+
+  // A failure domain that is cut off serves its own requests only for the models that it holds.
+  #spreadValue(
+    { name, demand }: Model,
+    { failureDomain, tokensPerSecond, ...engine }: Engine,
+  ): number {
+    if (failureDomain === undefined || demand === 0) return 0;
+    const isHeldBeside = [...(this.#replicasByModel.get(name) ?? [])].some(
+      (other) => other !== engine.name && this.#engines.get(other)?.failureDomain === failureDomain,
+    );
+    return isHeldBeside ? 0 : SPREAD_SHARE * tokensPerSecond;
   }
 
   // Models to unload so that a model of `bytes` fits on an engine, the least valuable first;
@@ -272,27 +308,34 @@
     if (missing <= 0) return NO_EVICTION;
     const models: Model[] = [];
     let value = 0;
+    let unloadMs = 0;
     this.#evictable(engine, reason).forEach((replica) => {
       if (missing <= 0) return;
       models.push(replica.model);
       value += replica.value;
+      // The runs on all of them end side by side.
+      unloadMs = Math.max(unloadMs, replica.unloadMs);
       missing -= replica.model.bytes;
     });
-    return missing <= 0 ? { models, value } : undefined;
+    return missing <= 0 ? { models, value, unloadMs } : undefined;
   }
 
-  // Replicas that may be unloaded from an engine, the least valuable first. Of replicas with equal value,
-  // the one whose model has the most replicas comes first.
+  // Replicas that may be unloaded from an engine, the one first that is worth least and delays the load least.
+  // Of equal ones, the one whose model has the most replicas comes first.
   #evictable(engine: Engine, reason: MoveReason): readonly EvictableReplica[] {
     const cache = reason === MoveReason.reach ? this.#evictableForReach : this.#evictableForOthers;
     const known = cache.get(engine);
     if (known) return known;
     const replicaCount = ({ name }: Model): number => this.#replicasByModel.get(name)?.size ?? 0;
     const replicas = this.#evictableModels(engine, reason)
-      .map((model) => ({ model, value: this.#replicaValue(model, engine, reason) }))
+      .map((model) => {
+        const unloadMs = unloadMsOf(engine, model);
+        const value = this.#replicaValue(model, engine, reason);
+        return { model, value, unloadMs, cost: value + delayCost(engine, unloadMs) };
+      })
       .sort(
         (left, right) =>
-          left.value - right.value || replicaCount(right.model) - replicaCount(left.model),
+          left.cost - right.cost || replicaCount(right.model) - replicaCount(left.model),
       );
     cache.set(engine, replicas);
     return replicas;
--- a/packages/decisions/src/lib/placement/placement-steps.ts
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -26,6 +26,7 @@
   engine: options[0].engine.name,
   load: model,
   unload: options[0].unload,
+  unloadMs: options[0].unloadMs,
   gain: options[0].gain,
   reason,
   alternatives: options
--- a/packages/decisions/src/lib/serving/recent-loads.ts
+++ b/packages/decisions/src/lib/serving/recent-loads.ts
@@ -30,13 +30,21 @@
 
   /**
    * @param nowMs - current time of a monotonic clock, in milliseconds
-   * @param spanMs - time to look back, in milliseconds; defaults to the window
-   * @returns number of loads that began within that time or are about to begin
+   * @returns time since each load within the window began, in milliseconds
    */
-  count(nowMs: number, spanMs = this.#windowMs): number {
+  agesMs(nowMs: number): number[] {
     this.#startsMs.forEach((startMs, key) => {
       if (startMs <= nowMs - this.#windowMs) this.#startsMs.delete(key);
     });
-    return [...this.#startsMs.values()].filter((startMs) => startMs > nowMs - spanMs).length;
+    return [...this.#startsMs.values()].map((startMs) => nowMs - startMs);
+  }
+
+  /**
+   * @param nowMs - current time of a monotonic clock, in milliseconds
+   * @param spanMs - time to look back, in milliseconds; defaults to the window
+   * @returns number of loads that began within that time or are about to begin
+   */
+  count(nowMs: number, spanMs = this.#windowMs): number {
+    return this.agesMs(nowMs).filter((ageMs) => ageMs < spanMs).length;
   }
 }
--- a/packages/gateway/src/lib/dispatch/endpoint-picker.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-picker.ts
@@ -36,6 +36,8 @@
   readonly peerLoad: (endpoint: string) => EndpointLoad;
   /** State of an engine as its owner reported it recently; `undefined` without such a report. */
   readonly engineState: (endpoint: string) => OwnedEngineState | undefined;
+  /** Expected time until a model whose load is planned can serve, in milliseconds; `undefined` if none is. */
+  readonly plannedMs: (model: string) => number | undefined;
   /** Number of instances that divide the endpoints' connections, including this one. */
   readonly instanceCount: () => number;
 }
@@ -268,15 +270,18 @@
     return remaining.length > 0 ? Math.min(...remaining) : undefined;
   }
 
-  // Time until the first engine could serve the model, in milliseconds: the rest of a load that is in
+  // Time until the first engine could serve the model, in milliseconds: the rest of a load that is planned or in
   // progress, or a new load from the nearest copy of the weights.
   #loadEtaMs(active: readonly Endpoint[], model: string, engine: EngineSpec): number {
+    const { engineState, plannedMs } = this.#context;
     const spec = engine.models.get(model) as ModelSpec;
-    const etas = active.map(({ id, record }) => {
-      const loading = this.#context.engineState(id)?.loading.find((load) => load.model === model);
-      if (loading) return loading.remainingMs;
-      return LOAD_START_DELAY_MS + loadTimeMs(record, spec);
-    });
-    return Math.min(...etas);
+    const begunMs = active.flatMap(({ id }) =>
+      (engineState(id)?.loading ?? []).flatMap((load) =>
+        load.model === model ? load.remainingMs : [],
+      ),
+    );
+    if (begunMs.length > 0) return Math.min(...begunMs);
+    const newLoadMs = Math.min(...active.map(({ record }) => loadTimeMs(record, spec)));
+    return plannedMs(model) ?? LOAD_START_DELAY_MS + newLoadMs;
   }
 }
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -470,6 +470,7 @@
         promptTokenCount + this.#head.outputTokenCountMax,
         this.#service.engine?.kvTokenCount ?? 0,
       ),
+      model: this.#head.model,
       readTokenCount,
       isTest,
     });
@@ -992,7 +993,7 @@
     if (!attempt.release()) return;
     const holdMs = nowMs() - attempt.sending.sentMs;
     holdTime(this.#service.name).record(holdMs);
-    onReleased(holdMs);
+    onReleased(attempt.endpoint, holdMs);
   }
 
   #finish(
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -62,7 +62,7 @@
   /** Called when a request that was queued leaves the queue after `waitedMs` milliseconds. */
   readonly onWaited: (waitedMs: number) => void;
   /** Called when a request no longer occupies an endpoint; it occupied it for `holdMs` milliseconds. */
-  readonly onReleased: (holdMs: number) => void;
+  readonly onReleased: (endpoint: Endpoint, holdMs: number) => void;
   /**
    * Called when an endpoint answered that it lacks the model or adapter, or when another endpoint
    * answered at its address.
--- a/packages/gateway/src/lib/dispatch/sent-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/sent-attempt.ts
@@ -12,6 +12,7 @@
   readonly promptTokenCount: number;
   /** Tokens of its prompt and of its longest output. */
   readonly heldTokenCount: number;
+  readonly model?: string;
   /** Prompt tokens that the endpoint prefills before the first event. */
   readonly readTokenCount: number;
   /** Whether the request was sent although it was suspected to end engines. */
@@ -33,7 +34,7 @@
   constructor(sending: Sending) {
     this.sending = sending;
     this.#isPrefilling = sending.readTokenCount > 0;
-    sending.endpoint.requestSent(sending.promptTokenCount);
+    sending.endpoint.requestSent(sending.promptTokenCount, sending.model);
     this.endpoint.heldTokenCount += sending.heldTokenCount;
   }
 
@@ -123,7 +124,7 @@
     if (this.#isReleased) return false;
     this.#isReleased = true;
     if (this.#isPrefilling) this.#endPrefill();
-    this.endpoint.requestEnded();
+    this.endpoint.requestEnded(this.sending.model);
     this.endpoint.heldTokenCount -= this.sending.heldTokenCount;
     return true;
   }
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -38,6 +38,7 @@
   #leftMs: number | undefined;
   #hasAnnouncedLeaving = false;
   #connectionEnding: ConnectionEnding = ConnectionEnding.none;
+  readonly #runs = new Map<string, number>();
   readonly #missingUntilMs = new Map<string, number>();
 
   /** @param record - the endpoint's entry in the list of endpoints */
@@ -141,8 +142,10 @@
    * Counts a request of this instance that is sent to the endpoint.
    *
    * @param promptTokenCount - number of tokens of its prompt
+   * @param model - its model, if it has one
    */
-  requestSent(promptTokenCount: number): void {
+  requestSent(promptTokenCount: number, model?: string): void {
+    if (model !== undefined) this.#runs.set(model, (this.#runs.get(model) ?? 0) + 1);
     this.inFlightCount += 1;
     this.unreadTokenCount += promptTokenCount;
   }
@@ -156,8 +159,22 @@
     this.unreadTokenCount -= promptTokenCount;
   }
 
-  /** Records that a request of this instance no longer runs there. */
-  requestEnded(): void {
+  /** Number of this instance's requests that are in flight there, by model. */
+  get runs(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.#runs);
+  }
+
+  /**
+   * Records that a request of this instance no longer runs there.
+   *
+   * @param model - its model, if it has one
+   */
+  requestEnded(model?: string): void {
+    if (model !== undefined) {
+      const left = (this.#runs.get(model) ?? 0) - 1;
+      if (left > 0) this.#runs.set(model, left);
+      else this.#runs.delete(model);
+    }
     this.inFlightCount -= 1;
   }
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -115,6 +115,8 @@
   /** Loads of the other instances by endpoint, summed at `#peerLoadsMs`. */
   #peerLoads: Readonly<Record<string, EndpointLoad>> = {};
   #peerLoadsMs = -Infinity;
+  /** Models that requests waited for as of the last tick. */
+  #awaited: readonly string[] = [];
   #lastPlanMs = 0;
   /** When the last log line on connections and bodies of callers that were given up was written. */
   #shedLoggedMs = -Infinity;
@@ -244,6 +246,7 @@
       awaited: () => this.#services.awaitedModels,
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
       onLeaving: (endpoint) => this.#noteLeaving(endpoint),
+      onMoved: (step, afterMs) => this.#metrics.observe(step, afterMs),
       onPlanned: (busyMs) => this.#metrics.observe('plan', busyMs),
     });
     this.#quotas = this.#createQuotaKeeper();
@@ -264,6 +267,7 @@
       endpointsOf: (service) => this.#registry.ofService(service),
       peerLoad: (id) => this.#peerLoad(id),
       engineState: (id) => this.#fleet.stateOf(id),
+      plannedMs: (model) => this.#fleet.plannedMs(model),
       instanceCount: () => this.#instanceCount,
     });
     this.#runContext = this.#createRunContext();
@@ -429,6 +433,7 @@
           if (this.#peers.isUnanimous(this.#member.generation, nowMs())) this.#member.extendLease();
         },
         endpoints: () => this.#endpointFeed.tick(),
+        awaited: () => this.#noteAwaited(),
         exchange: () => this.#peerSync.tick(),
         engines: () => this.#fleet.tick(),
         quotas: () => this.#quotas.tick(),
@@ -458,6 +463,13 @@
     });
   }
 
+  // The planner learns of a model that no engine holds as soon as a request waits for it.
+  #noteAwaited(): void {
+    const awaited = this.#services.awaitedModels;
+    if (awaited.some((model) => !this.#awaited.includes(model))) this.#peerSync.noteUrgent();
+    this.#awaited = awaited;
+  }
+
   #logReadiness(): void {
     if (this.isReady === this.#wasReady) return;
     this.#wasReady = this.isReady;
@@ -601,7 +613,8 @@
         if (adapter !== undefined) this.#recordAdapterUse(endpoint.id, `${model}/${adapter}`);
       },
       onWaited: (waitedMs) => this.#metrics.observe('queue_wait', waitedMs),
-      onReleased: (holdMs) => {
+      onReleased: (endpoint, holdMs) => {
+        this.#fleet.recordRunEnd(endpoint, holdMs);
         this.#metrics.observe('endpoint_hold', holdMs);
         this.#scheduleDispatch();
       },
@@ -796,17 +809,20 @@
       instanceCount: 1,
       configVersion: this.#config.version,
       loads: Object.fromEntries(
-        inUse.map(({ id, inFlightCount, unreadTokenCount, heldTokenCount }) => [
+        inUse.map(({ id, inFlightCount, unreadTokenCount, heldTokenCount, runs }) => [
           id,
           {
             count: inFlightCount,
             unreadTokenCount,
+            runs,
             ...(heldTokenCount > 0 && { heldTokenCount }),
           },
         ]),
       ),
       demand: this.#fleet.ownDemand(),
+      lossWeights: this.#fleet.demand.lossWeights(),
       urgentModels: this.#fleet.demand.urgentModels(nowMs),
+      promptModels: this.#fleet.demand.promptModels(nowMs),
       awaited: this.#services.awaitedModels,
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
@@ -814,6 +830,7 @@
       shares: this.#member.shares,
       orderAgesMs: this.#fleet.handover.orderAgesMs(nowMs),
       engines: this.#fleet.ownStates(),
+      planned: this.#fleet.planned,
       engineEnds: this.#crashGuard.published(),
       leavingRuns: this.#registry.announcedRuns,
       ...(this.#quotas.hasLeases && { hasQuotaLeases: true }),
@@ -823,6 +840,8 @@
 
   async #writeMetrics(): Promise<string> {
     this.#metrics.waiting.set(this.#services.waitingCount);
+    this.#metrics.awaitedModels.set(this.#services.awaitedModels.length);
+    this.#metrics.plannedLoads.set(Object.keys(this.#fleet.planned).length);
     this.#metrics.waitingBodies.set(this.#ingress.waitingBodyCount);
     this.#memory.bytesByKind.forEach((bytes, kind) => this.#metrics.heldBytes.set({ kind }, bytes));
     this.#metrics.instances.set(this.#peers.instanceCount() + 1);
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -2,8 +2,9 @@
 
 /**
  * What is timed: a request, its time in the queue, to the first event and at an endpoint, a read of the
- * configuration from another instance, a round of placement planning, how late the periodic work runs, and
- * the age that the list of endpoints had when it was replaced.
+ * configuration from another instance, a round of placement planning, the time from the decision on a move to
+ * the order of its load and until its model can serve, how late the periodic work runs, and the age that the
+ * list of endpoints had when it was replaced.
  */
 type LatencyName =
   | 'request'
@@ -13,6 +14,8 @@
   | 'config_read'
   | 'plan'
   | 'quota_wait'
+  | 'move_order'
+  | 'move_ready'
   | 'event_loop_lag'
   | 'list_age_max';
 
@@ -40,6 +43,16 @@
     [],
   );
   readonly waiting = this.gauge('waiting', 'Requests that wait for a place.', []);
+  readonly awaitedModels = this.gauge(
+    'models_awaited',
+    'Models that requests wait for here and no engine holds.',
+    [],
+  );
+  readonly plannedLoads = this.gauge(
+    'loads_planned',
+    'Models whose loads are planned or held back here.',
+    [],
+  );
   readonly waitingBodies = this.gauge(
     'bodies_waiting',
     'Requests whose bodies wait unread for memory.',
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -1,10 +1,11 @@
-import { isPlanner } from '@chervilseam/decisions';
+import { isPlanner, lossWeight, UnloadTime } from '@chervilseam/decisions';
 import type { OrderOutcome } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { EndpointRegistry } from '../feed/endpoint-registry.js';
 import type { GatewaySettings } from '../gateway-settings.js';
+import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { InstanceState } from '../peer/instance-state.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
 import type { AdapterLoadRequest } from '../peer/adapter-load-request.js';
@@ -32,6 +33,12 @@
  */
 const URGENT_SHARE = 0.5;
 
+/**
+ * Time from the arrival of a request for a model that no engine holds until its load begins, in milliseconds:
+ * callers whose objective is shorter than this and the load together are not served in time by waiting.
+ */
+const LOAD_START_MS = 700;
+
 /** Dependencies of the fleet. */
 interface FleetContext {
   readonly settings: GatewaySettings;
@@ -49,6 +56,8 @@
   readonly onOrder: (outcome: OrderOutcome) => void;
   /** Called when an engine announced in a report that it is about to exit. */
   readonly onLeaving: (endpoint: Endpoint) => void;
+  /** Called with the time from the decision on a move to the order of its load, and until its model can serve. */
+  readonly onMoved: (step: 'move_order' | 'move_ready', afterMs: number) => void;
   /** Called with the time that a round of placement planning took, in milliseconds. */
   readonly onPlanned: (busyMs: number) => void;
 }
@@ -66,8 +75,12 @@
     { readonly endpoint: Endpoint; readonly owner: EngineOwner }
   >();
   readonly #placement: PlacementLoop;
+  /** Duration of unloads by service, learned from the runs of this instance's requests. */
+  readonly #unloadTimes = new Map<string, UnloadTime>();
   /** States of the engines that other instances own, as collected at `#othersMs`. */
   #othersStates = new Map<string, OwnedEngineState>();
+  /** Loads that other instances have planned, as collected then: time until the model can serve. */
+  #othersPlanned: Readonly<Record<string, number>> = {};
   #othersMs = -Infinity;
   #windowStartMs = 0;
 
@@ -85,9 +98,15 @@
       engineState: (id) => this.stateOf(id),
       requestMove: (id, move) => this.#beginMoveThroughOwner(id, move),
       demand: () => context.peers.demandWith(this.ownDemand(), nowMs()),
+      lossWeights: () =>
+        context.peers.lossWeightsWith(this.ownDemand(), this.demand.lossWeights(), nowMs()),
       urgentModels: () =>
         new Set([...context.peers.urgentModels(nowMs()), ...this.demand.urgentModels(nowMs())]),
+      promptModels: () =>
+        new Set([...context.peers.promptModels(nowMs()), ...this.demand.promptModels(nowMs())]),
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
+      unloadMs: (endpoint, peerRuns, model) => this.#unloadMs(endpoint, peerRuns, model),
+      peerLoads: () => context.peers.loads(nowMs()),
       loadWindowMs: settings.loadWindowMs,
       loadSlackRatio: settings.loadSlackRatio,
       onPlanned: context.onPlanned,
@@ -137,11 +156,16 @@
    * @param head - the request
    * @param target - its route and service
    */
-  recordRequest(head: CallerHead, { route, service }: RunTarget): void {
+  recordRequest(head: CallerHead, { route, service, access }: RunTarget): void {
     const { engine } = service;
     if (!engine) return;
     const loadMs = engine.models.get(head.model ?? '')?.storeLoadMs ?? 0;
-    this.demand.recordRequest(head, engine.slotCount, route.objectiveMs < URGENT_SHARE * loadMs);
+    const { objectiveMs } = route;
+    this.demand.recordRequest(head, engine.slotCount, {
+      isUrgent: objectiveMs < URGENT_SHARE * loadMs,
+      lossWeight: lossWeight(access?.workspace?.priority ?? route.priority),
+      isPrompt: objectiveMs < LOAD_START_MS + loadMs,
+    });
   }
 
   /**
@@ -154,15 +178,24 @@
     if (service.engine) this.demand.recordRefusal(head, service.engine.slotCount);
   }
 
+  /**
+   * Records that a request of this instance has ended at an endpoint.
+   *
+   * @param endpoint - the endpoint
+   * @param durationMs - time since the request was sent there, in milliseconds
+   */
+  recordRunEnd({ record }: Endpoint, durationMs: number): void {
+    const known = this.#unloadTimes.get(record.service);
+    const time = known ?? new UnloadTime();
+    if (!known) this.#unloadTimes.set(record.service, time);
+    time.record(durationMs);
+  }
+
   /** @returns the state of an engine as its owner, this instance or another, reports it */
   stateOf(id: string): OwnedEngineState | undefined {
     const own = this.#activeOwner(id);
     if (own) return own.state;
-    const { nowMs, peers } = this.#context;
-    if (nowMs() - this.#othersMs > STATES_CACHE_MS) {
-      this.#othersStates = peers.engines(nowMs());
-      this.#othersMs = nowMs();
-    }
+    this.#collectOthers();
     return this.#othersStates.get(id);
   }
 
@@ -172,6 +205,20 @@
     return Object.fromEntries(active.map(([id, { owner }]) => [id, owner.state]));
   }
 
+  /** Expected time until each model that this instance has planned to load can serve, in milliseconds. */
+  get planned(): Readonly<Record<string, number>> {
+    return this.#placement.planned;
+  }
+
+  /**
+   * @param model - a model that no engine holds
+   * @returns expected time until it can serve, in milliseconds, if an instance has planned its load
+   */
+  plannedMs(model: string): number | undefined {
+    this.#collectOthers();
+    return this.planned[model] ?? this.#othersPlanned[model];
+  }
+
   /** @returns demand of this instance's callers by model, in prompt-token equivalents per second */
   ownDemand(): Record<string, number> {
     return Object.fromEntries(this.demand.demand());
@@ -248,6 +295,21 @@
     if (owner) sync.beginMove({ host: owner.host, port: owner.port }, endpoint, move);
   }
 
+  #collectOthers(): void {
+    const { nowMs, peers } = this.#context;
+    if (nowMs() - this.#othersMs <= STATES_CACHE_MS) return;
+    this.#othersStates = peers.engines(nowMs());
+    this.#othersPlanned = peers.planned(nowMs());
+    this.#othersMs = nowMs();
+  }
+
+  // Expected time to unload a model from an engine, in milliseconds.
+  #unloadMs(endpoint: Endpoint, peerRuns: EndpointLoad['runs'], model: string): number {
+    const runCount = (endpoint.runs[model] ?? 0) + (peerRuns?.[model] ?? 0);
+    const time = this.#unloadTimes.get(endpoint.record.service) ?? new UnloadTime();
+    return time.estimateMs(runCount);
+  }
+
   #isPlanner(): boolean {
     const { nowMs, peers, member, settings } = this.#context;
     const { shares } = member;
@@ -284,7 +346,7 @@
   }
 
   #ownerContext(endpoint: Endpoint): ConstructorParameters<typeof EngineOwner>[0] {
-    const { settings, calls, logger, nowMs, onOrder, onLeaving } = this.#context;
+    const { settings, calls, logger, nowMs, onOrder, onLeaving, onMoved, sync } = this.#context;
     return {
       instance: settings.instance,
       calls,
@@ -292,6 +354,8 @@
       nowMs,
       token: () => this.#token(endpoint.id),
       onLeaving: () => onLeaving(endpoint),
+      onChanged: () => sync.noteUrgent(),
+      onMoved,
       onSend: () => {
         const share = shareOf(endpoint.id, settings.shareCount);
         const end = this.handover.beginOrder(share, nowMs() + calls.orderTimeoutMs);
--- a/packages/gateway/src/lib/owner/engine-move.ts
+++ b/packages/gateway/src/lib/owner/engine-move.ts
@@ -4,4 +4,9 @@
   readonly load: string;
   /** Models to unload first to free memory for it, in this order. */
   readonly unload: readonly string[];
+  /**
+   * Expected time until those models are unloaded, in milliseconds; `undefined` from an instance of an earlier
+   * version.
+   */
+  readonly unloadMs?: number;
 }
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { EngineInventory, OrderOutcome } from '@chervilseam/decisions';
+import { EngineInventory, orderDelayMs, OrderOutcome } from '@chervilseam/decisions';
 import type { EngineOrder } from '@chervilseam/decisions';
 import type { EngineSpec } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
@@ -28,13 +28,20 @@
  * instances can stop sending requests for it by then.
  */
 const UNLOAD_NOTICE_MS = 130;
-/** Expected duration of an unload, which waits for the requests in progress, in milliseconds. */
+/**
+ * Expected duration of an unload, which waits for the requests in progress, if the planner does not state
+ * one, in milliseconds.
+ */
 const UNLOAD_MS = 1_500;
 /**
  * How long the start of a load from the weight store is published, in milliseconds: longer than any
  * window over which the store limits loads.
  */
 const STORE_LOAD_RETENTION_MS = 10_000;
+/** Time from the end of a load until the engine's report shows it, in milliseconds. */
+const LOAD_REPORT_MS = 450;
+/** Time after its expected end at which a load counts as stuck rather than late, in milliseconds. */
+const LATE_LOAD_MAX_MS = 4_000;
 /** Time between two requests for a report, in milliseconds. */
 const REPORT_INTERVAL_MS = 200;
 
@@ -50,6 +57,10 @@
   readonly onLeaving: () => void;
   /** Called right before each sending of an order; returns what is to be called with its outcome. */
   readonly onSend: () => (outcome: OrderOutcome) => void;
+  /** Called with the time from the start of a move to the order of its load, and until its model can serve. */
+  readonly onMoved: (step: 'move_order' | 'move_ready', afterMs: number) => void;
+  /** Called when the state has changed in a way that the other instances need at once. */
+  readonly onChanged: () => void;
 }
 
 /** Gives orders to one engine that this instance owns, one at a time. */
@@ -64,6 +75,10 @@
   #lastOrderMs = -Infinity;
   #nextReportMs = 0;
   #move: EngineMove | undefined;
+  /** When the current or latest move began, in milliseconds. */
+  #movedMs = 0;
+  /** Expected end of the current move's unloads, in milliseconds. */
+  #unloadedMs = 0;
   /** When each model that the current move unloads may be unloaded at the earliest, in milliseconds. */
   readonly #unloadFromMs = new Map<string, number>();
   /** Expected end of each load in progress, by model, in milliseconds. */
@@ -93,13 +108,17 @@
   /** State of the engine that is published to the other instances. */
   get state(): OwnedEngineState {
     const nowMs = this.#context.nowMs();
-    const loading = [...this.#loadEndsMs].map(([model, endMs]) => ({
-      model,
-      remainingMs: Math.max(0, Math.round(endMs - nowMs)),
-    }));
+    const loading: OwnedEngineState['loading'][number][] = [...this.#loadEndsMs].map(
+      ([model, endMs]) => ({
+        model,
+        remainingMs: Math.max(0, Math.round(endMs - nowMs)),
+        ...(nowMs > endMs + LOAD_REPORT_MS && nowMs < endMs + LATE_LOAD_MAX_MS && { isLate: true }),
+      }),
+    );
     const next = this.#move?.load;
     if (next !== undefined && !this.#loadEndsMs.has(next)) {
-      loading.push({ model: next, remainingMs: UNLOAD_MS + this.#loadMs(next) });
+      const unloadMs = Math.max(0, Math.round(this.#unloadedMs - nowMs));
+      loading.push({ model: next, remainingMs: unloadMs + this.#loadMs(next) });
     }
     const leaving = [
       ...new Set([...this.#unloadFromMs.keys(), ...this.#engine.modelsIn('leaving')]),
@@ -170,7 +189,10 @@
     if (this.isMoving || !this.isKnown) return false;
     this.#move = move;
     const nowMs = this.#context.nowMs();
+    this.#movedMs = nowMs;
+    this.#unloadedMs = nowMs + orderDelayMs(move.unload.length, move.unloadMs ?? UNLOAD_MS);
     move.unload.forEach((model) => this.#unloadFromMs.set(model, nowMs + UNLOAD_NOTICE_MS));
+    this.#context.onChanged();
     return true;
   }
 
@@ -244,6 +266,7 @@
     const outcome = await this.#order({ action: 'load', model });
     if (outcome === OrderOutcome.accepted) {
       this.#loadEndsMs.set(model, this.#context.nowMs() + loadMs);
+      this.#context.onMoved('move_order', this.#context.nowMs() - this.#movedMs);
     }
     // After a conflict the engine is asked for a report, and then the move continues.
     if (outcome !== OrderOutcome.conflict) this.#endMove();
@@ -292,6 +315,8 @@
       this.#loadEndsMs.forEach((_, model) => {
         if (this.#engine.modelsIn('loading').includes(model)) return;
         this.#loadEndsMs.delete(model);
+        this.#context.onChanged();
+        this.#context.onMoved('move_ready', nowMs() - this.#movedMs);
         this.#endpoint.markPresent(model);
       });
       logger.info('engine_reported', 'adopted an engine’s report', {
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -1,11 +1,22 @@
-import { forecastDemand, MoveReason, placementSteps, RecentLoads } from '@chervilseam/decisions';
-import type { PlacementInput } from '@chervilseam/decisions';
-import type { EngineSpec, ServingConfig } from '@chervilseam/model';
+import {
+  forecastDemand,
+  LoadConcurrency,
+  loadDelayMs,
+  MoveReason,
+  orderDelayMs,
+  placementSteps,
+  relativeWeights,
+  RecentLoads,
+} from '@chervilseam/decisions';
+import type { PlacementInput, PlacementMove } from '@chervilseam/decisions';
+import type { EndpointRecord, EngineSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
+import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
 import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
+import { PlannedLoads } from './planned-loads.js';
 import { runInSlices } from './run-in-slices.js';
 
 /**
@@ -22,13 +33,11 @@
 const LOSS_SHARE_MAX = 0.35;
 /** The same for a move that loads a latency-tolerant model: one whose callers can wait for a load. */
 const TOLERANT_LOSS_SHARE_MAX = 0.2;
-/** Number of loads that the weight store allows in a window in addition to its rate. */
-const STORE_LOAD_BURST = 3;
 /** Time that a replica serves before it may be unloaded for another model, in milliseconds. */
 const RESIDENCE_MIN_MS = 3_000;
 /**
- * Demand above which a latency-critical model without a replica gets one, in prompt-token equivalents
- * per second.
+ * Demand above which a model without a replica gets one although no request waits for it, unless its callers can
+ * wait for a load, in prompt-token equivalents per second.
  */
 const AWAITED_DEMAND = 200;
 /** Fraction of an engine's token rate that a move must gain to be worth the time of its load. */
@@ -45,17 +54,6 @@
 const IDLE_REPLICA_SHARE = 0.1;
 /** Greatest number of moves in one round, over all engines of a service. */
 const MOVE_MAX = 6;
-/**
- * Fraction of the weight store's limit that is used. The rest allows for loads that an owner began
- * just before it failed, which the other instances do not know of.
- */
-const STORE_LIMIT_SHARE = 0.8;
-/**
- * Fraction of the used part of that limit that is reserved for models with more demand than their
- * engines can serve. A low-priority move, which adds the first replica of a latency-tolerant model,
- * cannot use it.
- */
-const STORE_RESERVE_SHARE = 0.4;
 /**
  * Greatest fraction of the engines that may be changing when a move begins, by the reason of the move.
  * A changing engine cannot load anything else.
@@ -73,6 +71,13 @@
  * owner publishes shows it.
  */
 const PENDING_MS = 1_200;
+/** Time after which an engine may be found for a model that none can take now, in milliseconds. */
+const SHORTFALL_MS = 1_500;
+/** Assumed rest of a load that takes longer than expected, in milliseconds. */
+const LATE_LOAD_MS = 600;
+/** Bounds of the estimated time until an engine's change is done, in milliseconds. */
+const CHANGE_MIN_MS = 100;
+const CHANGE_MAX_MS = 1_500;
 /** Limits of an engine's speed as a ratio to the median engine. */
 const SPEED_MIN = 0.3;
 const SPEED_MAX = 1.5;
@@ -81,7 +86,6 @@
 /** Greatest fraction of the processor's time that is spent on planning. */
 const PLANNING_SHARE_MAX = 0.2;
 const BYTES_PER_MB = 1_000_000;
-const MS_PER_SECOND = 1_000;
 
 const nameOf = ({ name }: { readonly name: string }): string => name;
 
@@ -100,10 +104,18 @@
   readonly requestMove: (endpoint: string, move: EngineMove) => void;
   /** Demand of the callers of all instances by model, in prompt-token equivalents per second. */
   readonly demand: () => ReadonlyMap<string, number>;
+  /** What the callers of each model lose for each token that is not served; 1 for a missing model. */
+  readonly lossWeights: () => Readonly<Record<string, number>>;
   /** Latency-critical models: callers of any instance want an answer sooner than a load takes. */
   readonly urgentModels: () => ReadonlySet<string>;
+  /** Models whose callers of any instance would be answered late if they waited for a load. */
+  readonly promptModels: () => ReadonlySet<string>;
   /** Models that queued requests of any instance wait for. */
   readonly awaited: () => ReadonlySet<string>;
+  /** Requests of other instances that are in progress, by endpoint. */
+  readonly peerLoads: () => Readonly<Record<string, EndpointLoad>>;
+  /** Expected time to unload a model from an engine with those runs of other instances, in milliseconds. */
+  readonly unloadMs: (endpoint: Endpoint, peerRuns: EndpointLoad['runs'], model: string) => number;
   /** Length of the window over which the weight store limits loads, in milliseconds. */
   readonly loadWindowMs: number;
   /** Factor that is applied to the number of loads that the store's rate allows in that window. */
@@ -112,6 +124,25 @@
   readonly onPlanned: (busyMs: number) => void;
 }
 
+/** A move that was requested. */
+interface PendingMove extends EngineMove {
+  /** When its model is expected to serve, in milliseconds. */
+  readonly readyMs: number;
+  /** Until when the state that the owner publishes may not show it, in milliseconds. */
+  readonly untilMs: number;
+}
+
+/** A service whose moves are begun. */
+interface PlannedService {
+  readonly spec: EngineSpec;
+  readonly endpoints: readonly Endpoint[];
+  /** Models that are not latency-critical. */
+  readonly lowPriority: ReadonlySet<string>;
+  readonly demand: ReadonlyMap<string, number>;
+  /** Share of the demand that can be served once all moves are done. */
+  readonly servedShare: number;
+}
+
 /**
  * Adapts the models in the engines' memory to demand. One instance plans the moves for all engines from
  * the states that the instances publish, and the owners of the engines carry the moves out.
@@ -127,7 +158,11 @@
   /** When the next round may begin, in milliseconds. */
   #nextRoundMs = -Infinity;
   /** Requested moves that the owner may not have published yet, by engine. */
-  readonly #pending = new Map<string, EngineMove & { readonly untilMs: number }>();
+  readonly #pending = new Map<string, PendingMove>();
+  readonly #loadConcurrency = new LoadConcurrency();
+  readonly #planned = new PlannedLoads();
+  /** Models that were loaded since there was free memory, and that nobody has asked for since. */
+  readonly #unasked = new Set<string>();
 
   /** @param context - dependencies of the loop */
   constructor(context: PlacementContext) {
@@ -153,6 +188,11 @@
     });
   }
 
+  /** Expected time until each model that is planned to be loaded can serve, in milliseconds. */
+  get planned(): Readonly<Record<string, number>> {
+    return this.#planned.remainingMs(this.#context.nowMs());
+  }
+
   /**
    * Plans one round of moves and requests them from the engines' owners, unless a round is under way or
    * the last round took so long that planning would exceed its share of the processor.
@@ -199,7 +239,7 @@
     spec: EngineSpec,
     demand: ReadonlyMap<string, number>,
   ): Promise<number> {
-    const { nowMs, endpointsOf, requestMove, logger } = this.#context;
+    const { nowMs, endpointsOf } = this.#context;
     const startMs = nowMs();
     const endpoints = endpointsOf(service).filter(
       ({ isLeaving, health }) => !isLeaving && !health.isDown(nowMs()),
@@ -207,13 +247,14 @@
     const medianInterEventMs = median(
       endpoints.map(({ health }) => health.interEventMs(nowMs())).filter(Boolean),
     );
+    const peerLoads = this.#context.peerLoads();
     const engines = endpoints
-      .map((endpoint) => this.#engine(endpoint, spec, medianInterEventMs))
+      .map((endpoint) =>
+        this.#engine(endpoint, spec, medianInterEventMs, peerLoads[endpoint.id]?.runs),
+      )
       .sort((left, right) => (left.name < right.name ? -1 : 1));
     const models = this.#models(spec, demand, engines);
-    const latencyTolerant = new Set(
-      models.filter(({ isLatencyTolerant }) => isLatencyTolerant).map(nameOf),
-    );
+    const lowPriority = new Set(models.filter(({ isCritical }) => !isCritical).map(nameOf));
     const input: PlacementInput = {
       models,
       engines,
@@ -224,32 +265,87 @@
       lastReplicaShare: LAST_REPLICA_SHARE,
       idleReplicaShare: IDLE_REPLICA_SHARE,
     };
+    this.#learnLoadConcurrency(endpoints, spec);
     const preparedMs = nowMs() - startMs;
     const { value: plan, busyMs } = await runInSlices(placementSteps(input), {
       nowMs,
       sliceMs: SLICE_MS,
     });
-    plan.moves.forEach(({ engine, load, unload, reason, gain }) => {
-      const changingCount = endpoints.filter(({ id }) => this.#isFixed(id)).length;
-      const isTolerantReach = latencyTolerant.has(load) && reason === MoveReason.reach;
-      const isLowPriority = isTolerantReach || reason === MoveReason.residence;
-      const shareMax = isTolerantReach ? TOLERANT_CHANGING_SHARE_MAX : changingShareMax[reason];
-      if (changingCount >= shareMax * endpoints.length) return;
-      if (this.#isFixed(engine) || !this.#admitLoad(engine, load, spec, isLowPriority)) return;
-      this.#pending.set(engine, { load, unload, untilMs: nowMs() + PENDING_MS });
-      requestMove(engine, { load, unload });
-      logger.info('move', reason, {
-        endpoint: engine,
-        load,
-        unload,
-        gain: Math.round(gain),
-        demand: Math.round(demand.get(load) ?? 0),
-        servedShare: plan.servedShare,
-      });
-    });
+    const planned = { spec, endpoints, lowPriority, demand, servedShare: plan.servedShare };
+    plan.moves.forEach((move) => this.#begin(move, planned));
+    plan.shortfalls.forEach(({ model, bytes }) => this.#noteShortfall(model, bytes, spec));
     return preparedMs + busyMs;
   }
 
+  // Requests a move from the engine's owner, or holds it back while as many engines are changing, or as many
+  // models are loading, as may be at a time.
+  #begin(move: PlacementMove, service: PlannedService): void {
+    const { nowMs, requestMove, logger } = this.#context;
+    const { engine, load, unload, reason, gain } = move;
+    if (this.#isFixed(engine)) return;
+    const isUncriticalReach = service.lowPriority.has(load) && reason === MoveReason.reach;
+    const isLowPriority = isUncriticalReach || reason === MoveReason.residence;
+    const shareMax = isUncriticalReach ? TOLERANT_CHANGING_SHARE_MAX : changingShareMax[reason];
+    const heldMs = Math.max(
+      this.#changeDelayMs(service.endpoints, shareMax),
+      this.#storeDelayMs(move, service, isLowPriority),
+    );
+    const readyMs = Math.round(nowMs() + heldMs + this.#durationMs(move, service.spec));
+    const fields = {
+      endpoint: engine,
+      load,
+      unload,
+      unloadMs: Math.round(move.unloadMs),
+      heldMs: Math.round(heldMs),
+      readyInMs: Math.round(readyMs - nowMs()),
+      gain: Math.round(gain),
+      demand: Math.round(service.demand.get(load) ?? 0),
+      servedShare: service.servedShare,
+    };
+    if (heldMs > 0) {
+      if (reason !== MoveReason.reach) return;
+      if (this.#planned.add(load, readyMs)) logger.info('move_held', reason, fields);
+      return;
+    }
+    this.#planned.add(load, readyMs);
+    const record = this.#context.endpoint(engine)?.record;
+    if (record && PlacementLoop.#isFromStore(record, load)) {
+      this.#loads.record(engine, load, nowMs());
+    }
+    if (reason === MoveReason.residence) this.#unasked.add(load);
+    const requested = { load, unload, unloadMs: fields.unloadMs };
+    this.#pending.set(engine, { ...requested, readyMs, untilMs: nowMs() + PENDING_MS });
+    requestMove(engine, requested);
+    logger.info('move', reason, fields);
+  }
+
+  // No engine can take the model now: its callers are told when a place may be found.
+  #noteShortfall(load: string, missingBytes: number, spec: EngineSpec): void {
+    const loadMs = spec.models.get(load)?.storeLoadMs ?? 0;
+    const isNew = this.#planned.add(load, this.#context.nowMs() + SHORTFALL_MS + loadMs);
+    if (!isNew) return;
+    const fields = { load, missingBytes, retryInMs: SHORTFALL_MS };
+    this.#context.logger.info('move_missing', 'no engine can take a model', fields);
+  }
+
+  // Time until fewer than a fraction of the engines are changing, as far as known, in milliseconds.
+  #changeDelayMs(endpoints: readonly Endpoint[], shareMax: number): number {
+    const changing = endpoints.filter(({ id }) => this.#isFixed(id));
+    if (changing.length < shareMax * endpoints.length) return 0;
+    const leftMs = changing.flatMap(({ id }) =>
+      (this.#context.engineState(id)?.loading ?? []).map(({ remainingMs }) => remainingMs),
+    );
+    return Math.max(CHANGE_MIN_MS, Math.min(...leftMs, CHANGE_MAX_MS));
+  }
+
+  // Expected time from the decision on a move until its model can serve, in milliseconds.
+  #durationMs({ engine, load, unload, unloadMs }: PlacementMove, spec: EngineSpec): number {
+    const record = this.#context.endpoint(engine)?.record;
+    const model = spec.models.get(load);
+    const loadMs = record && model ? loadTimeMs(record, model) : 0;
+    return orderDelayMs(unload.length, unloadMs) + loadMs;
+  }
+
   #models(
     spec: EngineSpec,
     demand: ReadonlyMap<string, number>,
@@ -257,30 +353,46 @@
   ) {
     const awaited = this.#context.awaited();
     const urgent = this.#context.urgentModels();
+    const prompt = this.#context.promptModels();
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
-      const isLatencyTolerant = tokenDemand > 0 && !urgent.has(name);
+      const isLatencyTolerant = tokenDemand > 0 && !prompt.has(name);
+      if (tokenDemand > 0) this.#unasked.delete(name);
       return {
         name,
         bytes: sizeMb * BYTES_PER_MB,
         mustStayResident: false,
-        // Latency-critical requests are refused while their model has no replica, so none of them is
-        // queued. The model's demand decides instead.
+        // Requests that a load of their model would make late are refused while it has no replica, or before it
+        // is due, so none of them is queued. The model's demand decides instead.
         hasWaitingRequests:
           awaited.has(name) || (!isLatencyTolerant && tokenDemand > AWAITED_DEMAND),
         isCritical: urgent.has(name),
+        isUnasked: this.#unasked.has(name),
         isLatencyTolerant,
         demand: tokenDemand,
       };
     });
     const forecast = forecastDemand(models, tokensPerSecond);
-    return models.map((model) => ({ ...model, forecast: forecast.get(model.name) }));
+    const weights = this.#context.lossWeights();
+    const lossWeights = relativeWeights(
+      models.map(({ name, demand: tokens }) => ({ name, demand: tokens, weight: weights[name] })),
+    );
+    return models.map((model) => ({
+      ...model,
+      forecast: forecast.get(model.name),
+      lossWeight: lossWeights.get(model.name),
+    }));
   }
 
   // An engine without a reachable owner, or one that is being changed, is given to the planner without
   // free memory and without models that may be unloaded, so that the plan leaves it as it is.
-  #engine(endpoint: Endpoint, spec: EngineSpec, medianInterEventMs: number) {
+  #engine(
+    endpoint: Endpoint,
+    spec: EngineSpec,
+    medianInterEventMs: number,
+    peerRuns: EndpointLoad['runs'],
+  ) {
     const state = this.#context.engineState(endpoint.id);
     const pending = this.#pendingOf(endpoint.id);
     const listed = state?.models ?? endpoint.record.models.map(({ name }) => name);
@@ -295,6 +407,7 @@
     const capacityMb = isFixed ? usedMb : spec.memoryMb - PlacementLoop.#adapterMb(spec);
     return {
       name: endpoint.id,
+      failureDomain: endpoint.record.failureDomain,
       capacityBytes: capacityMb * BYTES_PER_MB,
       tokensPerSecond:
         ENGINE_TOKENS_PER_SECOND * UTILIZATION * this.#speed(endpoint, medianInterEventMs),
@@ -304,6 +417,9 @@
           return model && loadTimeMs(endpoint.record, model);
         },
       },
+      unloadMsByModel: {
+        get: (name: string) => this.#context.unloadMs(endpoint, peerRuns, name),
+      },
       models,
       ready: isFixed ? [] : models.filter((model) => this.#isSettled(endpoint.id, model)),
       otherBytes: hasUnknownModel ? spec.memoryMb * BYTES_PER_MB : 0,
@@ -334,7 +450,7 @@
     return state.leaving.length > 0 || state.loading.length > 0;
   }
 
-  #pendingOf(endpoint: string): (EngineMove & { readonly untilMs: number }) | undefined {
+  #pendingOf(endpoint: string): PendingMove | undefined {
     const pending = this.#pending.get(endpoint);
     if (!pending || this.#context.nowMs() < pending.untilMs) return pending;
     this.#pending.delete(endpoint);
@@ -347,24 +463,61 @@
     return largest * spec.adapterSlotCount;
   }
 
-  // Returns whether the weight store's limit permits the load, and records the load if it does. Loads
-  // from the engine's own disk or host memory are always permitted.
-  #admitLoad(engine: string, model: string, spec: EngineSpec, isLowPriority: boolean): boolean {
-    const { endpoint, nowMs, loadWindowMs, loadSlackRatio } = this.#context;
-    const record = endpoint(engine)?.record;
-    if (record?.hostModels.includes(model) || record?.diskModels.includes(model)) return true;
-    const sustained = (spec.storeLoadsPerSecond * loadWindowMs * loadSlackRatio) / MS_PER_SECOND;
-    const allowed = Math.floor((sustained + STORE_LOAD_BURST) * STORE_LIMIT_SHARE);
-    const usable = isLowPriority ? Math.ceil(allowed * (1 - STORE_RESERVE_SHARE)) : allowed;
-    if (this.#loads.count(nowMs()) >= Math.max(1, usable)) return false;
-    // More loads at a time than the store's rate sustains would only slow each of them down.
-    const loadMs = spec.models.get(model)?.storeLoadMs ?? 0;
-    const concurrentMax = Math.max(
-      1,
-      Math.round((spec.storeLoadsPerSecond * loadMs) / MS_PER_SECOND),
-    );
-    if (this.#loads.count(nowMs(), Math.min(loadMs, loadWindowMs)) >= concurrentMax) return false;
-    this.#loads.record(engine, model, nowMs());
-    return true;
+  static #isFromStore({ hostModels, diskModels }: EndpointRecord, model: string): boolean {
+    return !hostModels.includes(model) && !diskModels.includes(model);
+  }
+
+  // Time until the weight store's limit permits the load, in milliseconds. Loads from the engine's own disk or
+  // host memory are always permitted.
+  #storeDelayMs(
+    { engine, load, reason }: PlacementMove,
+    { spec, endpoints }: PlannedService,
+    isLowPriority: boolean,
+  ): number {
+    const record = this.#context.endpoint(engine)?.record;
+    if (!record || !PlacementLoop.#isFromStore(record, load)) return 0;
+    const { nowMs, loadWindowMs, loadSlackRatio } = this.#context;
+    return loadDelayMs({
+      storeLoadsPerSecond: spec.storeLoadsPerSecond,
+      windowMs: loadWindowMs,
+      slackRatio: loadSlackRatio,
+      loadMs: spec.models.get(load)?.storeLoadMs ?? 0,
+      isLowPriority,
+      countMax: this.#loadConcurrency.countMax,
+      canBeLate: reason === MoveReason.forecast || reason === MoveReason.residence,
+      agesMs: this.#loads.agesMs(nowMs()),
+      remainingMs: this.#storeLoads(endpoints, spec).map(({ remainingMs, isLate }) =>
+        isLate === true ? LATE_LOAD_MS : remainingMs,
+      ),
+    });
+  }
+
+  #learnLoadConcurrency(endpoints: readonly Endpoint[], spec: EngineSpec): void {
+    const loads = this.#storeLoads(endpoints, spec);
+    const lateCount = loads.filter(({ isLate }) => isLate === true).length;
+    const concurrency = this.#loadConcurrency;
+    if (!concurrency.observe(loads.length, lateCount > 0, this.#context.nowMs())) return;
+    this.#context.logger.info('loads_at_once', 'the number of loads at a time has changed', {
+      countMax: concurrency.countMax,
+      loading: loads.length,
+      late: lateCount,
+    });
+  }
+
+  // Loads from the weight store that are planned or in progress.
+  #storeLoads(endpoints: readonly Endpoint[], spec: EngineSpec): OwnedEngineState['loading'] {
+    const { nowMs, engineState } = this.#context;
+    return endpoints.flatMap(({ id, record }) => {
+      const loading = engineState(id)?.loading ?? [];
+      const pending = this.#pendingOf(id);
+      const isPublished = loading.some(({ model }) => model === pending?.load);
+      const upcoming =
+        pending && !isPublished
+          ? [{ model: pending.load, remainingMs: pending.readyMs - nowMs() }]
+          : [];
+      return [...loading, ...upcoming].filter(
+        ({ model }) => spec.models.has(model) && PlacementLoop.#isFromStore(record, model),
+      );
+    });
   }
 }
--- a/packages/gateway/src/lib/peer/endpoint-load.ts
+++ b/packages/gateway/src/lib/peer/endpoint-load.ts
@@ -9,4 +9,9 @@
    * earlier version.
    */
   readonly heldTokenCount?: number;
+  /**
+   * Number of requests in progress by model, which the planner needs; absent in overviews for followers and
+   * from instances of an earlier version.
+   */
+  readonly runs?: Readonly<Record<string, number>>;
 }
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -29,8 +29,18 @@
   readonly loads: Readonly<Record<string, EndpointLoad>>;
   /** Demand by model, in prompt-token equivalents per second. */
   readonly demand: Readonly<Record<string, number>>;
+  /**
+   * Mean loss of the callers of each model for each token that is not served in time, by priority; 1 for the
+   * highest priority. `undefined` from an instance of an earlier version.
+   */
+  readonly lossWeights?: Readonly<Record<string, number>>;
   /** Latency-critical models: callers want an answer sooner than the model could be loaded. */
   readonly urgentModels: readonly string[];
+  /**
+   * Models whose callers would be answered late if they waited for a load, `urgentModels` among them;
+   * `undefined` from an instance of an earlier version.
+   */
+  readonly promptModels?: readonly string[];
   /** Models that queued requests wait for. */
   readonly awaited: readonly string[];
   /** Adapters used since the previous state, each as `model/adapter`, by endpoint. */
@@ -49,6 +59,11 @@
   readonly orderAgesMs: Readonly<Record<number, number>>;
   /** States of the engines that the instance owns, by endpoint. */
   readonly engines: Readonly<Record<string, OwnedEngineState>>;
+  /**
+   * Expected time until each model that the instance has planned to load can serve, in milliseconds; empty
+   * unless it is the planner, `undefined` from an instance of an earlier version.
+   */
+  readonly planned?: Readonly<Record<string, number>>;
   /** Ends of engines that the instance knows of, by the ids of the ends. */
   readonly engineEnds: Readonly<Record<string, EngineEnd>>;
   /**
--- a/packages/gateway/src/lib/peer/owned-engine-state.ts
+++ b/packages/gateway/src/lib/peer/owned-engine-state.ts
@@ -14,5 +14,10 @@
    */
   readonly storeLoadAgesMs: Readonly<Record<string, number>>;
   /** Models that are being loaded, with the expected time until they can serve, in milliseconds. */
-  readonly loading: readonly { readonly model: string; readonly remainingMs: number }[];
+  readonly loading: readonly {
+    readonly model: string;
+    readonly remainingMs: number;
+    /** Whether the load takes longer than expected: the weight store is slower when many engines load. */
+    readonly isLate?: boolean;
+  }[];
 }
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -29,6 +29,7 @@
   loads: {},
   demand: {},
   urgentModels: [],
+  promptModels: [],
   awaited: [],
 };
 
@@ -40,8 +41,8 @@
 const overviewEngineOf = (engine: OwnedEngineState): OwnedEngineState => ({
   ...engine,
   storeLoadAgesMs: {},
-  loading: engine.loading.map(({ model, remainingMs }) => ({
-    model,
+  loading: engine.loading.map(({ remainingMs, ...load }) => ({
+    ...load,
     remainingMs: Math.ceil(remainingMs / REMAINING_STEP_MS) * REMAINING_STEP_MS,
   })),
 });
@@ -127,8 +128,15 @@
   overviewFor(own: InstanceState, follower: string, nowMs: number): Overview {
     const others = this.fresh(nowMs);
     const followers = this.#freshFollowers(nowMs).filter(({ instance }) => instance !== follower);
+    const sums = sumStates([own, ...others, ...followers]);
+    const loads = Object.fromEntries(
+      Object.entries(sums.loads).map(([id, { count, unreadTokenCount, heldTokenCount }]) => [
+        id,
+        { count, unreadTokenCount, heldTokenCount },
+      ]),
+    );
     return {
-      summary: { ...own, ...sumStates([own, ...others, ...followers]), usedAdapters: {} },
+      summary: { ...own, ...sums, loads, usedAdapters: {} },
       states: Object.fromEntries(others.map((state) => [state.instance, overviewStateOf(state)])),
     };
   }
@@ -186,11 +194,30 @@
     return new Map(Object.entries(sumStates(parts).demand));
   }
 
+  /**
+   * @param demand - demand of this instance by model
+   * @param lossWeights - what its callers lose, by model
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns mean loss of the callers of all instances for each token, by model
+   */
+  lossWeightsWith(
+    demand: Readonly<Record<string, number>>,
+    lossWeights: Readonly<Record<string, number>>,
+    nowMs: number,
+  ): Readonly<Record<string, number>> {
+    return sumStates([{ ...noSums, demand, lossWeights }, ...this.#all(nowMs)]).lossWeights ?? {};
+  }
+
   /** @returns latency-critical models of the callers of other instances */
   urgentModels(nowMs: number): readonly string[] {
     return sumStates(this.#all(nowMs)).urgentModels;
   }
 
+  /** @returns models whose callers at other instances would be answered late after a load */
+  promptModels(nowMs: number): readonly string[] {
+    return sumStates(this.#all(nowMs)).promptModels ?? [];
+  }
+
   /** @returns models that queued requests of other instances wait for */
   awaited(nowMs: number): readonly string[] {
     return sumStates(this.#all(nowMs)).awaited;
@@ -227,6 +254,14 @@
     );
   }
 
+  /** @returns expected time until each model that a planner has planned to load can serve, in milliseconds */
+  planned(nowMs: number): Record<string, number> {
+    return Object.assign({}, ...this.fresh(nowMs).map(({ planned }) => planned ?? {})) as Record<
+      string,
+      number
+    >;
+  }
+
   #freshFollowers(nowMs: number): InstanceState[] {
     return [...this.#followers.values()].flatMap(({ state, lastSeenMs }) =>
       nowMs <= lastSeenMs + STATE_TTL_MS ? [state] : [],
