Placement: waits count against the load time, rare models yield to busy ones

Change: a wait as long as a load costs what a last replica is worth, a gain counts for five load times, models whose callers are late after a load are kept by half of a last replica's value and yield to moves for capacity. Loads at a time go down to half of what the rate suggests at most.

--- a/packages/decisions/src/lib/placement/load-delay-ms.ts
+++ b/packages/decisions/src/lib/placement/load-delay-ms.ts
@@ -15,6 +15,8 @@
  * not slow it down.
  */
 const ORDER_DELAY_MS = 350;
+/** Least share of the loads at a time that the rate suggests, however many were late. */
+const LEARNED_SHARE_MIN = 0.5;
 const MS_PER_SECOND = 1_000;
 
 /** A load from the weight store that could begin, and the loads before it. */
@@ -56,7 +58,11 @@
   const usable = load.isLowPriority ? Math.ceil(allowed * (1 - STORE_RESERVE_SHARE)) : allowed;
   const inWindowMs = agesMs.map((ageMs) => windowMs - ageMs);
   const nominalMax = Math.floor((storeLoadsPerSecond * loadMs) / MS_PER_SECOND);
-  const sustainedAtOnce = Math.min(nominalMax, load.countMax ?? Infinity);
+  const learnedMax = Math.max(
+    Math.floor(LEARNED_SHARE_MIN * nominalMax),
+    load.countMax ?? Infinity,
+  );
+  const sustainedAtOnce = Math.min(nominalMax, learnedMax);
   const atOnceMax = load.canBeLate ? sustainedAtOnce - 1 : sustainedAtOnce;
   const besideMs = remainingMs.map((leftMs) => leftMs - ORDER_DELAY_MS);
   return Math.max(
--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -12,6 +12,8 @@
    * for a model without demand.
    */
   readonly isLatencyTolerant?: boolean;
+  /** Whether the callers of a latency-tolerant model are served late if they wait for a load. */
+  readonly isLateAfterLoad?: boolean;
   /** Whether the model was loaded only since there was free memory, and nobody has asked for it since. */
   readonly isUnasked?: boolean;
   /** Requested tokens per second. */
@@ -58,6 +60,8 @@
   readonly lossShareMax?: number;
   /** The same limit for moves that load a latency-tolerant model; defaults to `lossShareMax`. */
   readonly latencyTolerantLossShareMax?: number;
+  /** Typical time to load a model from the weight store, in milliseconds; 1,000 by default. */
+  readonly typicalLoadMs?: number;
   /** Least gain of a move, as a share of the engine's tokens per second; 0.01 by default. */
   readonly gainShareMin?: number;
   /**
--- a/packages/decisions/src/lib/placement/placement-round.ts
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -17,6 +17,12 @@
  * the engine's tokens per second.
  */
 const SPREAD_SHARE = 0.05;
+/** Typical time to load a model if the input states none, in milliseconds. */
+const DEFAULT_LOAD_MS = 1_000;
+/** Time for which a move gains what it gains at first, as a multiple of the load time: then demand has moved on. */
+const GAIN_SPAN_LOADS = 5;
+/** What the last replica of a model whose callers are only late after a load is worth, compared to others. */
+const LATE_SHARE = 0.5;
 /** What the last replica of a model that nobody has asked for is worth, compared to others without demand. */
 const UNASKED_SHARE = 0.5;
 /**
@@ -76,6 +82,7 @@
   readonly #lastReplicaShare: number;
   readonly #idleReplicaShare: number;
   readonly #latencyTolerantLossShareMax: number;
+  readonly #loadMs: number;
   /**
    * Replicas that may be unloaded, by engine, for moves for reach and for all others: they are the same for
    * every model to load, and kept until the next planned move.
@@ -97,11 +104,13 @@
     lastReplicaShare = 0,
     idleReplicaShare = lastReplicaShare,
     latencyTolerantLossShareMax = lossShareMax,
+    typicalLoadMs = DEFAULT_LOAD_MS,
   }: PlacementInput & Required<Pick<PlacementInput, 'gainShareMin'>>) {
     this.#lastReplicaShare = lastReplicaShare;
     this.#idleReplicaShare = idleReplicaShare;
     this.#latencyTolerantLossShareMax = latencyTolerantLossShareMax;
     this.#gainShareMin = gainShareMin;
+    this.#loadMs = typicalLoadMs;
     this.#lossShareMax = lossShareMax;
     this.#models = new Map(models.map((model) => [model.name, model]));
     this.#engines = new Map(
@@ -257,8 +266,8 @@
     const lost = eviction.value;
     const gain = lossWeightOf(model) * Math.min(unserved, allocation.spare(engine)) - lost;
     const { unloadMs } = eviction;
-    const isGainEnough =
-      gain - delayCost(engine, unloadMs) >= gainShareMin * engine.tokensPerSecond;
+    const gainedShare = Math.max(0, 1 - unloadMs / (GAIN_SPAN_LOADS * this.#loadMs));
+    const isGainEnough = gainedShare * gain >= gainShareMin * engine.tokensPerSecond;
     if (reason !== MoveReason.reach && !isGainEnough) return undefined;
     const lossShareLimit =
       model.isLatencyTolerant === true ? this.#latencyTolerantLossShareMax : this.#lossShareMax;
@@ -281,14 +290,22 @@
     }, 0);
     const demandPerReplica = forecastOf(model) / (others.length + 1);
     const isIdle = reason === MoveReason.reach && forecastOf(model) === 0;
+    const unaskedShare = model.isUnasked === true ? UNASKED_SHARE : 1;
+    const lateShare = model.isLateAfterLoad === true ? LATE_SHARE : 1;
     const keptShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
-    const lastReplicaShare = model.isUnasked === true ? UNASKED_SHARE * keptShare : keptShare;
-    const isLastToKeep = others.length === 0 && model.isLatencyTolerant !== true;
+    const lastReplicaShare = unaskedShare * lateShare * keptShare;
+    const isKept = model.isLatencyTolerant !== true || model.isLateAfterLoad === true;
+    const isLastToKeep = others.length === 0 && isKept;
     const lastReplicaValue = isLastToKeep ? lastReplicaShare * engine.tokensPerSecond : 0;
     const served = lossWeightOf(model) * Math.max(0, demandPerReplica - spare);
     return served + lastReplicaValue + this.#spreadValue(model, engine);
   }
 
+  // A wait as long as a load costs what a last replica does, which would have to be loaded again.
+  #waitCost({ tokensPerSecond }: Engine, waitMs: number): number {
+    return (this.#lastReplicaShare * tokensPerSecond * waitMs) / this.#loadMs;
+  }
+
   // A failure domain that is cut off serves its own requests only for the models that it holds.
   #spreadValue(
     { name, demand }: Model,
@@ -331,7 +348,7 @@
       .map((model) => {
         const unloadMs = unloadMsOf(engine, model);
         const value = this.#replicaValue(model, engine, reason);
-        return { model, value, unloadMs, cost: value + delayCost(engine, unloadMs) };
+        return { model, value, unloadMs, cost: value + this.#waitCost(engine, unloadMs) };
       })
       .sort(
         (left, right) =>
@@ -344,13 +361,15 @@
   // The last ready replica of a model that a policy keeps resident is never unloaded, and a replica
   // that is still loading is not unloaded before it has served. The last ready replica of a model
   // that requests wait for is kept as well, unless the model is latency-tolerant and the move is
-  // made for capacity or forecast.
+  // made for capacity or forecast; one whose callers are late after a load is kept by its value.
   #evictableModels(engine: Engine, reason: MoveReason): Model[] {
     return [...(this.#modelsByEngine.get(engine.name) ?? [])]
       .flatMap((name) => this.#models.get(name) ?? [])
-      .filter(({ name, mustStayResident, hasWaitingRequests, isLatencyTolerant }) => {
+      .filter((model) => {
+        const { name, mustStayResident, hasWaitingRequests, isLatencyTolerant } = model;
         const ready = this.#readyByModel.get(name);
-        const canYield = isLatencyTolerant === true && reason !== MoveReason.reach;
+        const isLate = model.isLateAfterLoad === true;
+        const canYield = isLatencyTolerant === true && (isLate || reason !== MoveReason.reach);
         const isProtected = mustStayResident || (hasWaitingRequests === true && !canYield);
         return ready?.has(engine.name) && (!isProtected || ready.size > 1);
       });
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -39,7 +39,9 @@
  */
 const STORE_LOAD_RETENTION_MS = 10_000;
 /** Time from the end of a load until the engine's report shows it, in milliseconds. */
-const LOAD_REPORT_MS = 450;
+const LOAD_REPORT_MS = 300;
+/** Share of its expected duration by which a load must be overdue to count as late. */
+const LATE_LOAD_SHARE = 0.15;
 /** Time after its expected end at which a load counts as stuck rather than late, in milliseconds. */
 const LATE_LOAD_MAX_MS = 4_000;
 /** Time between two requests for a report, in milliseconds. */
@@ -112,7 +114,7 @@
       ([model, endMs]) => ({
         model,
         remainingMs: Math.max(0, Math.round(endMs - nowMs)),
-        ...(nowMs > endMs + LOAD_REPORT_MS && nowMs < endMs + LATE_LOAD_MAX_MS && { isLate: true }),
+        ...(this.#isLate(model, nowMs - endMs) && { isLate: true }),
       }),
     );
     const next = this.#move?.load;
@@ -272,6 +274,11 @@
     if (outcome !== OrderOutcome.conflict) this.#endMove();
   }
 
+  #isLate(model: string, overdueMs: number): boolean {
+    const dueMs = LOAD_REPORT_MS + LATE_LOAD_SHARE * this.#loadMs(model);
+    return overdueMs > dueMs && overdueMs < LATE_LOAD_MAX_MS;
+  }
+
   #loadMs(model: string): number {
     const spec = this.#spec.models.get(model);
     return spec ? loadTimeMs(this.#endpoint.record, spec) : 0;
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -260,6 +260,7 @@
       engines,
       moveBudget: MOVE_MAX,
       gainShareMin: GAIN_SHARE_MIN,
+      typicalLoadMs: PlacementLoop.#typicalLoadMs(spec),
       lossShareMax: LOSS_SHARE_MAX,
       latencyTolerantLossShareMax: TOLERANT_LOSS_SHARE_MAX,
       lastReplicaShare: LAST_REPLICA_SHARE,
@@ -357,7 +358,7 @@
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
-      const isLatencyTolerant = tokenDemand > 0 && !prompt.has(name);
+      const isLatencyTolerant = tokenDemand > 0 && !urgent.has(name);
       if (tokenDemand > 0) this.#unasked.delete(name);
       return {
         name,
@@ -365,9 +366,9 @@
         mustStayResident: false,
         // Requests that a load of their model would make late are refused while it has no replica, or before it
         // is due, so none of them is queued. The model's demand decides instead.
-        hasWaitingRequests:
-          awaited.has(name) || (!isLatencyTolerant && tokenDemand > AWAITED_DEMAND),
+        hasWaitingRequests: awaited.has(name) || (prompt.has(name) && tokenDemand > AWAITED_DEMAND),
         isCritical: urgent.has(name),
+        isLateAfterLoad: prompt.has(name) && !urgent.has(name),
         isUnasked: this.#unasked.has(name),
         isLatencyTolerant,
         demand: tokenDemand,
@@ -457,6 +458,13 @@
     return undefined;
   }
 
+  // Mean time to load a model from the weight store, in milliseconds.
+  static #typicalLoadMs({ models }: EngineSpec): number | undefined {
+    if (models.size === 0) return undefined;
+    const sumMs = [...models.values()].reduce((sum, { storeLoadMs }) => sum + storeLoadMs, 0);
+    return Math.max(1, sumMs / models.size);
+  }
+
   // Memory that is kept free for adapters: all slots filled with the largest one.
   static #adapterMb(spec: EngineSpec): number {
     const largest = Math.max(0, ...[...spec.models.values()].map(({ adapterMb }) => adapterMb));
--- a/packages/gateway/src/test/urgent-request_test.ts
+++ b/packages/gateway/src/test/urgent-request_test.ts
@@ -18,6 +18,7 @@
       endpointsOf: () => [endpoint],
       peerLoad: () => ({ count: 8, unreadTokenCount: 0 }),
       engineState: () => undefined,
+      plannedMs: () => undefined,
       instanceCount: () => 1,
     });
     return picker.pick({
