--- a/packages/decisions/src/test/placement/uneven-demand_test.ts
+++ b/packages/decisions/src/test/placement/uneven-demand_test.ts
@@ -214,3 +214,44 @@
     expect(moves.map(({ unload }) => unload)).to.deep.equal([['guessed']]);
   });
 });
+
+// Callers of many rare models ask for each of them once in a while and are late if they wait for its load; meanwhile
+// one model has far more callers than its engine serves.
+describe('rare models whose callers are late after a load', () => {
+  const late = { ...model('late', 50), isLatencyTolerant: true, isLateAfterLoad: true };
+  const shares = { lastReplicaShare: 0.3, idleReplicaShare: 0.1, lossShareMax: 0.35 };
+
+  it('yield to a model with more callers than its engine serves', () => {
+    const { moves } = planPlacement({
+      models: [{ ...late, hasWaitingRequests: true }, model('busy', 2_500)],
+      engines: [engine('e1', ['busy'], { otherBytes: 50 }), engine('e2', ['late', 'busy2'])],
+      moveBudget: 1,
+      gainShareMin: 0.12,
+      ...shares,
+    });
+    expect(moves.map(({ load }) => load)).to.deep.equal(['busy']);
+  });
+
+  it('are kept before models without demand', () => {
+    const { moves } = planPlacement({
+      models: [late, model('idle'), model('new', 500, true)],
+      engines: [engine('e1', ['late', 'idle'])],
+      moveBudget: 1,
+      ...shares,
+    });
+    expect(moves.map(({ unload }) => unload)).to.deep.equal([['idle']]);
+  });
+
+  it('are loaded after models whose callers can’t wait at all', () => {
+    const { moves } = planPlacement({
+      models: [
+        { ...late, name: 'wanted', demand: 900, hasWaitingRequests: true },
+        model('urgent', 300, true),
+      ],
+      engines: [engine('e1', [], { otherBytes: 50 })],
+      moveBudget: 1,
+      ...shares,
+    });
+    expect(moves.map(({ load }) => load)).to.deep.equal(['urgent']);
+  });
+});
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -71,8 +71,11 @@
  * owner publishes shows it.
  */
 const PENDING_MS = 1_200;
-/** Time after which an engine may be found for a model that none can take now, in milliseconds. */
-const SHORTFALL_MS = 1_500;
+/**
+ * Shortest time after which an engine may be found for a model that none can take now, in milliseconds: another
+ * load has ended by then.
+ */
+const SHORTFALL_MIN_MS = 1_500;
 /** Assumed rest of a load that takes longer than expected, in milliseconds. */
 const LATE_LOAD_MS = 600;
 /** Bounds of the estimated time until an engine's change is done, in milliseconds. */
@@ -323,9 +326,10 @@
   // No engine can take the model now: its callers are told when a place may be found.
   #noteShortfall(load: string, missingBytes: number, spec: EngineSpec): void {
     const loadMs = spec.models.get(load)?.storeLoadMs ?? 0;
-    const isNew = this.#planned.add(load, this.#context.nowMs() + SHORTFALL_MS + loadMs);
+    const retryInMs = Math.max(SHORTFALL_MIN_MS, loadMs);
+    const isNew = this.#planned.add(load, this.#context.nowMs() + retryInMs + loadMs);
     if (!isNew) return;
-    const fields = { load, missingBytes, retryInMs: SHORTFALL_MS };
+    const fields = { load, missingBytes, retryInMs };
     this.#context.logger.info('move_missing', 'no engine can take a model', fields);
   }
 
