--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -158,8 +158,10 @@
    */
   recordRequest(head: CallerHead, { route, service, access }: RunTarget): void {
     const { engine } = service;
-    if (!engine) return;
-    const loadMs = engine.models.get(head.model ?? '')?.storeLoadMs ?? 0;
+    // Callers may name any model; only those of the configuration can be placed.
+    const model = engine?.models.get(head.model ?? '');
+    if (!engine || !model) return;
+    const { storeLoadMs: loadMs } = model;
     const { objectiveMs } = route;
     this.demand.recordRequest(head, engine.slotCount, {
       isUrgent: objectiveMs < URGENT_SHARE * loadMs,
@@ -175,7 +177,8 @@
    * @param target - its route and service
    */
   recordRefusal(head: CallerHead, { service }: RunTarget): void {
-    if (service.engine) this.demand.recordRefusal(head, service.engine.slotCount);
+    const { engine } = service;
+    if (engine?.models.has(head.model ?? '')) this.demand.recordRefusal(head, engine.slotCount);
   }
 
   /**
