--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -284,43 +284,52 @@
   // Requests a move from the engine's owner, or holds it back while as many engines are changing, or as many
   // models are loading, as may be at a time.
   #begin(move: PlacementMove, service: PlannedService): void {
-    const { nowMs, requestMove, logger } = this.#context;
-    const { engine, load, unload, reason, gain } = move;
+    const { nowMs, logger } = this.#context;
+    const { engine, load, unload, unloadMs, reason, gain } = move;
     if (this.#isFixed(engine)) return;
-    const isUncriticalReach = service.lowPriority.has(load) && reason === MoveReason.reach;
-    const isLowPriority = isUncriticalReach || reason === MoveReason.residence;
-    const shareMax = isUncriticalReach ? TOLERANT_CHANGING_SHARE_MAX : changingShareMax[reason];
-    const heldMs = Math.max(
-      this.#changeDelayMs(service.endpoints, shareMax),
-      this.#storeDelayMs(move, service, isLowPriority),
-    );
+    const heldMs = this.#heldMs(move, service);
+    // Only a model without a replica has callers who wait for its load.
+    if (heldMs > 0 && reason !== MoveReason.reach) return;
     const readyMs = Math.round(nowMs() + heldMs + this.#durationMs(move, service.spec));
     const fields = {
       endpoint: engine,
       load,
       unload,
-      unloadMs: Math.round(move.unloadMs),
+      unloadMs: Math.round(unloadMs),
       heldMs: Math.round(heldMs),
       readyInMs: Math.round(readyMs - nowMs()),
       gain: Math.round(gain),
       demand: Math.round(service.demand.get(load) ?? 0),
       servedShare: service.servedShare,
     };
-    if (heldMs > 0) {
-      if (reason !== MoveReason.reach) return;
-      if (this.#planned.add(load, readyMs)) logger.info('move_held', reason, fields);
-      return;
-    }
-    this.#planned.add(load, readyMs);
-    const record = this.#context.endpoint(engine)?.record;
+    const isNew = this.#planned.add(load, readyMs);
+    if (heldMs === 0) this.#request(move, readyMs);
+    if (heldMs === 0) logger.info('move', reason, fields);
+    else if (isNew) logger.info('move_held', reason, fields);
+  }
+
+  // Time until a move may begin, in milliseconds.
+  #heldMs(move: PlacementMove, service: PlannedService): number {
+    const { load, reason } = move;
+    const isUncriticalReach = service.lowPriority.has(load) && reason === MoveReason.reach;
+    const isLowPriority = isUncriticalReach || reason === MoveReason.residence;
+    const shareMax = isUncriticalReach ? TOLERANT_CHANGING_SHARE_MAX : changingShareMax[reason];
+    return Math.max(
+      this.#changeDelayMs(service.endpoints, shareMax),
+      this.#storeDelayMs(move, service, isLowPriority),
+    );
+  }
+
+  #request({ engine, load, unload, unloadMs, reason }: PlacementMove, readyMs: number): void {
+    const { nowMs, requestMove, endpoint } = this.#context;
+    const record = endpoint(engine)?.record;
     if (record && PlacementLoop.#isFromStore(record, load)) {
       this.#loads.record(engine, load, nowMs());
     }
     if (reason === MoveReason.residence) this.#unasked.add(load);
-    const requested = { load, unload, unloadMs: fields.unloadMs };
-    this.#pending.set(engine, { ...requested, readyMs, untilMs: nowMs() + PENDING_MS });
-    requestMove(engine, requested);
-    logger.info('move', reason, fields);
+    const move = { load, unload, unloadMs: Math.round(unloadMs) };
+    this.#pending.set(engine, { ...move, readyMs, untilMs: nowMs() + PENDING_MS });
+    requestMove(engine, move);
   }
 
   // No engine can take the model now: its callers are told when a place may be found.
