--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -112,3 +112,4 @@
 export { refundLimitMs } from './lib/quota/refund-limit-ms.js';
 export type { UnitsAnswer } from './lib/quota/units-answer.js';
 export type { UnitsAsk } from './lib/quota/units-ask.js';
+export { SuspensionWatch } from './lib/suspension-watch.js';
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,16 +3,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   chooseTarget,
-  hashOf,
   isStrings,
   MemoryBudget,
   quotaCost,
-  quotaTimes,
   Random,
   weightedRendezvous,
 } from '@chervilseam/decisions';
 import { eraNumber, shownDigestOf } from '@chervilseam/model';
-import type { QuotaSpec, ServingConfig } from '@chervilseam/model';
+import type { QuotaSpec } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import { CrashGuard } from './dispatch/crash-guard.js';
 import { EndpointPicker } from './dispatch/endpoint-picker.js';
@@ -47,9 +45,10 @@
 import { peerKey } from './peer/peer-key.js';
 import { PeerSync } from './peer/peer-sync.js';
 import { PeerTable } from './peer/peer-table.js';
+import { QuotaFleet } from './quota/quota-fleet.js';
 import { QuotaKeeper } from './quota/quota-keeper.js';
 import type { QuotaCharge } from './quota/quota-charge.js';
-import type { QuotaPeer } from './quota/quota-peer.js';
+import { quotaSpecsOf } from './quota/quota-specs-of.js';
 import type { QuotaVerdict } from './quota/quota-verdict.js';
 
 /** Time between two runs of the periodic work, in milliseconds. */
@@ -75,8 +74,11 @@
 const SHED_LOG_PERIOD_MS = 1_000;
 /** `Retry-After` of a request whose quota no reachable instance knows, in milliseconds. */
 const QUOTA_RETRY_MS = 1_000;
-/** Name whose share entitles its owner to divide the quotas. */
-const QUOTA_SHARE_NAME = 'quotas';
+/** How a request is refused that its quota does not admit. */
+const quotaRefusals = {
+  exceeded: { status: 429, reason: 'quota exceeded' },
+  unknown: { status: 503, reason: 'quota unknown' },
+} as const;
 const NO_QUOTAS: ReadonlyMap<string, QuotaSpec> = new Map();
 /** Time between two checks of the open connections during a shutdown, in milliseconds. */
 const STOP_POLL_MS = 50;
@@ -195,7 +197,7 @@
       onChange: (config) => {
         const { limits, version, routes } = config;
         this.#ingress.apply(limits);
-        this.#quotaSpecs = Gateway.#quotaSpecsOf(config);
+        this.#quotaSpecs = quotaSpecsOf(config);
         this.#services.keepRoutes(routes.map(({ name }) => name));
         this.#metrics.configVersion.set(version);
         this.#scheduleDispatch();
@@ -538,32 +540,35 @@
     const target = { route, service, access, configVersion: config.version };
     const start = (charge?: QuotaCharge): void =>
       new RequestRun(this.#runContext, exchange, { ...target, charge }, head, body).start();
-    const { quota } = access?.workspace ?? {};
-    if (!access?.workspace || !quota) {
+    const { name, quota } = access?.workspace ?? {};
+    if (name === undefined || !quota) {
       start();
       return;
     }
+    this.#admitByQuota(this.#quotas.admit(name, quota, head), (verdict) => {
+      if (exchange.isOver) return;
+      if (verdict.kind === 'admitted') {
+        start(verdict.charge);
+        return;
+      }
+      const { status, reason } = quotaRefusals[verdict.kind];
+      const roomMs = verdict.kind === 'exceeded' ? verdict.retryAfterMs : QUOTA_RETRY_MS;
+      const retryAfterMs = Math.max(retryAfterMinMs, roomMs);
+      const units = quotaCost(quota, head);
+      refuse(status, reason, retryAfterMs, { workspace: name, units, retryAfterMs });
+    });
+  }
+
+  // Goes on with a request once it is known whether its quota admits it.
+  #admitByQuota(
+    verdict: QuotaVerdict | Promise<QuotaVerdict>,
+    onSettled: (verdict: QuotaVerdict) => void,
+  ): void {
     const startMs = Gateway.nowMs();
-    const verdict = this.#quotas.admit(access.workspace.name, quota, head);
     const settle = (settled: QuotaVerdict): void => {
       this.#metrics.quotaRequests.inc({ verdict: settled.kind });
       this.#metrics.observe('quota_wait', Gateway.nowMs() - startMs);
-      if (exchange.isOver) return;
-      if (settled.kind === 'admitted') start(settled.charge);
-      else {
-        const isKnown = settled.kind === 'exceeded';
-        const retryAfterMs = isKnown ? settled.retryAfterMs : QUOTA_RETRY_MS;
-        refuse(
-          isKnown ? 429 : 503,
-          isKnown ? 'quota exceeded' : 'quota unknown',
-          Math.max(retryAfterMinMs, retryAfterMs),
-          {
-            workspace: access.workspace?.name,
-            units: quotaCost(quota, head),
-            retryAfterMs: Math.round(retryAfterMs),
-          },
-        );
-      }
+      onSettled(settled);
     };
     if (verdict instanceof Promise) void verdict.then(settle);
     else settle(verdict);
@@ -643,17 +648,19 @@
     };
   }
 
-  static #quotaSpecsOf({ workspaces = new Map() }: ServingConfig): ReadonlyMap<string, QuotaSpec> {
-    const entries = [...workspaces.values()].flatMap(({ name, quota }) =>
-      quota ? [[name, quota] as const] : [],
-    );
-    return new Map(entries);
-  }
-
   #createQuotaKeeper(): QuotaKeeper {
-    const { instance, failureDomain, quotaWindowMs, quotaOverRatio, quotaSlackCount, shareCount } =
+    const { instance, failureDomain, quotaWindowMs, quotaOverRatio, quotaSlackCount } =
       this.#settings;
-    const share = hashOf(QUOTA_SHARE_NAME) % shareCount;
+    const fleet = new QuotaFleet({
+      settings: this.#settings,
+      nowMs: Gateway.nowMs,
+      peers: this.#peers,
+      member: this.#member,
+      isStopping: () => this.#shutdown !== undefined,
+      uptimeMs: () => this.#fleet.handover.uptimeMs(Gateway.nowMs()),
+      hasLeases: () => this.#quotas.hasLeases,
+      knowsOwners: () => this.#knowsOwners(),
+    });
     return new QuotaKeeper({
       instance,
       failureDomain,
@@ -668,52 +675,15 @@
       wallMs: Date.now,
       randomUnit: () => this.#random.unit(),
       quotas: () => this.#quotaSpecs,
-      owners: () => this.#quotaOwners(),
-      allocator: () =>
-        this.#member.shares.includes(share)
-          ? this.#ownPeer
-          : this.#peers.ownerOf(share, Gateway.nowMs()),
-      isAllocator: () => this.#member.shares.includes(share) && !this.#member.hasLapsed,
+      owners: () => fleet.owners,
+      allocator: () => fleet.allocator,
+      isAllocator: () => fleet.isAllocator,
       handoverMs: this.#member.leaseTtlMs,
-      isFreshFleet: () => this.#isFreshFleet(),
+      isFreshFleet: () => fleet.isFresh,
       call: (peer, method, params) => this.#peerSync.callForQuotas(peer, method, params),
     });
   }
 
-  get #ownPeer(): QuotaPeer {
-    const { instance, failureDomain, processorShare, peerAddress } = this.#settings;
-    return { instance, failureDomain, processorShare, ...peerAddress };
-  }
-
-  #quotaOwners(): readonly QuotaPeer[] {
-    const others = this.#peers
-      .fresh(Gateway.nowMs())
-      .filter(({ shares, isStopping }) => shares.length > 0 && !isStopping);
-    const isOwner = this.#member.shares.length > 0 && !this.#shutdown;
-    return isOwner ? [...others, this.#ownPeer] : others;
-  }
-
-  // Whether no lease of a quota can go on that is known of here: every owner of a share has started only now and
-  // holds none, and all of them know the same owners, so that no other one divides the quotas.
-  #isFreshFleet(): boolean {
-    const nowMs = Gateway.nowMs();
-    const uptimeMs = this.#fleet.handover.uptimeMs(nowMs);
-    const own = { uptimeMs, hasQuotaLeases: this.#quotas.hasLeases };
-    const all = [own, ...this.#peers.fresh(nowMs)];
-    const isFresh = all.every(
-      (state) => state.uptimeMs < quotaTimes.leaseMs && !state.hasQuotaLeases,
-    );
-    return isFresh && this.#knowsOwners() && this.#isGenerationAgreed(nowMs);
-  }
-
-  // Whether all owners of shares know the generation of the group that this instance knows.
-  #isGenerationAgreed(nowMs: number): boolean {
-    const { generation } = this.#member;
-    return this.#peers
-      .fresh(nowMs)
-      .every((state) => state.shares.length === 0 || state.generation === generation);
-  }
-
   #noteLeaving(endpoint: Endpoint): void {
     if (endpoint.hasAnnouncedLeaving) return;
     this.#metrics.leaving.inc();
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -1,4 +1,4 @@
-import { OwnershipLease } from '@chervilseam/decisions';
+import { OwnershipLease, SuspensionWatch } from '@chervilseam/decisions';
 import { eraNumber } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { StateStore } from '../ports/state-store.js';
@@ -24,11 +24,6 @@
 const DISCOVERY_MS = 5_000;
 /** How long one extension keeps the lease valid after the check that permits it, in milliseconds. */
 const EXTENSION_MS = 300;
-/**
- * Change of the offset between the wall clock and the monotonic clock from which the process counts
- * as suspended, in milliseconds.
- */
-const SUSPENSION_DRIFT_MS = 120;
 
 /** Dependencies of a group member. */
 interface GroupMemberContext {
@@ -67,8 +62,7 @@
   #isRenewing = false;
   #isStopped = false;
   #failureCount = 0;
-  /** Wall clock minus monotonic clock at the last check, in milliseconds. */
-  #clockOffsetMs: number;
+  readonly #suspension: SuspensionWatch;
   #membersDueMs = Infinity;
   #hasReadMembers = false;
   /** Whether the current outage's first extension of the lease has been logged. */
@@ -83,7 +77,7 @@
     this.#member = `${instance}@${host}:${port}`;
     this.#ttlMs = Math.max(ttlMinMs, RENEWAL_INTERVAL_MS * TTL_INTERVALS);
     this.#lease = new OwnershipLease({ ttlMs: this.#ttlMs, handoverMs });
-    this.#clockOffsetMs = wallMs() - nowMs();
+    this.#suspension = new SuspensionWatch(nowMs(), wallMs());
     this.#startedMs = nowMs();
   }
 
@@ -209,10 +203,8 @@
   // until the next renewal. Setting the wall clock looks the same and costs one renewal.
   #checkClocks(): void {
     const { wallMs, nowMs, logger } = this.#context;
-    const offsetMs = wallMs() - nowMs();
-    const driftMs = offsetMs - this.#clockOffsetMs;
-    this.#clockOffsetMs = offsetMs;
-    if (Math.abs(driftMs) < SUSPENSION_DRIFT_MS) return;
+    const driftMs = this.#suspension.check(nowMs(), wallMs());
+    if (driftMs === undefined) return;
     this.#lease.suspend();
     this.#nextRenewalMs = 0;
     logger.warn('clocks_apart', 'the process was suspended or the wall clock was set', {
@@ -224,7 +216,7 @@
     const { store, nowMs, logger, onFailure } = this.#context;
     this.#isRenewing = true;
     const sentMs = nowMs();
-    const offsetMs = this.#clockOffsetMs;
+    const { offsetMs } = this.#suspension;
     const { generation } = this.#lease;
     const intervalMs = this.#renewalIntervalMs;
     try {
@@ -235,7 +227,7 @@
       );
       this.#checkClocks();
       // If the process was suspended after it sent the renewal, the answer may be out of date.
-      if (Math.abs(this.#clockOffsetMs - offsetMs) < SUSPENSION_DRIFT_MS) {
+      if (this.#suspension.isUnchangedSince(offsetMs)) {
         this.#lease.applyRenewal(answer, sentMs, nowMs());
       }
       this.#nextRenewalMs = sentMs + this.#renewalIntervalMs;
--- a/packages/gateway/src/lib/quota/quota-keeper.ts
+++ b/packages/gateway/src/lib/quota/quota-keeper.ts
@@ -1,4 +1,4 @@
-import { quotaCost } from '@chervilseam/decisions';
+import { quotaCost, SuspensionWatch } from '@chervilseam/decisions';
 import type { QuotaSpec } from '@chervilseam/model';
 import type { CallerHead } from '../ports/caller-head.js';
 import { QuotaAdmission } from './quota-admission.js';
@@ -9,9 +9,6 @@
 import { QuotaPools } from './quota-pools.js';
 import type { QuotaVerdict } from './quota-verdict.js';
 
-/** Change of the offset between the clocks from which the process counts as suspended, in milliseconds. */
-const SUSPENSION_DRIFT_MS = 120;
-
 /**
  * Keeps the quotas of workspaces over all instances. Every instance admits requests from units that it gets from a pool
  * of its failure domain; the pools hold leases of the quotas' rates from one allocator.
@@ -21,7 +18,7 @@
   readonly #admission: QuotaAdmission;
   readonly #pools: QuotaPools;
   readonly #leases: QuotaLeases;
-  #clockOffsetMs: number;
+  readonly #suspension: SuspensionWatch;
 
   /** @param context - dependencies */
   constructor(context: QuotaContext) {
@@ -36,7 +33,7 @@
     this.#admission = new QuotaAdmission(local);
     this.#pools = new QuotaPools(local);
     this.#leases = new QuotaLeases(local);
-    this.#clockOffsetMs = context.wallMs() - context.nowMs();
+    this.#suspension = new SuspensionWatch(context.nowMs(), context.wallMs());
   }
 
   /** Number of workspaces whose units this instance gives to others. */
@@ -116,10 +113,8 @@
   // The monotonic clock stops while the process is suspended: leases may have ended meanwhile.
   #checkClocks(): void {
     const { wallMs, nowMs, logger } = this.#context;
-    const offsetMs = wallMs() - nowMs();
-    const driftMs = offsetMs - this.#clockOffsetMs;
-    this.#clockOffsetMs = offsetMs;
-    if (Math.abs(driftMs) < SUSPENSION_DRIFT_MS) return;
+    const driftMs = this.#suspension.check(nowMs(), wallMs());
+    if (driftMs === undefined) return;
     this.#admission.clear();
     this.#pools.reset();
     this.#leases.reset();
