--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -744,6 +744,8 @@
       const { configVersion: version, failureDomain } = state;
       const isLocal = failureDomain === this.#settings.failureDomain;
       this.#config.onPeerVersion({ version, address: peerKey(state), isLocal });
+      // Callers with quotas wait until the owners of a fleet that starts are known.
+      if (this.#quotaSpecs.size > 0) this.#member.noteGeneration(state.generation);
     }
     this.#crashGuard.merge(state.engineEnds);
     if (isStrings(state.leavingRuns)) this.#endpointFeed.announceLeaving(state.leavingRuns, 'peer');
--- a/packages/gateway/src/lib/owner/group-member.ts
+++ b/packages/gateway/src/lib/owner/group-member.ts
@@ -10,6 +10,11 @@
  * such a member has no share to lose when a renewal is late.
  */
 const IDLE_RENEWAL_INTERVAL_MS = 1_400;
+/**
+ * Time between two renewals of an instance that has just started and hears of a newer generation, in milliseconds:
+ * a fleet that starts as a whole knows its owners sooner.
+ */
+const EARLY_RENEWAL_INTERVAL_MS = 150;
 /** Time to live of a membership as a multiple of the renewal interval. */
 const TTL_INTERVALS = 3;
 /**
@@ -59,6 +64,8 @@
   readonly #member: string;
   readonly #ttlMs: number;
   #nextRenewalMs = 0;
+  /** When the latest renewal was sent, in milliseconds. */
+  #renewedMs = -Infinity;
   #isRenewing = false;
   #isStopped = false;
   #failureCount = 0;
@@ -141,6 +148,19 @@
     void this.#readMembers();
   }
 
+  /**
+   * Renews the lease soon if another instance knows a newer generation of the group. Only an instance that has just
+   * started does so: later generations are learned with the next renewal.
+   *
+   * @param generation - generation that another instance knows
+   */
+  noteGeneration(generation: number): void {
+    const isStarting = this.#context.nowMs() < this.#startedMs + DISCOVERY_MS;
+    if (!isStarting || generation <= this.generation) return;
+    const dueMs = this.#renewedMs + EARLY_RENEWAL_INTERVAL_MS;
+    this.#nextRenewalMs = Math.min(this.#nextRenewalMs, dueMs);
+  }
+
   get #renewalIntervalMs(): number {
     return this.shares.length > 0 || !this.#hasReadMembers
       ? RENEWAL_INTERVAL_MS
@@ -216,6 +236,7 @@
     const { store, nowMs, logger, onFailure } = this.#context;
     this.#isRenewing = true;
     const sentMs = nowMs();
+    this.#renewedMs = sentMs;
     const { offsetMs } = this.#suspension;
     const { generation } = this.#lease;
     const intervalMs = this.#renewalIntervalMs;
