--- a/packages/decisions/src/lib/placement/order-delay-ms.ts
+++ b/packages/decisions/src/lib/placement/order-delay-ms.ts
@@ -1,8 +1,5 @@
-/**
- * Time from when a model is published as leaving until the order to unload it, in milliseconds. All
- * instances can stop sending requests for it by then.
- */
-const UNLOAD_NOTICE_MS = 130;
+import { UNLOAD_NOTICE_MS } from './unload-notice-ms.js';
+
 /** Time from the end of an unload until the engine's report shows it, in milliseconds. */
 const UNLOAD_REPORT_MS = 350;
 
--- a/packages/decisions/src/lib/placement/loss-weights.ts
+++ b/packages/decisions/src/lib/placement/relative-weights.ts
@@ -1,5 +1,3 @@
-/** What a request loses, compared to one of the next higher priority, when it is served late or not at all. */
-const PRIORITY_RATIO = 0.7;
 /** Bounds of a model's weight compared to the mean. */
 const WEIGHT_MIN = 0.5;
 const WEIGHT_MAX = 2;
@@ -13,12 +11,6 @@
   readonly weight?: number;
 }
 
-/**
- * @param priority - priority of a request; 0 is served first
- * @returns what its caller loses for each token that is not served in time; 1 for the highest priority
- */
-export const lossWeight = (priority: number): number => PRIORITY_RATIO ** Math.max(0, priority);
-
 /**
  * Compares what the callers of each model lose. The weights have a mean of about 1 over the demand, so that demand
  * stays comparable to what engines can serve.
--- a/packages/gateway/src/lib/feed/endpoint-feed.ts
+++ b/packages/gateway/src/lib/feed/endpoint-feed.ts
@@ -214,7 +214,7 @@
       // from a copy.
       const isOvertaken =
         page.nextOffset < (offset ?? 0) &&
-        (offset !== fromOffset || EndpointFeed.#isNewEra(page.nextOffset, offset));
+        (offset !== fromOffset || eraNumber.isNewEra(page.nextOffset, offset));
       if (!isOvertaken) this.#apply(page, startMs, 'store');
       relay(offset);
       this.#schedule(READ_PAUSE_SHARE);
@@ -245,7 +245,7 @@
     const { registry, nowMs, onTransitions, onReplaced } = this.#context;
     if (this.isLoaded) onReplaced(this.ageMs);
     this.#readMs = Math.max(this.#readMs, readMs);
-    if (EndpointFeed.#isNewEra(registry.offset, page.nextOffset)) {
+    if (eraNumber.isNewEra(registry.offset, page.nextOffset)) {
       this.#storeUnstableUntilMs = nowMs() + STORE_UNSTABLE_MS;
       this.#offsetAhead = -Infinity;
     }
@@ -254,11 +254,6 @@
     onTransitions();
   }
 
-  static #isNewEra(earlier: number | undefined, later: number | undefined): boolean {
-    if (earlier === undefined || later === undefined) return false;
-    return eraNumber.eraOf(later) > eraNumber.eraOf(earlier);
-  }
-
   #logTransitions(transitions: readonly EndpointTransition[], source: string, from?: string): void {
     const { logger, registry } = this.#context;
     transitions.forEach(({ id, what, service }) => {
--- a/packages/gateway/src/lib/feed/endpoint-registry.ts
+++ b/packages/gateway/src/lib/feed/endpoint-registry.ts
@@ -99,7 +99,7 @@
   apply(page: ListUpdate, nowMs: number, isStoreUnstable: boolean): EndpointTransition[] {
     const { offset } = this;
     if (!page.isWhole && offset !== undefined && page.nextOffset <= offset) return [];
-    const isCopy = offset !== undefined && EndpointRegistry.#isNewEra(offset, page.nextOffset);
+    const isCopy = eraNumber.isNewEra(offset, page.nextOffset);
     const doubtMs = EndpointRegistry.#doubtMs(isCopy, isStoreUnstable, this.#suspicionMs);
     const doubted = new Set(this.#copied.keys());
     // An entry in a whole list may be the one in the copy; a change of the list has been written since.
@@ -265,10 +265,6 @@
     return count < LATE_ENTRY_COUNT_MAX;
   }
 
-  static #isNewEra(earlier: number, later: number): boolean {
-    return eraNumber.eraOf(later) > eraNumber.eraOf(earlier);
-  }
-
   static #doubtMs(isCopy: boolean, isStoreUnstable: boolean, suspicionMs: number): number {
     if (isCopy) return REWRITE_MS;
     return isStoreUnstable ? suspicionMs : 0;
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -1,5 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { EngineInventory, orderDelayMs, OrderOutcome } from '@chervilseam/decisions';
+import {
+  EngineInventory,
+  orderDelayMs,
+  OrderOutcome,
+  UNLOAD_NOTICE_MS,
+} from '@chervilseam/decisions';
 import type { EngineOrder } from '@chervilseam/decisions';
 import type { EngineSpec } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
@@ -23,11 +28,6 @@
  * orders, so the engine accepts at most one of them.
  */
 const ORDER_REPEAT_MAX = 2;
-/**
- * Time from when a model is published as leaving until the order to unload it, in milliseconds. All
- * instances can stop sending requests for it by then.
- */
-const UNLOAD_NOTICE_MS = 130;
 /**
  * Expected duration of an unload, which waits for the requests in progress, if the planner does not state
  * one, in milliseconds.
--- a/packages/model/src/lib/serving/era-number.ts
+++ b/packages/model/src/lib/serving/era-number.ts
@@ -28,6 +28,12 @@
     return Math.floor(number / NUMBERS_PER_ERA);
   },
 
+  /** @returns whether a number is of a later era than an earlier one; not while either is unknown */
+  isNewEra(earlier: number | undefined, later: number | undefined): boolean {
+    if (earlier === undefined || later === undefined) return false;
+    return eraNumber.eraOf(later) > eraNumber.eraOf(earlier);
+  },
+
   /** @returns the number that the store gave out */
   numberIn(number: number): number {
     return number % NUMBERS_PER_ERA;
@@ -36,7 +42,7 @@
   /** @returns a number as log lines show it: as it is in era 0, otherwise as `ERA:VALUE` */
   shown(number: number | undefined): number | string | undefined {
     if (number === undefined) return undefined;
-    const era = Math.floor(number / NUMBERS_PER_ERA);
-    return era > 0 ? `${era}:${number % NUMBERS_PER_ERA}` : number;
+    const era = eraNumber.eraOf(number);
+    return era > 0 ? `${era}:${eraNumber.numberIn(number)}` : number;
   },
 };
