Names that meant two things, and what stood twice: the priority of a request, durations at endpoints

A model that is late after a load was called prompt, which is a prompt's word here. Runs are counted by model without a copy of all, and the queue is read without its order where none is needed.

--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -15,7 +15,7 @@
   /** Whether the callers of a latency-tolerant model are served late if they wait for a load. */
   readonly isLateAfterLoad?: boolean;
   /** Whether the model was loaded only since there was free memory, and nobody has asked for it since. */
-  readonly isUnasked?: boolean;
+  readonly isSpeculative?: boolean;
   /** Requested tokens per second. */
   readonly demand: number;
   /** What its callers lose for each token that is not served, compared to the mean; 1 by default. */
--- a/packages/decisions/src/lib/placement/placement-round.ts
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -24,7 +24,7 @@
 /** What the last replica of a model whose callers are only late after a load is worth, compared to others. */
 const LATE_SHARE = 0.5;
 /** What the last replica of a model that nobody has asked for is worth, compared to others without demand. */
-const UNASKED_SHARE = 0.5;
+const SPECULATIVE_SHARE = 0.5;
 /**
  * Share of an engine's tokens per second up to which it takes a model without demand: while it loads
  * one it cannot load anything else.
@@ -290,10 +290,10 @@
     }, 0);
     const demandPerReplica = forecastOf(model) / (others.length + 1);
     const isIdle = reason === MoveReason.reach && forecastOf(model) === 0;
-    const unaskedShare = model.isUnasked === true ? UNASKED_SHARE : 1;
+    const speculativeShare = model.isSpeculative === true ? SPECULATIVE_SHARE : 1;
     const lateShare = model.isLateAfterLoad === true ? LATE_SHARE : 1;
     const keptShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
-    const lastReplicaShare = unaskedShare * lateShare * keptShare;
+    const lastReplicaShare = speculativeShare * lateShare * keptShare;
     const isKept = model.isLatencyTolerant !== true || model.isLateAfterLoad === true;
     const isLastToKeep = others.length === 0 && isKept;
     const lastReplicaValue = isLastToKeep ? lastReplicaShare * engine.tokensPerSecond : 0;
--- a/packages/decisions/src/lib/serving/wait-queue.ts
+++ b/packages/decisions/src/lib/serving/wait-queue.ts
@@ -47,7 +47,7 @@
 
   /** Models that queued requests wait for, once for each request. */
   get models(): readonly string[] {
-    return this.#order.inOrder(0).flatMap(({ model }) => model ?? []);
+    return this.#order.requests.flatMap(({ model }) => model ?? []);
   }
 
   /** @param waiter - the request to queue */
@@ -58,7 +58,7 @@
 
   /** Drops all queued requests: no endpoint will become available for them. */
   clear(): void {
-    const waiters = this.#order.inOrder(0);
+    const waiters = this.#order.requests;
     this.#order.clear();
     this.#placeCounts.clear();
     waiters.forEach((waiter) => waiter.onDropped());
--- a/packages/decisions/src/lib/serving/waiting-order.ts
+++ b/packages/decisions/src/lib/serving/waiting-order.ts
@@ -26,6 +26,11 @@
     return this.#ranked.length;
   }
 
+  /** All requests, in no particular order. */
+  get requests(): readonly T[] {
+    return [...this.#requests];
+  }
+
   /** @param request - a request that waits from now on */
   add(request: T): void {
     const rankMs = this.#rankMs(request);
--- a/packages/decisions/src/test/placement/uneven-demand_test.ts
+++ b/packages/decisions/src/test/placement/uneven-demand_test.ts
@@ -204,7 +204,11 @@
 describe('models that nobody has asked for', () => {
   it('yield before an idle model that was there from the start', () => {
     const { moves } = planPlacement({
-      models: [model('kept'), { ...model('guessed'), isUnasked: true }, model('new', 500, true)],
+      models: [
+        model('kept'),
+        { ...model('guessed'), isSpeculative: true },
+        model('new', 500, true),
+      ],
       engines: [engine('e1', ['kept', 'guessed'])],
       moveBudget: 1,
       lastReplicaShare: 0.3,
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -18,6 +18,7 @@
 import { EndpointAttempt } from './endpoint-attempt.js';
 import { PickReason } from './pick-reason.js';
 import type { OpenRun } from './open-run.js';
+import { priorityOf } from './priority-of.js';
 import type { PickRequirements } from './pick-requirements.js';
 import type { PickResult } from './pick-result.js';
 import type { RunContext } from './run-context.js';
@@ -205,7 +206,7 @@
   }
 
   get #priority(): number {
-    return this.#target.access?.workspace?.priority ?? this.#route.priority;
+    return priorityOf(this.#target);
   }
 
   get #isSafeToRetry(): boolean {
@@ -989,11 +990,8 @@
   }
 
   #release(attempt: SentAttempt): void {
-    const { nowMs, onReleased, holdTime } = this.#context;
-    if (!attempt.release()) return;
-    const holdMs = nowMs() - attempt.sending.sentMs;
-    holdTime(this.#service.name).record(holdMs);
-    onReleased(attempt.endpoint, holdMs);
+    const { nowMs, onReleased } = this.#context;
+    if (attempt.release()) onReleased(attempt.endpoint, nowMs() - attempt.sending.sentMs);
   }
 
   #finish(
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -145,7 +145,7 @@
    * @param model - its model, if it has one
    */
   requestSent(promptTokenCount: number, model?: string): void {
-    if (model !== undefined) this.#runs.set(model, (this.#runs.get(model) ?? 0) + 1);
+    if (model !== undefined) this.#runs.set(model, this.runCount(model) + 1);
     this.inFlightCount += 1;
     this.unreadTokenCount += promptTokenCount;
   }
@@ -164,6 +164,14 @@
     return Object.fromEntries(this.#runs);
   }
 
+  /**
+   * @param model - a model
+   * @returns number of this instance's requests for it that are in flight there
+   */
+  runCount(model: string): number {
+    return this.#runs.get(model) ?? 0;
+  }
+
   /**
    * Records that a request of this instance no longer runs there.
    *
@@ -171,7 +179,7 @@
    */
   requestEnded(model?: string): void {
     if (model !== undefined) {
-      const left = (this.#runs.get(model) ?? 0) - 1;
+      const left = this.runCount(model) - 1;
       if (left > 0) this.#runs.set(model, left);
       else this.#runs.delete(model);
     }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -619,6 +619,7 @@
       },
       onWaited: (waitedMs) => this.#metrics.observe('queue_wait', waitedMs),
       onReleased: (endpoint, holdMs) => {
+        this.#services.holdTime(endpoint.record.service).record(holdMs);
         this.#fleet.recordRunEnd(endpoint, holdMs);
         this.#metrics.observe('endpoint_hold', holdMs);
         this.#scheduleDispatch();
@@ -802,7 +803,7 @@
       demand: this.#fleet.ownDemand(),
       lossWeights: this.#fleet.demand.lossWeights(),
       urgentModels: this.#fleet.demand.urgentModels(nowMs),
-      promptModels: this.#fleet.demand.promptModels(nowMs),
+      lateAfterLoadModels: this.#fleet.demand.lateAfterLoadModels(nowMs),
       awaited: this.#services.awaitedModels,
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
--- a/packages/gateway/src/lib/owner/demand-meter.ts
+++ b/packages/gateway/src/lib/owner/demand-meter.ts
@@ -28,7 +28,7 @@
   /** Whether an answer after a load of its model would be far too late. */
   readonly isUrgent: boolean;
   /** Whether an answer after a load of its model would miss the objective. */
-  readonly isPrompt: boolean;
+  readonly isLateAfterLoad: boolean;
 }
 
 /**
@@ -46,7 +46,7 @@
   /** Start of the window of the latest latency-critical request, by model, in milliseconds. */
   readonly #urgentMs = new Map<string, number>();
   /** The same for the latest request that a load of its model would have made late. */
-  readonly #promptMs = new Map<string, number>();
+  readonly #lateAfterLoadMs = new Map<string, number>();
 
   /** @param nowMs - monotonic clock, in milliseconds */
   constructor(nowMs: number) {
@@ -63,12 +63,12 @@
   recordRequest(
     head: CallerHead,
     slotCount: number,
-    { isUrgent, isPrompt, lossWeight }: CallerLoss,
+    { isUrgent, isLateAfterLoad, lossWeight }: CallerLoss,
   ): void {
     const { model } = head;
     if (model === undefined) return;
     if (isUrgent) this.#urgentMs.set(model, this.#windowStartMs);
-    if (isPrompt) this.#promptMs.set(model, this.#windowStartMs);
+    if (isLateAfterLoad) this.#lateAfterLoadMs.set(model, this.#windowStartMs);
     const work = requestWork(head, slotCount);
     this.#add(model, work);
     const weight = this.#lossWeights.get(model) ?? lossWeight;
@@ -108,8 +108,8 @@
   }
 
   /** @returns models of which a caller within the retention time would have been late after a load */
-  promptModels(nowMs: number): string[] {
-    return DemandMeter.#recent(this.#promptMs, nowMs);
+  lateAfterLoadModels(nowMs: number): string[] {
+    return DemandMeter.#recent(this.#lateAfterLoadMs, nowMs);
   }
 
   /**
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -12,6 +12,7 @@
 import type { PeerSync } from '../peer/peer-sync.js';
 import type { PeerTable } from '../peer/peer-table.js';
 import type { CallerHead } from '../ports/caller-head.js';
+import { priorityOf } from '../dispatch/priority-of.js';
 import type { RunTarget } from '../dispatch/run-target.js';
 import type { EngineCalls } from '../ports/engine-calls.js';
 import { DemandMeter } from './demand-meter.js';
@@ -102,8 +103,11 @@
         context.peers.lossWeightsWith(this.ownDemand(), this.demand.lossWeights(), nowMs()),
       urgentModels: () =>
         new Set([...context.peers.urgentModels(nowMs()), ...this.demand.urgentModels(nowMs())]),
-      promptModels: () =>
-        new Set([...context.peers.promptModels(nowMs()), ...this.demand.promptModels(nowMs())]),
+      lateAfterLoadModels: () =>
+        new Set([
+          ...context.peers.lateAfterLoadModels(nowMs()),
+          ...this.demand.lateAfterLoadModels(nowMs()),
+        ]),
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
       unloadMs: (endpoint, peerRuns, model) => this.#unloadMs(endpoint, peerRuns, model),
       peerLoads: () => context.peers.loads(nowMs()),
@@ -156,17 +160,17 @@
    * @param head - the request
    * @param target - its route and service
    */
-  recordRequest(head: CallerHead, { route, service, access }: RunTarget): void {
-    const { engine } = service;
+  recordRequest(head: CallerHead, target: RunTarget): void {
+    const { engine } = target.service;
     // Callers may name any model; only those of the configuration can be placed.
     const model = engine?.models.get(head.model ?? '');
     if (!engine || !model) return;
     const { storeLoadMs: loadMs } = model;
-    const { objectiveMs } = route;
+    const { objectiveMs } = target.route;
     this.demand.recordRequest(head, engine.slotCount, {
       isUrgent: objectiveMs < URGENT_SHARE * loadMs,
-      lossWeight: lossWeight(access?.workspace?.priority ?? route.priority),
-      isPrompt: objectiveMs < LOAD_START_MS + loadMs,
+      lossWeight: lossWeight(priorityOf(target)),
+      isLateAfterLoad: objectiveMs < LOAD_START_MS + loadMs,
     });
   }
 
@@ -308,7 +312,7 @@
 
   // Expected time to unload a model from an engine, in milliseconds.
   #unloadMs(endpoint: Endpoint, peerRuns: EndpointLoad['runs'], model: string): number {
-    const runCount = (endpoint.runs[model] ?? 0) + (peerRuns?.[model] ?? 0);
+    const runCount = endpoint.runCount(model) + (peerRuns?.[model] ?? 0);
     const time = this.#unloadTimes.get(endpoint.record.service) ?? new UnloadTime();
     return time.estimateMs(runCount);
   }
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -112,7 +112,7 @@
   /** Latency-critical models: callers of any instance want an answer sooner than a load takes. */
   readonly urgentModels: () => ReadonlySet<string>;
   /** Models whose callers of any instance would be answered late if they waited for a load. */
-  readonly promptModels: () => ReadonlySet<string>;
+  readonly lateAfterLoadModels: () => ReadonlySet<string>;
   /** Models that queued requests of any instance wait for. */
   readonly awaited: () => ReadonlySet<string>;
   /** Requests of other instances that are in progress, by endpoint. */
@@ -367,7 +367,7 @@
   ) {
     const awaited = this.#context.awaited();
     const urgent = this.#context.urgentModels();
-    const prompt = this.#context.promptModels();
+    const prompt = this.#context.lateAfterLoadModels();
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
@@ -382,7 +382,7 @@
         hasWaitingRequests: awaited.has(name) || (prompt.has(name) && tokenDemand > AWAITED_DEMAND),
         isCritical: urgent.has(name),
         isLateAfterLoad: prompt.has(name) && !urgent.has(name),
-        isUnasked: this.#unasked.has(name),
+        isSpeculative: this.#unasked.has(name),
         isLatencyTolerant,
         demand: tokenDemand,
       };
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -40,7 +40,7 @@
    * Models whose callers would be answered late if they waited for a load, `urgentModels` among them;
    * `undefined` from an instance of an earlier version.
    */
-  readonly promptModels?: readonly string[];
+  readonly lateAfterLoadModels?: readonly string[];
   /** Models that queued requests wait for. */
   readonly awaited: readonly string[];
   /** Adapters used since the previous state, each as `model/adapter`, by endpoint. */
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -29,7 +29,7 @@
   loads: {},
   demand: {},
   urgentModels: [],
-  promptModels: [],
+  lateAfterLoadModels: [],
   awaited: [],
 };
 
@@ -214,8 +214,8 @@
   }
 
   /** @returns models whose callers at other instances would be answered late after a load */
-  promptModels(nowMs: number): readonly string[] {
-    return sumStates(this.#all(nowMs)).promptModels ?? [];
+  lateAfterLoadModels(nowMs: number): readonly string[] {
+    return sumStates(this.#all(nowMs)).lateAfterLoadModels ?? [];
   }
 
   /** @returns models that queued requests of other instances wait for */
--- a/packages/gateway/src/lib/peer/sum-states.ts
+++ b/packages/gateway/src/lib/peer/sum-states.ts
@@ -4,7 +4,13 @@
 /** Parts of an instance's state that are aggregated over several instances. */
 export type StateSums = Pick<
   InstanceState,
-  'instanceCount' | 'loads' | 'demand' | 'lossWeights' | 'urgentModels' | 'promptModels' | 'awaited'
+  | 'instanceCount'
+  | 'loads'
+  | 'demand'
+  | 'lossWeights'
+  | 'urgentModels'
+  | 'lateAfterLoadModels'
+  | 'awaited'
 >;
 
 const unionOf = (lists: readonly (readonly string[])[]): string[] => [...new Set(lists.flat())];
@@ -57,8 +63,8 @@
     ),
     urgentModels: unionOf(parts.map(({ urgentModels }) => urgentModels)),
     // An instance of an earlier version knows only the latency-critical ones.
-    promptModels: unionOf(
-      parts.map(({ promptModels, urgentModels }) => promptModels ?? urgentModels),
+    lateAfterLoadModels: unionOf(
+      parts.map(({ lateAfterLoadModels, urgentModels }) => lateAfterLoadModels ?? urgentModels),
     ),
     awaited: unionOf(parts.map(({ awaited }) => awaited)),
   };
