Quotas: one order of messages, one division of the tolerance, wire types in a file each; plainer comments

The order of an instance's calls repeated that of its states; the terms of a quota are its specification's; the end of a grant was worked out twice. RecentLoads.count had no caller left: its tests ask the ages themselves, and one asks both in place of a count. Without quotas an allocator no longer looks whether the fleet is new.

--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -14,7 +14,7 @@
   readonly isLatencyTolerant?: boolean;
   /** Whether the callers of a latency-tolerant model are served late if they wait for a load. */
   readonly isLateAfterLoad?: boolean;
-  /** Whether the model was loaded only since there was free memory, and nobody has asked for it since. */
+  /** Whether the model was loaded only since there was free memory, and no request has asked for it since. */
   readonly isSpeculative?: boolean;
   /** Requested tokens per second. */
   readonly demand: number;
--- a/packages/decisions/src/lib/quota/quota-allocator.ts
+++ b/packages/decisions/src/lib/quota/quota-allocator.ts
@@ -28,14 +28,18 @@
   readonly startedMs: number;
 }
 
-/** Change of a lease that isn't made, as a share of it. */
+/** Change of a lease below which it is left as it is, as a share of it. */
 const KEPT_SHARE = 0.05;
 
-const { leaseMs, unitsMs, driftMs, silentMs } = quotaTimes;
+const { leaseMs, unitsMs, driftMs, grantMs, silentMs } = quotaTimes;
 
-// Small differences are left, since each change takes two calls.
-const isNear = (target: number, held: number): boolean =>
-  Math.abs(target - held) <= KEPT_SHARE * held;
+// The part that a pool gets next: its target, from what it holds and what is free. Small differences are left, since
+// each change takes two calls, unless more is held than there is.
+const nextPart = (target: number, held: number, available: number, heldByAll: number): number => {
+  const isNear = Math.abs(target - held) <= KEPT_SHARE * held;
+  if (isNear && heldByAll <= available) return held;
+  return Math.min(target, held + Math.max(0, available - heldByAll));
+};
 
 /**
  * Divides the quota of one workspace among the pools of the failure domains. All that pools may hold at a time, with
@@ -82,18 +86,14 @@
     const holding = this.#record(holder, report, nowMs);
     const available = this.#available(total, nowMs);
     const target = this.#targetOf(holder.instance, available, nowMs);
-    const freeRate = Math.max(0, available.ratePerSecond - this.#sum('rate'));
-    const freeRoom = Math.max(0, available.room - this.#heldRoom);
-    const heldRate = this.#sum('rate');
     const lease = {
-      ratePerSecond:
-        heldRate <= available.ratePerSecond && isNear(target.ratePerSecond, report.ratePerSecond)
-          ? report.ratePerSecond
-          : Math.min(target.ratePerSecond, report.ratePerSecond + freeRate),
-      room:
-        this.#heldRoom <= available.room && isNear(target.room, report.room)
-          ? report.room
-          : Math.min(target.room, report.room + freeRoom),
+      ratePerSecond: nextPart(
+        target.ratePerSecond,
+        report.ratePerSecond,
+        available.ratePerSecond,
+        this.#sum('rate'),
+      ),
+      room: nextPart(target.room, report.room, available.room, this.#heldRoom),
     };
     // If the answer is lost, the pool goes on with what it reported.
     holding.rate = Math.max(report.ratePerSecond, lease.ratePerSecond);
@@ -150,7 +150,7 @@
       largest,
       askedMs: nowMs,
       rateUntilMs: nowMs + leaseMs + driftMs,
-      roomUntilMs: nowMs + leaseMs + unitsMs + 2 * driftMs,
+      roomUntilMs: nowMs + grantMs,
     };
     this.#holdings.set(instance, holding);
     return holding;
--- a/packages/decisions/src/lib/quota/quota-pool.ts
+++ b/packages/decisions/src/lib/quota/quota-pool.ts
@@ -7,7 +7,7 @@
 import type { UnitsAsk } from './units-ask.js';
 
 const MS_PER_SECOND = 1_000;
-/** Demand that rises counts within the first of these times; demand that falls, within the second. In milliseconds. */
+/** Time constants of the estimates that follow rising and falling demand, in milliseconds. */
 const RISE_TIME_CONSTANT_MS = 1_000;
 const FALL_TIME_CONSTANT_MS = 5_000;
 /** Time for which the size of a large request counts, in milliseconds. */
@@ -16,7 +16,7 @@
 const RENEWAL_MS = 2_000;
 /** The same for a pool without any rate. */
 const EMPTY_RENEWAL_MS = 500;
-/** Change of the demand, as a share of the lease's rate, that the allocator is told of. */
+/** Change of the demand, as a share of the lease's rate, after which the pool renews its lease early. */
 const CHANGE_SHARE = 0.2;
 /** Share of the room below which units are given only to requests that wait. */
 const LOW_SHARE = 0.25;
@@ -24,9 +24,9 @@
 const STOCK_SHARE = 0.25;
 /** Time between two looks for units that have expired, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 100;
-/** Least wait that is told while callers ask for more than the pool gets, in milliseconds. */
+/** Shortest wait that is reported while demand exceeds the rate of the lease, in milliseconds. */
 const CONTENDED_WAIT_MS = 500;
-/** Longest wait that is told to an instance, in milliseconds. */
+/** Longest wait that is reported to an instance, in milliseconds. */
 const WAIT_MAX_MS = 1_000;
 
 interface GivenUnits {
@@ -59,7 +59,7 @@
    * @param lease - the lease
    * @param askedMs - when it was asked for, by the monotonic clock, in milliseconds
    * @param nowMs - monotonic clock, in milliseconds
-   * @returns whether the pool holds less than before, which the allocator should know soon
+   * @returns whether the pool holds less than before, so that it should report soon
    */
   renew(lease: QuotaLease, askedMs: number, nowMs: number): boolean {
     this.#fill(nowMs);
@@ -76,7 +76,7 @@
 
   /**
    * @param nowMs - monotonic clock, in milliseconds
-   * @returns whether the allocator should hear of this pool now: its lease gets old, or its demand has changed
+   * @returns whether the lease is due for renewal: it gets old, or the demand has changed
    */
   needsRenewal(nowMs: number): boolean {
     const { ratePerSecond } = this.#lease;
--- a/packages/decisions/src/lib/quota/refund-limit-ms.ts
+++ b/packages/decisions/src/lib/quota/refund-limit-ms.ts
@@ -1,7 +1,5 @@
 import type { QuotaBound } from './quota-bound.js';
-
-/** Part of the tolerance on the rate that is left for units that are given back. */
-const REFUND_PART = 0.5;
+import { toleranceParts } from './tolerance-parts.js';
 
 /**
  * Units of a request that is refused later than this after its admission are not given back: if they were spent before
@@ -11,5 +9,5 @@
  * @returns the time, in milliseconds
  */
 export function refundLimitMs({ windowMs, overRatio }: QuotaBound): number {
-  return (REFUND_PART * overRatio * windowMs) / (1 + overRatio);
+  return (toleranceParts.refunds * overRatio * windowMs) / (1 + overRatio);
 }
--- a/packages/decisions/src/lib/serving/caller-return-ms.ts
+++ b/packages/decisions/src/lib/serving/caller-return-ms.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Tells a refused caller when to return: not before there is room, and spread over the time in which all places become
- * free once, so that callers that were refused together do not return together.
+ * Chooses the `Retry-After` of a refused request: not before there is room, and spread over the time in which all places
+ * become free once, so that callers that were refused together do not retry together.
  *
  * @param request - the request that is refused
  * @param unit - a random number from 0 up to 1
--- a/packages/decisions/src/lib/serving/priority-mix.ts
+++ b/packages/decisions/src/lib/serving/priority-mix.ts
@@ -13,8 +13,8 @@
 
 /**
  * Knows which priorities a service's callers use now, and lets an endpoint queue a few of the most urgent requests
- * beyond its slots. Runs of patient requests last for seconds; an urgent request that needs a slot for a moment would
- * be refused until one of them ends, and at the instances that wait for a slot another patient one might get it. The
+ * beyond its slots. Runs of less urgent requests last for seconds; an urgent request that needs a slot for a moment would
+ * be refused until one of them ends, and at the instances that wait for a slot another of those might get it. The
  * endpoint admits the most urgent first, whichever instance sent it. It changes nothing while slots are free or all
  * requests are alike.
  */
@@ -38,11 +38,11 @@
    */
   slotShare({ priority, hasPartialAnswer }: SlotCase, nowMs: number): number {
     if (hasPartialAnswer) return 1 + QUEUED_SHARE;
-    const others = [...this.#seenMs]
+    const inUse = [...this.#seenMs]
       .filter(([, seenMs]) => nowMs - seenMs < RETENTION_MS)
       .map(([other]) => other);
-    const isMostUrgent = others.every((other) => other >= priority);
-    const hasLessUrgent = others.some((other) => other > priority);
+    const isMostUrgent = inUse.every((other) => other >= priority);
+    const hasLessUrgent = inUse.some((other) => other > priority);
     return isMostUrgent && hasLessUrgent ? 1 + QUEUED_SHARE : 1;
   }
 }
--- a/packages/decisions/src/lib/serving/recent-loads.ts
+++ b/packages/decisions/src/lib/serving/recent-loads.ts
@@ -38,13 +38,4 @@
     });
     return [...this.#startsMs.values()].map((startMs) => nowMs - startMs);
   }
-
-  /**
-   * @param nowMs - current time of a monotonic clock, in milliseconds
-   * @param spanMs - time to look back, in milliseconds; defaults to the window
-   * @returns number of loads that began within that time or are about to begin
-   */
-  count(nowMs: number, spanMs = this.#windowMs): number {
-    return this.agesMs(nowMs).filter((ageMs) => ageMs < spanMs).length;
-  }
 }
--- a/packages/decisions/src/lib/serving/wait-limit-ms.ts
+++ b/packages/decisions/src/lib/serving/wait-limit-ms.ts
@@ -54,10 +54,10 @@
 };
 
 /**
- * Limits how long a request may wait when all slots are taken or no engine holds its model. For a
- * slot it waits as long as it is expected to get one in time, and otherwise only a small part of its objective, since
- * further requests arrive meanwhile; a queue of prompts shrinks at a known rate and is worth a longer wait. For a model that is being loaded it
- * may wait longest, but a caller without any answer disconnects long before its deadline.
+ * Limits how long a request may wait when all slots are taken or no engine holds its model. For a slot it waits as long as
+ * it is expected to get one in time, and otherwise only a small part of its objective, since further requests arrive
+ * meanwhile; a queue of prompts shrinks at a known rate and is worth a longer wait. For a model that is being loaded it may
+ * wait longest, but a caller without any answer disconnects long before its deadline.
  *
  * @param request - the request
  * @returns longest wait from now, in milliseconds; 0 or less when the request must not wait
--- a/packages/decisions/src/lib/serving/wait-queue.ts
+++ b/packages/decisions/src/lib/serving/wait-queue.ts
@@ -1,7 +1,7 @@
 import { WaitingOrder } from './waiting-order.js';
 import type { WaitingRequest } from './waiting-request.js';
 
-/** Number of requests for the same model that are tried in vain before the others for it are passed over. */
+/** Number of failed attempts for a lane after which a scan skips its other requests. */
 const LANE_FAILURES_MAX = 3;
 /** Number of requests served from the queue after which the one that has waited longest is tried first. */
 const TURN_COUNT = 8;
@@ -20,7 +20,7 @@
   /** Monotonic time at which the wait ends, in milliseconds. */
   readonly untilMs: number;
   /**
-   * @param aheadCount - number of requests of its lane that were tried before it in vain
+   * @param aheadCount - number of requests of its lane that failed to be dispatched before it in this scan
    * @returns whether the request leaves the queue: it was dispatched, refused, or its adapter is
    *   being loaded
    */
@@ -124,11 +124,12 @@
     const waiters = this.#order.inOrder(nowMs);
     if (this.#servedCount < TURN_COUNT) return waiters;
     this.#servedCount = 0;
-    const [first, ...others] = waiters
-      .filter(({ model }) => model === undefined)
-      .sort((one, other) => one.sinceMs - other.sinceMs);
-    if (!first || others.length === 0) return waiters;
-    return [first, ...waiters.filter((waiter) => waiter !== first)];
+    const waitingForPlace = waiters.filter(({ model }) => model === undefined);
+    if (waitingForPlace.length < 2) return waiters;
+    const longest = waitingForPlace.reduce((one, other) =>
+      other.sinceMs < one.sinceMs ? other : one,
+    );
+    return [longest, ...waiters.filter((waiter) => waiter !== longest)];
   }
 
   #countPlace({ lane, model }: Waiter, change: number): void {
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -231,23 +231,23 @@
     loads.record('a', 'm', 0);
     loads.record('a', 'm', 400);
     loads.record('b', 'm', 100);
-    expect(loads.count(900)).to.equal(2);
-    expect(loads.count(1_100)).to.equal(1);
-    expect(loads.count(1_400)).to.equal(0);
+    expect(loads.agesMs(900)).to.have.length(2);
+    expect(loads.agesMs(1_100)).to.have.length(1);
+    expect(loads.agesMs(1_400)).to.have.length(0);
   });
 
-  it('counts loads within a shorter span', () => {
+  it('tells how long ago each load began', () => {
     const loads = new RecentLoads(1_000);
     loads.record('a', 'm', 0);
     loads.record('b', 'm', 800);
-    expect(loads.count(900, 200)).to.equal(1);
+    expect(loads.agesMs(900)).to.deep.equal([900, 100]);
   });
 
   it('keeps the later start when an older report of the same load arrives late', () => {
     const loads = new RecentLoads(1_000);
     loads.record('a', 'm', 500);
     loads.record('a', 'm', 100);
-    expect(loads.count(1_400)).to.equal(1);
+    expect(loads.agesMs(1_400)).to.have.length(1);
   });
 });
 
--- a/packages/gateway/src/lib/feed/config-feed.ts
+++ b/packages/gateway/src/lib/feed/config-feed.ts
@@ -77,9 +77,8 @@
 
 /**
  * Puts each newer version of the configuration in force; an older one is ignored, also when the store has come back from a
- * copy that has no newer one. Versions come from the
- * store, or from another instance that reports a newer one: instances that others inform do not read
- * the store unless the others fail to deliver what they report, and the rest read from others when the
+ * copy that has no newer one. Versions come from the store, or from another instance that reports a newer one: instances
+ * that others inform do not read the store unless the others fail to deliver what they report, and the rest read from others when the
  * store is late.
  */
 export class ConfigFeed {
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -164,8 +164,8 @@
   readonly #pending = new Map<string, PendingMove>();
   readonly #loadConcurrency = new LoadConcurrency();
   readonly #planned = new PlannedLoads();
-  /** Models that were loaded since there was free memory, and that nobody has asked for since. */
-  readonly #unasked = new Set<string>();
+  /** Models that were loaded only since there was free memory, and that no request has asked for since. */
+  readonly #speculative = new Set<string>();
 
   /** @param context - dependencies of the loop */
   constructor(context: PlacementContext) {
@@ -326,7 +326,7 @@
     if (record && PlacementLoop.#isFromStore(record, load)) {
       this.#loads.record(engine, load, nowMs());
     }
-    if (reason === MoveReason.residence) this.#unasked.add(load);
+    if (reason === MoveReason.residence) this.#speculative.add(load);
     const move = { load, unload, unloadMs: Math.round(unloadMs) };
     this.#pending.set(engine, { ...move, readyMs, untilMs: nowMs() + PENDING_MS });
     requestMove(engine, move);
@@ -372,7 +372,7 @@
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
       const isLatencyTolerant = tokenDemand > 0 && !urgent.has(name);
-      if (tokenDemand > 0) this.#unasked.delete(name);
+      if (tokenDemand > 0) this.#speculative.delete(name);
       return {
         name,
         bytes: sizeMb * BYTES_PER_MB,
@@ -382,7 +382,7 @@
         hasWaitingRequests: awaited.has(name) || (prompt.has(name) && tokenDemand > AWAITED_DEMAND),
         isCritical: urgent.has(name),
         isLateAfterLoad: prompt.has(name) && !urgent.has(name),
-        isSpeculative: this.#unasked.has(name),
+        isSpeculative: this.#speculative.has(name),
         isLatencyTolerant,
         demand: tokenDemand,
       };
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -1,5 +1,6 @@
 import type { EndpointLoad } from './endpoint-load.js';
 import type { InstanceState } from './instance-state.js';
+import { isNewer } from './is-newer.js';
 import type { Overview } from './overview.js';
 import type { OwnedEngineState } from './owned-engine-state.js';
 import { sumStates } from './sum-states.js';
@@ -33,11 +34,6 @@
   awaited: [],
 };
 
-const isNewer = (next: InstanceState, known: InstanceState | undefined): boolean =>
-  !known ||
-  next.startedMs > known.startedMs ||
-  (next.startedMs === known.startedMs && next.sequence > known.sequence);
-
 const overviewEngineOf = (engine: OwnedEngineState): OwnedEngineState => ({
   ...engine,
   storeLoadAgesMs: {},
--- a/packages/gateway/src/lib/quota/call-order.ts
+++ b/packages/gateway/src/lib/quota/call-order.ts
@@ -1,9 +1,11 @@
+import { isNewer } from '../peer/is-newer.js';
+import type { SequencedMessage } from '../peer/sequenced-message.js';
+
 /** Time after which the last call of an instance is forgotten, in milliseconds. */
 const RETENTION_MS = 30_000;
 
 interface LastCall {
-  readonly startedMs: number;
-  readonly sequence: number;
+  readonly call: SequencedMessage;
   readonly atMs: number;
 }
 
@@ -18,18 +20,11 @@
    * @param nowMs - monotonic clock, in milliseconds
    * @returns whether no later call of the instance is known
    */
-  isNewest(
-    instance: string,
-    { startedMs, sequence }: Pick<LastCall, 'startedMs' | 'sequence'>,
-    nowMs: number,
-  ): boolean {
+  isNewest(instance: string, call: SequencedMessage, nowMs: number): boolean {
     this.#forgetOld(nowMs);
-    const last = this.#last.get(instance);
-    const isOld =
-      last !== undefined &&
-      (startedMs < last.startedMs || (startedMs === last.startedMs && sequence <= last.sequence));
-    if (!isOld) this.#last.set(instance, { startedMs, sequence, atMs: nowMs });
-    return !isOld;
+    const isNewest = isNewer(call, this.#last.get(instance)?.call);
+    if (isNewest) this.#last.set(instance, { call, atMs: nowMs });
+    return isNewest;
   }
 
   #forgetOld(nowMs: number): void {
--- a/packages/gateway/src/lib/quota/quota-admission.ts
+++ b/packages/gateway/src/lib/quota/quota-admission.ts
@@ -1,10 +1,11 @@
 import { QuotaBalance, refundLimitMs } from '@chervilseam/decisions';
 import { preferredPool } from './preferred-pool.js';
-import type { WireAnswer, WireAsk } from './quota-calls.js';
 import type { QuotaCharge } from './quota-charge.js';
 import type { QuotaContext } from './quota-context.js';
 import type { QuotaPeer } from './quota-peer.js';
 import type { QuotaVerdict } from './quota-verdict.js';
+import type { WireAnswer } from './wire-answer.js';
+import type { WireAsk } from './wire-ask.js';
 
 /** How long the units that are fetched ahead should last, in milliseconds. */
 const STOCK_MS = 1_400;
--- a/packages/gateway/src/lib/quota/quota-leases.ts
+++ b/packages/gateway/src/lib/quota/quota-leases.ts
@@ -1,11 +1,11 @@
 import { QuotaAllocator, quotaTotal, quotaTimes } from '@chervilseam/decisions';
 import type { QuotaLease, QuotaReport } from '@chervilseam/decisions';
 import { CallOrder } from './call-order.js';
-import type { QuotaCalls, WireLease, WireReport } from './quota-calls.js';
+import type { QuotaCalls } from './quota-calls.js';
 import type { QuotaContext } from './quota-context.js';
+import type { WireLease } from './wire-lease.js';
+import type { WireReport } from './wire-report.js';
 
-/** Time by which all that an allocator granted has ended, in milliseconds. */
-const SETTLING_MS = quotaTimes.leaseMs + quotaTimes.unitsMs + 2 * quotaTimes.driftMs;
 const decodeReport = ([
   ratePerSecond,
   room,
@@ -89,7 +89,7 @@
     }
     if (this.#isSettled) return;
     // In a fresh fleet there is no allocator before this one to wait for.
-    const isFresh = isFreshFleet();
+    const isFresh = quotas().size > 0 && isFreshFleet();
     if (!isFresh && nowMs() < this.#settledMs) return;
     this.#isSettled = true;
     this.#allocators.forEach((allocator) => allocator.settle(nowMs()));
@@ -119,7 +119,7 @@
   }
 
   get #settledMs(): number {
-    return (this.#assignedMs ?? Infinity) + this.#context.handoverMs + SETTLING_MS;
+    return (this.#assignedMs ?? Infinity) + this.#context.handoverMs + quotaTimes.grantMs;
   }
 
   #allocatorOf(workspace: string): QuotaAllocator {
--- a/packages/gateway/src/lib/quota/quota-pools.ts
+++ b/packages/gateway/src/lib/quota/quota-pools.ts
@@ -2,14 +2,17 @@
 import type { QuotaReport, UnitsAsk } from '@chervilseam/decisions';
 import { CallOrder } from './call-order.js';
 import { preferredPool } from './preferred-pool.js';
-import type { QuotaCalls, WireAnswer, WireAsk, WireReport } from './quota-calls.js';
+import type { QuotaCalls } from './quota-calls.js';
 import type { QuotaContext } from './quota-context.js';
+import type { WireAnswer } from './wire-answer.js';
+import type { WireAsk } from './wire-ask.js';
+import type { WireReport } from './wire-report.js';
 
 /** Least time between two renewals of leases, in milliseconds. */
 const RENEWAL_MS = 250;
 /** Time after which a pool that no instance asks gives up its leases, in milliseconds. */
 const UNUSED_MS = 3_000;
-/** Wait that is told for a workspace whose quota isn't known here yet, in milliseconds. */
+/** Wait that is reported for a workspace whose quota isn't known here yet, in milliseconds. */
 const UNKNOWN_WAIT_MS = 300;
 
 const decodeAsk = ([asked, held, waiting, needed, stock, largest]: WireAsk): UnitsAsk => ({
--- /dev/null
+++ b/packages/gateway/src/lib/quota/wire-lease.ts
@@ -0,0 +1,2 @@
+/** A `QuotaLease` on the wire: rate, room. */
+export type WireLease = readonly [number, number];
