--- a/packages/gateway/src/lib/dispatch/service-table.ts
+++ b/packages/gateway/src/lib/dispatch/service-table.ts
@@ -5,6 +5,7 @@
   SharedRetryBudget,
   WaitQueue,
 } from '@chervilseam/decisions';
+import { getOrCreate } from '../get-or-create.js';
 
 /**
  * Holds the queue of waiting requests, the retry budget, the priorities in use and the hold time of each service, and
@@ -35,47 +36,27 @@
 
   /** @returns the queue of a service; created on first use */
   queue(service: string): WaitQueue {
-    const known = this.#queues.get(service);
-    if (known) return known;
-    const queue = new WaitQueue();
-    this.#queues.set(service, queue);
-    return queue;
+    return getOrCreate(this.#queues, service, () => new WaitQueue());
   }
 
   /** @returns the retry budget of a service; created on first use */
   retryBudget(service: string): SharedRetryBudget {
-    const known = this.#retryBudgets.get(service);
-    if (known) return known;
-    const budget = new SharedRetryBudget(this.#bounds);
-    this.#retryBudgets.set(service, budget);
-    return budget;
+    return getOrCreate(this.#retryBudgets, service, () => new SharedRetryBudget(this.#bounds));
   }
 
   /** @returns how long requests occupy the endpoints of a service; created on first use */
   holdTime(service: string): HoldTime {
-    const known = this.#holdTimes.get(service);
-    if (known) return known;
-    const holdTime = new HoldTime();
-    this.#holdTimes.set(service, holdTime);
-    return holdTime;
+    return getOrCreate(this.#holdTimes, service, () => new HoldTime());
   }
 
   /** @returns the priorities that callers of a service use; created on first use */
   priorityMix(service: string): PriorityMix {
-    const known = this.#priorityMixes.get(service);
-    if (known) return known;
-    const mix = new PriorityMix();
-    this.#priorityMixes.set(service, mix);
-    return mix;
+    return getOrCreate(this.#priorityMixes, service, () => new PriorityMix());
   }
 
   /** @returns how long the answers of a route took; created on first use */
   answerTimes(route: string): AnswerTimes {
-    const known = this.#answerTimes.get(route);
-    if (known) return known;
-    const times = new AnswerTimes();
-    this.#answerTimes.set(route, times);
-    return times;
+    return getOrCreate(this.#answerTimes, route, () => new AnswerTimes());
   }
 
   /** @param routes - names of the routes in force; what is known of others is forgotten */
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -4,6 +4,7 @@
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { EndpointRegistry } from '../feed/endpoint-registry.js';
+import { getOrCreate } from '../get-or-create.js';
 import type { GatewaySettings } from '../gateway-settings.js';
 import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { InstanceState } from '../peer/instance-state.js';
@@ -192,10 +193,7 @@
    * @param durationMs - time since the request was sent there, in milliseconds
    */
   recordRunEnd({ record }: Endpoint, durationMs: number): void {
-    const known = this.#unloadTimes.get(record.service);
-    const time = known ?? new UnloadTime();
-    if (!known) this.#unloadTimes.set(record.service, time);
-    time.record(durationMs);
+    getOrCreate(this.#unloadTimes, record.service, () => new UnloadTime()).record(durationMs);
   }
 
   /** @returns the state of an engine as its owner, this instance or another, reports it */
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -1,23 +1,22 @@
 import {
   forecastDemand,
-  LoadConcurrency,
-  loadDelayMs,
   MoveReason,
   orderDelayMs,
   placementSteps,
   relativeWeights,
-  RecentLoads,
 } from '@chervilseam/decisions';
 import type { PlacementInput, PlacementMove } from '@chervilseam/decisions';
-import type { EndpointRecord, EngineSpec, ServingConfig } from '@chervilseam/model';
+import type { EngineSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
+import { isFromStore } from './is-from-store.js';
 import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
 import { PlannedLoads } from './planned-loads.js';
 import { runInSlices } from './run-in-slices.js';
+import { StoreLoads } from './store-loads.js';
 
 /**
  * Prompt tokens that an engine of typical speed reads per second: 38 per millisecond in the users' data
@@ -76,8 +75,6 @@
  * load has ended by then.
  */
 const SHORTFALL_MIN_MS = 1_500;
-/** Assumed rest of a load that takes longer than expected, in milliseconds. */
-const LATE_LOAD_MS = 600;
 /** Bounds of the estimated time until an engine's change is done, in milliseconds. */
 const CHANGE_MIN_MS = 100;
 const CHANGE_MAX_MS = 1_500;
@@ -156,13 +153,12 @@
   #firstSeenMs = new Map<string, number>();
   /** The same, rebuilt by the current round from the replicas that still exist. */
   #nextFirstSeenMs = new Map<string, number>();
-  readonly #loads: RecentLoads;
+  readonly #storeLoads: StoreLoads;
   #isPlanning = false;
   /** When the next round may begin, in milliseconds. */
   #nextRoundMs = -Infinity;
   /** Requested moves that the owner may not have published yet, by engine. */
   readonly #pending = new Map<string, PendingMove>();
-  readonly #loadConcurrency = new LoadConcurrency();
   readonly #planned = new PlannedLoads();
   /** Models that were loaded only since there was free memory, and that no request has asked for since. */
   readonly #speculative = new Set<string>();
@@ -170,7 +166,10 @@
   /** @param context - dependencies of the loop */
   constructor(context: PlacementContext) {
     this.#context = context;
-    this.#loads = new RecentLoads(context.loadWindowMs);
+    this.#storeLoads = new StoreLoads({
+      ...context,
+      pendingOf: (engine) => this.#pendingOf(engine),
+    });
   }
 
   /**
@@ -185,7 +184,7 @@
       if (!engine) return;
       endpointsOf(name).forEach(({ id }) => {
         Object.entries(engineState(id)?.storeLoadAgesMs ?? {}).forEach(([model, ageMs]) =>
-          this.#loads.record(id, model, nowMs() - ageMs),
+          this.#storeLoads.record(id, model, nowMs() - ageMs),
         );
       });
     });
@@ -269,7 +268,7 @@
       lastReplicaShare: LAST_REPLICA_SHARE,
       idleReplicaShare: IDLE_REPLICA_SHARE,
     };
-    this.#learnLoadConcurrency(endpoints, spec);
+    this.#storeLoads.observe(endpoints, spec);
     const preparedMs = nowMs() - startMs;
     const { value: plan, busyMs } = await runInSlices(placementSteps(input), {
       nowMs,
@@ -323,9 +322,7 @@
   #request({ engine, load, unload, unloadMs, reason }: PlacementMove, readyMs: number): void {
     const { nowMs, requestMove, endpoint } = this.#context;
     const record = endpoint(engine)?.record;
-    if (record && PlacementLoop.#isFromStore(record, load)) {
-      this.#loads.record(engine, load, nowMs());
-    }
+    if (record && isFromStore(record, load)) this.#storeLoads.record(engine, load, nowMs());
     if (reason === MoveReason.residence) this.#speculative.add(load);
     const move = { load, unload, unloadMs: Math.round(unloadMs) };
     this.#pending.set(engine, { ...move, readyMs, untilMs: nowMs() + PENDING_MS });
@@ -367,7 +364,7 @@
   ) {
     const awaited = this.#context.awaited();
     const urgent = this.#context.urgentModels();
-    const prompt = this.#context.lateAfterLoadModels();
+    const lateAfterLoad = this.#context.lateAfterLoadModels();
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
@@ -379,9 +376,10 @@
         mustStayResident: false,
         // Requests that a load of their model would make late are refused while it has no replica, or before it
         // is due, so none of them is queued. The model's demand decides instead.
-        hasWaitingRequests: awaited.has(name) || (prompt.has(name) && tokenDemand > AWAITED_DEMAND),
+        hasWaitingRequests:
+          awaited.has(name) || (lateAfterLoad.has(name) && tokenDemand > AWAITED_DEMAND),
         isCritical: urgent.has(name),
-        isLateAfterLoad: prompt.has(name) && !urgent.has(name),
+        isLateAfterLoad: lateAfterLoad.has(name) && !urgent.has(name),
         isSpeculative: this.#speculative.has(name),
         isLatencyTolerant,
         demand: tokenDemand,
@@ -484,10 +482,6 @@
     return largest * spec.adapterSlotCount;
   }
 
-  static #isFromStore({ hostModels, diskModels }: EndpointRecord, model: string): boolean {
-    return !hostModels.includes(model) && !diskModels.includes(model);
-  }
-
   // Time until the weight store's limit permits the load, in milliseconds. Loads from the engine's own disk or
   // host memory are always permitted.
   #storeDelayMs(
@@ -496,49 +490,8 @@
     isLowPriority: boolean,
   ): number {
     const record = this.#context.endpoint(engine)?.record;
-    if (!record || !PlacementLoop.#isFromStore(record, load)) return 0;
-    const { nowMs, loadWindowMs, loadSlackRatio } = this.#context;
-    return loadDelayMs({
-      storeLoadsPerSecond: spec.storeLoadsPerSecond,
-      windowMs: loadWindowMs,
-      slackRatio: loadSlackRatio,
-      loadMs: spec.models.get(load)?.storeLoadMs ?? 0,
-      isLowPriority,
-      countMax: this.#loadConcurrency.countMax,
-      canBeLate: reason === MoveReason.forecast || reason === MoveReason.residence,
-      agesMs: this.#loads.agesMs(nowMs()),
-      remainingMs: this.#storeLoads(endpoints, spec).map(({ remainingMs, isLate }) =>
-        isLate === true ? LATE_LOAD_MS : remainingMs,
-      ),
-    });
-  }
-
-  #learnLoadConcurrency(endpoints: readonly Endpoint[], spec: EngineSpec): void {
-    const loads = this.#storeLoads(endpoints, spec);
-    const lateCount = loads.filter(({ isLate }) => isLate === true).length;
-    const concurrency = this.#loadConcurrency;
-    if (!concurrency.observe(loads.length, lateCount > 0, this.#context.nowMs())) return;
-    this.#context.logger.info('loads_at_once', 'the number of loads at a time has changed', {
-      countMax: concurrency.countMax,
-      loading: loads.length,
-      late: lateCount,
-    });
-  }
-
-  // Loads from the weight store that are planned or in progress.
-  #storeLoads(endpoints: readonly Endpoint[], spec: EngineSpec): OwnedEngineState['loading'] {
-    const { nowMs, engineState } = this.#context;
-    return endpoints.flatMap(({ id, record }) => {
-      const loading = engineState(id)?.loading ?? [];
-      const pending = this.#pendingOf(id);
-      const isPublished = loading.some(({ model }) => model === pending?.load);
-      const upcoming =
-        pending && !isPublished
-          ? [{ model: pending.load, remainingMs: pending.readyMs - nowMs() }]
-          : [];
-      return [...loading, ...upcoming].filter(
-        ({ model }) => spec.models.has(model) && PlacementLoop.#isFromStore(record, model),
-      );
-    });
+    if (!record || !isFromStore(record, load)) return 0;
+    const canBeLate = reason === MoveReason.forecast || reason === MoveReason.residence;
+    return this.#storeLoads.delayMs({ load, isLowPriority, canBeLate }, endpoints, spec);
   }
 }
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -3,8 +3,9 @@
 import { isNewer } from './is-newer.js';
 import type { Overview } from './overview.js';
 import type { OwnedEngineState } from './owned-engine-state.js';
+import type { StateSums } from './state-sums.js';
+import { sumOf } from './sum-of.js';
 import { sumStates } from './sum-states.js';
-import type { StateSums } from './sum-states.js';
 
 /** A state received longer ago than this no longer describes the load, in milliseconds. */
 const STATE_TTL_MS = 2_000;
@@ -177,7 +178,7 @@
 
   /** @returns requests that the other instances have in progress, by endpoint */
   loads(nowMs: number): Readonly<Record<string, EndpointLoad>> {
-    return sumStates(this.#all(nowMs)).loads;
+    return sumOf.loads(this.#all(nowMs));
   }
 
   /**
@@ -187,7 +188,7 @@
    */
   demandWith(own: Readonly<Record<string, number>>, nowMs: number): Map<string, number> {
     const parts = [{ ...noSums, demand: own }, ...this.#all(nowMs)];
-    return new Map(Object.entries(sumStates(parts).demand));
+    return new Map(Object.entries(sumOf.demand(parts)));
   }
 
   /**
@@ -201,22 +202,22 @@
     lossWeights: Readonly<Record<string, number>>,
     nowMs: number,
   ): Readonly<Record<string, number>> {
-    return sumStates([{ ...noSums, demand, lossWeights }, ...this.#all(nowMs)]).lossWeights ?? {};
+    return sumOf.lossWeights([{ ...noSums, demand, lossWeights }, ...this.#all(nowMs)]);
   }
 
   /** @returns latency-critical models of the callers of other instances */
   urgentModels(nowMs: number): readonly string[] {
-    return sumStates(this.#all(nowMs)).urgentModels;
+    return sumOf.urgentModels(this.#all(nowMs));
   }
 
   /** @returns models whose callers at other instances would be answered late after a load */
   lateAfterLoadModels(nowMs: number): readonly string[] {
-    return sumStates(this.#all(nowMs)).lateAfterLoadModels ?? [];
+    return sumOf.lateAfterLoadModels(this.#all(nowMs));
   }
 
   /** @returns models that queued requests of other instances wait for */
   awaited(nowMs: number): readonly string[] {
-    return sumStates(this.#all(nowMs)).awaited;
+    return sumOf.awaited(this.#all(nowMs));
   }
 
   /** @returns state of the reachable instance that owns a share in the newest generation, if any */
--- a/packages/gateway/src/lib/quota/quota-admission.ts
+++ b/packages/gateway/src/lib/quota/quota-admission.ts
@@ -1,4 +1,5 @@
 import { QuotaBalance, refundLimitMs } from '@chervilseam/decisions';
+import { getOrCreate } from '../get-or-create.js';
 import { preferredPool } from './preferred-pool.js';
 import type { QuotaCharge } from './quota-charge.js';
 import type { QuotaContext } from './quota-context.js';
@@ -91,11 +92,7 @@
   }
 
   #balanceOf(workspace: string): QuotaBalance {
-    const known = this.#balances.get(workspace);
-    if (known) return known;
-    const balance = new QuotaBalance();
-    this.#balances.set(workspace, balance);
-    return balance;
+    return getOrCreate(this.#balances, workspace, () => new QuotaBalance());
   }
 
   #admitted(workspace: string, units: number): QuotaVerdict {
--- a/packages/gateway/src/lib/quota/quota-leases.ts
+++ b/packages/gateway/src/lib/quota/quota-leases.ts
@@ -1,5 +1,6 @@
 import { QuotaAllocator, quotaTotal, quotaTimes } from '@chervilseam/decisions';
 import type { QuotaLease, QuotaReport } from '@chervilseam/decisions';
+import { getOrCreate } from '../get-or-create.js';
 import { CallOrder } from './call-order.js';
 import type { QuotaCalls } from './quota-calls.js';
 import type { QuotaContext } from './quota-context.js';
@@ -123,10 +124,7 @@
   }
 
   #allocatorOf(workspace: string): QuotaAllocator {
-    const known = this.#allocators.get(workspace);
-    if (known) return known;
-    const allocator = new QuotaAllocator(this.#isSettled ? -Infinity : this.#settledMs);
-    this.#allocators.set(workspace, allocator);
-    return allocator;
+    const settledMs = this.#isSettled ? -Infinity : this.#settledMs;
+    return getOrCreate(this.#allocators, workspace, () => new QuotaAllocator(settledMs));
   }
 }
