--- a/packages/endpoints/src/lib/endpoint-exchange.ts
+++ b/packages/endpoints/src/lib/endpoint-exchange.ts
@@ -7,6 +7,10 @@
 /** Header with which an endpoint states that it refused a request and ran no part of it. */
 const NOT_RUN_HEADER = 'x-not-run';
 
+const EVENT_STREAM = 'text/event-stream';
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 const headerRecord = (raw: Buffer[]): Record<string, string> => {
   const headers: Record<string, string> = {};
   for (let index = 0; index + 1 < raw.length; index += 2) {
@@ -18,6 +22,7 @@
 /** One request to an endpoint and its answer. */
 export class EndpointExchange implements Dispatcher.DispatchHandler {
   readonly #listener: EndpointListener;
+  readonly #method: string;
   readonly #body: PassThrough | undefined;
   /** Closes the request's connection; `undefined` until the request has one. */
   #abort: (() => void) | undefined;
@@ -27,6 +32,8 @@
   #hasStarted = false;
   /** Whether the endpoint stated that it did not run the request. */
   #isRefused = false;
+  /** Whether nothing but the end of its connection marks the end of the answer. */
+  #isUnframed = false;
   #isDone = false;
   #isCancelled = false;
   #isTimeout = false;
@@ -39,6 +46,7 @@
    */
   constructor(dispatcher: Dispatcher, request: EndpointRequest, listener: EndpointListener) {
     this.#listener = listener;
+    this.#method = request.method;
     if (request.isBodyStreamed) {
       this.#body = new PassThrough();
       this.#body.on('drain', () => listener.onDrain());
@@ -108,6 +116,7 @@
     const headers = headerRecord(raw);
     this.#isRefused = headers[NOT_RUN_HEADER] === 'true';
     if (this.#isRefused) return true;
+    this.#isUnframed = this.#endsWithConnection(status, headers);
     this.#listener.onHead(status, headers);
     return true;
   }
@@ -126,9 +135,21 @@
       });
       return;
     }
+    if (this.#isUnframed) {
+      this.#fail('the answer has no length and may be cut short');
+      return;
+    }
     this.#finish(() => this.#listener.onEnd());
   }
 
+  // The end of a connection shows nothing: a process that crashes closes its connections in the same way. Streams of events
+  // have an end marker, which the receiver checks.
+  #endsWithConnection(status: number, headers: Readonly<Record<string, string>>): boolean {
+    if (this.#method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) return false;
+    if ('content-length' in headers || 'transfer-encoding' in headers) return false;
+    return headers['content-type']?.startsWith(EVENT_STREAM) !== true;
+  }
+
   onError(error: Error): void {
     this.#fail(this.#isCancelled ? 'cancelled' : error.message);
   }
--- a/packages/gateway/src/lib/feed/endpoint.ts
+++ b/packages/gateway/src/lib/feed/endpoint.ts
@@ -3,6 +3,7 @@
 import { Pool } from 'undici';
 import { ConnectionEnding } from './connection-ending.js';
 import { resettingConnector } from './resetting-connector.js';
+import { wasReset } from './was-reset.js';
 
 /**
  * Longest time until a new connection is open, in milliseconds. Connecting takes one round trip, so an
@@ -47,7 +48,10 @@
     this.pool = new Pool(`http://${record.host}:${record.port}`, {
       connect: resettingConnector(CONNECT_TIMEOUT_MS, (socket) => {
         socket.prependListener('error', () => this.#noteConnectionEnding(ConnectionEnding.reset));
-        socket.prependListener('end', () => this.#noteConnectionEnding(ConnectionEnding.closed));
+        socket.prependListener('end', () => {
+          const { closed, reset } = ConnectionEnding;
+          this.#noteConnectionEnding(wasReset(socket) ? reset : closed);
+        });
       }),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/packages/gateway/src/test/endpoint-attempt_test.ts
+++ b/packages/gateway/src/test/endpoint-attempt_test.ts
@@ -183,6 +183,17 @@
         expect(result.outcome).to.equal(outcome);
         expect(result.body).to.equal(EVENT);
       });
+
+      // A reset that arrived with the bytes before it was taken for a normal close, and the answer for a whole one.
+      it(`takes an answer ${name} for "${outcome}" after ${ending} that arrives with its last bytes`, async () => {
+        script = (socket) => {
+          socket.write(bytes + EVENT);
+          end(socket);
+        };
+        const result = await send();
+        expect(result.outcome).to.equal(outcome);
+        expect(EVENT.startsWith(result.body)).to.equal(true);
+      });
     });
   });
 });
