--- a/packages/daemon/src/lib/entry/event-stream.ts
+++ b/packages/daemon/src/lib/entry/event-stream.ts
@@ -1,4 +1,5 @@
-const EVENT_END = '\n\n';
+import { BlockBuffer, EventEndFinder } from '@chervilseam/model';
+
 const DONE_EVENT = 'data: [DONE]';
 /** Longest incomplete event that is buffered, in bytes. */
 const EVENT_BYTES_MAX = 1024 * 1024;
@@ -19,38 +20,40 @@
  * event arrives in several parts.
  */
 export class EventStream {
-  #incomplete: Buffer = Buffer.alloc(0);
+  readonly #ends = new EventEndFinder();
+  /** The beginning of an event that is not complete yet. */
+  readonly #incomplete = new BlockBuffer();
 
   /**
    * @param data - the next bytes of the stream
    * @returns the events that are now complete, or `undefined` if an event is too long
    */
   push(data: Buffer): EventPart | undefined {
-    const all = this.#incomplete.length === 0 ? data : Buffer.concat([this.#incomplete, data]);
-    const last = all.lastIndexOf(EVENT_END);
-    if (last < 0) {
-      if (all.length > EVENT_BYTES_MAX) return undefined;
-      this.#incomplete = all;
+    const ends = this.#ends.push(data);
+    const endAt = ends.at(-1);
+    if (endAt === undefined) {
+      this.#incomplete.append(data);
+      if (this.#incomplete.length > EVENT_BYTES_MAX) return undefined;
       return { events: undefined, tokenCount: 0, isDone: false };
     }
-    const events = all.subarray(0, last + EVENT_END.length);
-    this.#incomplete = all.subarray(last + EVENT_END.length);
+    const events = this.#complete(data.subarray(0, endAt));
+    if (endAt < data.length) this.#incomplete.append(data.subarray(endAt));
     // The last two events of a stream carry no token: the one with the finish reason, and the end
     // marker.
     const isDone = events.includes(DONE_EVENT);
-    return { events, tokenCount: EventStream.#countEvents(events) - (isDone ? 2 : 0), isDone };
+    return { events, tokenCount: ends.length - (isDone ? 2 : 0), isDone };
   }
 
   /** Drops an incomplete event, whose engine was lost. */
   reset(): void {
-    this.#incomplete = Buffer.alloc(0);
+    this.#incomplete.clear();
+    this.#ends.reset();
   }
 
-  static #countEvents(events: Buffer): number {
-    let count = 0;
-    for (let at = events.indexOf(EVENT_END); at >= 0; at = events.indexOf(EVENT_END, at + 2)) {
-      count += 1;
-    }
-    return count;
+  // Returns the events that a part ends; they are copied only if they came in several parts.
+  #complete(lastPart: Buffer): Buffer {
+    if (this.#incomplete.length === 0) return lastPart;
+    this.#incomplete.append(lastPart);
+    return this.#incomplete.take();
   }
 }
--- a/packages/decisions/src/lib/serving/event-splitter.ts
+++ b/packages/decisions/src/lib/serving/event-splitter.ts
@@ -1,4 +1,5 @@
-const SEPARATOR = Buffer.from('\n\n');
+import { BlockBuffer, EventEndFinder } from '@chervilseam/model';
+
 const ID_LINE = /^id:[ ]?(\d+)[ \t]*$/m;
 
 /** A complete event of a server-sent event stream. */
@@ -14,11 +15,18 @@
  * event.
  */
 export class EventSplitter {
-  #buffer: Buffer = Buffer.alloc(0);
+  readonly #ends = new EventEndFinder();
+  /** The beginning of an event that is not complete yet. */
+  readonly #pending = new BlockBuffer();
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
-    return this.#buffer.length;
+    return this.#pending.length;
+  }
+
+  /** Memory that an incomplete event takes, in bytes. */
+  get heldBytes(): number {
+    return this.#pending.heldBytes;
   }
 
   /**
@@ -28,23 +36,21 @@
    * @returns the events that are complete now
    */
   push(chunk: Buffer): StreamEvent[] {
-    this.#buffer = this.#buffer.length === 0 ? chunk : Buffer.concat([this.#buffer, chunk]);
-    const events: StreamEvent[] = [];
     let startAt = 0;
-    let end = this.#buffer.indexOf(SEPARATOR);
-    while (end >= 0) {
-      const data = this.#buffer.subarray(startAt, end + SEPARATOR.length);
-      events.push({ number: EventSplitter.#number(data), data });
-      startAt = end + SEPARATOR.length;
-      end = this.#buffer.indexOf(SEPARATOR, startAt);
-    }
-    this.#buffer = this.#buffer.subarray(startAt);
+    const events = this.#ends.push(chunk).map((endAt) => {
+      const data = this.#complete(chunk.subarray(startAt, endAt));
+      startAt = endAt;
+      return { number: EventSplitter.#number(data), data };
+    });
+    if (startAt < chunk.length) this.#pending.append(chunk.subarray(startAt));
     return events;
   }
 
-  /** @returns bytes after the last complete event */
-  remainder(): Buffer {
-    return this.#buffer;
+  // Returns the event that a part ends; it is copied only if it came in several parts.
+  #complete(lastPart: Buffer): Buffer {
+    if (this.#pending.length === 0) return lastPart;
+    this.#pending.append(lastPart);
+    return this.#pending.take();
   }
 
   static #number(data: Buffer): number | undefined {
--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -157,6 +157,31 @@
     expect(splitter.pendingBytes).to.equal(0);
   });
 
+  // All that had arrived of an event was copied and searched again for each chunk: an event without end in chunks of one byte
+  // stopped the event loop for seconds.
+  it('takes a time that grows with the length of an event that comes in chunks of one byte', () => {
+    const durationMs = (bytes: number): number => {
+      const splitter = new EventSplitter();
+      const byte = Buffer.from('x');
+      const startMs = performance.now();
+      for (let index = 0; index < bytes; index += 1) splitter.push(byte);
+      expect(splitter.pendingBytes).to.equal(bytes);
+      return performance.now() - startMs;
+    };
+    const shortBytes = 16 * 1024;
+    durationMs(shortBytes);
+    // The work of a square would be 256 times as much.
+    expect(durationMs(16 * shortBytes) / durationMs(shortBytes)).to.be.lessThan(64);
+  });
+
+  it('counts the memory that an event in chunks of one byte takes', () => {
+    const splitter = new EventSplitter();
+    for (let index = 0; index < 50_000; index += 1) splitter.push(Buffer.from('x'));
+    expect(splitter.heldBytes).to.be.within(50_000, 50_000 + 16 * 1024);
+    splitter.push(Buffer.from('\n\n'));
+    expect(splitter.heldBytes).to.equal(0);
+  });
+
   it('finds the number when the id line is not the first', () => {
     const [event] = new EventSplitter().push(Buffer.from('versions: 2\nid: 7\ndata: a\n\n'));
     expect(event.number).to.equal(7);
--- a/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/endpoint-attempt.ts
@@ -1,3 +1,4 @@
+import { BlockBuffer } from '@chervilseam/model';
 import type { Dispatcher } from 'undici';
 import { ConnectionEnding } from '../feed/connection-ending.js';
 import { AnswerFraming } from '../ports/answer-framing.js';
@@ -27,6 +28,10 @@
 const FIRST_FINAL_STATUS = 200;
 /** Higher status codes mean nothing in HTTP: whatever sent them has not answered. */
 const LAST_FINAL_STATUS = 599;
+/** Longest part of a body that is passed on together with others that were read with it, in bytes. */
+const JOINED_BYTES_MAX = 1024;
+/** Number of short parts after which the other connections get their turn. */
+const TURN_PART_COUNT_MAX = 1_000;
 /** Number of interim responses from which an endpoint is taken for faulty. */
 const INTERIM_COUNT_MAX = 16;
 
@@ -40,6 +45,16 @@
   #resume: (() => void) | undefined;
   #isOver = false;
   #interimCount = 0;
+  #bodyBytes = 0;
+  #partCount = 0;
+  /** Short part of the body that has not been passed on yet. */
+  #firstPart: Buffer | undefined;
+  /** Short parts after it. Passing on each by itself costs far more than reading it. */
+  readonly #furtherParts = new BlockBuffer();
+  /** Number of short parts since the last ones were passed on; it stays at its limit until the next turn. */
+  #turnPartCount = 0;
+  /** Whether the listener can take more data. */
+  #isWritable = true;
 
   /**
    * @param listener - called with the parts of the answer, its end or its failure
@@ -84,8 +99,14 @@
     this.#abort?.();
   }
 
+  /** What has arrived of the answer's body: its length in bytes and the number of parts that it came in. */
+  get received(): { readonly bodyBytes: number; readonly bodyParts: number } {
+    return { bodyBytes: this.#bodyBytes, bodyParts: this.#partCount };
+  }
+
   /** Resumes reading an answer that was paused because the caller could not take more data. */
   resume(): void {
+    this.#isWritable = true;
     this.#resume?.();
   }
 
@@ -125,10 +146,50 @@
   }
 
   onData(chunk: Buffer): boolean {
-    return this.#isOver || this.#listener.onData(chunk);
+    if (this.#isOver) return true;
+    this.#bodyBytes += chunk.length;
+    this.#partCount += 1;
+    if (chunk.length <= JOINED_BYTES_MAX) {
+      this.#join(chunk);
+      return this.#isWritable && this.#turnPartCount < TURN_PART_COUNT_MAX;
+    }
+    this.#passJoined();
+    return this.#pass(chunk);
+  }
+
+  // Keeps a part until all that was read with it has been parsed.
+  #join(part: Buffer): void {
+    this.#turnPartCount += 1;
+    if (this.#turnPartCount === TURN_PART_COUNT_MAX) setImmediate(() => this.#startTurn());
+    if (this.#firstPart) {
+      this.#furtherParts.append(part);
+      return;
+    }
+    this.#firstPart = part;
+    queueMicrotask(() => this.#passJoined());
+  }
+
+  #startTurn(): void {
+    this.#turnPartCount = 0;
+    if (!this.#isOver && this.#isWritable) this.#resume?.();
+  }
+
+  #passJoined(): void {
+    const first = this.#firstPart;
+    if (!first) return;
+    if (this.#turnPartCount < TURN_PART_COUNT_MAX) this.#turnPartCount = 0;
+    this.#firstPart = undefined;
+    this.#pass(first);
+    if (this.#furtherParts.length > 0) this.#pass(this.#furtherParts.take());
+  }
+
+  #pass(part: Buffer): boolean {
+    this.#isWritable = this.#isOver || this.#listener.onData(part);
+    return this.#isWritable;
   }
 
   onComplete(): void {
+    this.#passJoined();
     if (this.#isOver) return;
     // The HTTP client takes any end of the connection for the end of an answer that announced
     // `Connection: close`, also when the body is truncated.
@@ -141,6 +202,7 @@
   }
 
   onError(error: Error): void {
+    this.#passJoined();
     if (this.#isOver) return;
     this.#isOver = true;
     const wasSent = this.#abort !== undefined;
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -637,7 +637,6 @@
   #onData(attempt: SentAttempt, chunk: Buffer): boolean {
     const { answer } = attempt;
     if (!this.#isOpenAttempt(attempt) || !answer) return true;
-    attempt.countPart(chunk.length);
     const isStream = isSuccess(answer) && this.#route.isStream;
     if (isStream && attempt === this.#current) return this.#forward(attempt, chunk);
     const bufferedBytes = attempt.buffer(chunk);
@@ -681,7 +680,7 @@
   #updateHeld(): void {
     if (this.#isOver) return;
     const ofAttempts = [this.#current, this.#successor].map((one) => one?.heldBytes ?? 0);
-    this.#held.resize(ofAttempts.reduce((sum, bytes) => sum + bytes, this.#relay.pendingBytes));
+    this.#held.resize(ofAttempts.reduce((sum, bytes) => sum + bytes, this.#relay.heldBytes));
   }
 
   // The memory budget is exceeded, and no other run has buffered more.
@@ -890,7 +889,7 @@
   }
 
   #logFailure(
-    { sending, endpoint, answer, eventCount, received }: SentAttempt,
+    { sending, endpoint, answer, eventCount, exchange }: SentAttempt,
     reason: string,
     endedBy: AttemptEnder = AttemptEnder.endpoint,
   ): void {
@@ -904,7 +903,7 @@
       lastEvent: this.#relay.lastEvent,
       hadHead: answer !== undefined,
       eventCount,
-      ...received,
+      ...exchange.received,
       parts: this.#parts,
       mayHaveRun: this.#mayHaveRun,
     });
--- a/packages/gateway/src/lib/dispatch/sent-attempt.ts
+++ b/packages/gateway/src/lib/dispatch/sent-attempt.ts
@@ -1,5 +1,4 @@
-import { EventSplitter } from '@chervilseam/decisions';
-import { BlockBuffer } from '@chervilseam/model';
+import { BlockBuffer, EventEndFinder } from '@chervilseam/model';
 import type { Endpoint } from '../feed/endpoint.js';
 import type { AnswerHead } from '../ports/answer-head.js';
 import type { EndpointAttempt } from './endpoint-attempt.js';
@@ -26,9 +25,9 @@
   #exchange!: EndpointAttempt;
   #answer: AnswerHead | undefined;
   #eventCount = 0;
-  #bodyBytes = 0;
-  #partCount = 0;
   readonly #buffered = new BlockBuffer();
+  readonly #bufferedEnds = new EventEndFinder();
+  #hasEvent = false;
   #isReleased = false;
   #isPrefilling: boolean;
 
@@ -59,11 +58,6 @@
     return this.#eventCount;
   }
 
-  /** What has arrived of the answer's body, for the log: its length in bytes and the number of parts it came in. */
-  get received(): { readonly bodyBytes: number; readonly bodyParts: number } {
-    return { bodyBytes: this.#bodyBytes, bodyParts: this.#partCount };
-  }
-
   /** What was kept of the answer's body. */
   get body(): Buffer {
     return this.#buffered.join();
@@ -81,7 +75,7 @@
 
   /** Whether what was kept of a stream contains a complete event. */
   get hasEvent(): boolean {
-    return new EventSplitter().push(this.body).length > 0;
+    return this.#hasEvent;
   }
 
   /** @param exchange - the exchange with the endpoint, before it begins */
@@ -94,12 +88,6 @@
     this.#answer = answer;
   }
 
-  /** @param bytes - length of a further part of the answer's body */
-  countPart(bytes: number): void {
-    this.#bodyBytes += bytes;
-    this.#partCount += 1;
-  }
-
   /** @param count - number of further complete events that were relayed */
   countEvents(count: number): void {
     this.#eventCount += count;
@@ -113,6 +101,7 @@
    */
   buffer(chunk: Buffer): number {
     this.#buffered.append(chunk);
+    this.#hasEvent ||= this.#bufferedEnds.push(chunk).length > 0;
     return this.#buffered.length;
   }
 
--- a/packages/gateway/src/lib/dispatch/stream-relay.ts
+++ b/packages/gateway/src/lib/dispatch/stream-relay.ts
@@ -47,6 +47,11 @@
     return this.#splitter.pendingBytes;
   }
 
+  /** Memory that an event that is not complete yet takes, in bytes. */
+  get heldBytes(): number {
+    return this.#splitter.heldBytes;
+  }
+
   /** Whether the data received from the attempt so far ends within an event. */
   get isWithinEvent(): boolean {
     return this.pendingBytes > 0;
--- a/packages/gateway/src/test/endpoint-attempt_test.ts
+++ b/packages/gateway/src/test/endpoint-attempt_test.ts
@@ -135,6 +135,85 @@
     });
   });
 
+  // Each chunk of a body was passed on by itself, and all that had been read of it in one go: answers in chunks of one byte kept
+  // the event loop from everything else.
+  describe('with a body in chunks of one byte', () => {
+    const BODY_BYTES = 20_000;
+    /** Chunks that may be passed on before other connections have their turn. */
+    const TURN_BYTES_MAX = 2_000;
+    const body = Array.from({ length: BODY_BYTES }, (_, index) => String(index % 10)).join('');
+    let parts: string[];
+    let turnBytes: number[];
+    let isWritable: (part: string) => boolean;
+
+    beforeEach(() => {
+      parts = [];
+      turnBytes = [0];
+      isWritable = () => true;
+      const chunks = [...body].map((letter) => `1\r\n${letter}\r\n`).join('');
+      script = (socket) => socket.write(`${chunked}\r\n${chunks}0\r\n\r\n`);
+    });
+
+    const receive = (): { attempt: EndpointAttempt; ended: Promise<boolean> } => {
+      let attempt!: EndpointAttempt;
+      const ended = new Promise<boolean>((resolve) => {
+        attempt = new EndpointAttempt(
+          {
+            onHead: () => {},
+            onData: (chunk) => {
+              parts.push(chunk.toString());
+              turnBytes[turnBytes.length - 1] += chunk.length;
+              return isWritable(chunk.toString());
+            },
+            onEnd: (isCertain) => resolve(isCertain),
+            onFail: () => resolve(false),
+          },
+          readAnswer,
+          () => endpoint.connectionEnding,
+        );
+      });
+      const request = { method: 'POST', path: '/', headers: [], body: Buffer.from('{}') };
+      attempt.send(endpoint.pool, request);
+      return { attempt, ended };
+    };
+
+    it('passes it on whole, in few parts', async () => {
+      expect(await receive().ended).to.equal(true);
+      expect(parts.join('')).to.equal(body);
+      expect(parts.length).to.be.lessThan(BODY_BYTES / 100);
+    });
+
+    it('lets other connections have their turn', async () => {
+      let isOver = false;
+      const nextTurn = (): void => {
+        turnBytes.push(0);
+        if (!isOver) setImmediate(nextTurn);
+      };
+      nextTurn();
+      await receive().ended;
+      isOver = true;
+      expect(Math.max(...turnBytes)).to.be.lessThan(TURN_BYTES_MAX);
+    });
+
+    it('stops while its listener cannot take more, and goes on', async () => {
+      isWritable = (part) => part.length < 100;
+      const { attempt, ended } = receive();
+      let isOver = false;
+      void ended.then(() => {
+        isOver = true;
+      });
+      while (!isOver) {
+        const { length } = parts;
+        // eslint-disable-next-line no-await-in-loop
+        await sleep(5);
+        expect(parts.length - length, 'parts without a resume').to.be.at.most(6);
+        attempt.resume();
+      }
+      expect(await ended).to.equal(true);
+      expect(parts.join('')).to.equal(body);
+    });
+  });
+
   // Interim responses took the time of the request, and the processor, without end.
   it('fails when interim responses do not end', async () => {
     let sentCount = 0;
--- a/packages/gateway/src/test/sent-attempt_test.ts
+++ b/packages/gateway/src/test/sent-attempt_test.ts
@@ -4,6 +4,7 @@
 import { endpointRecordOf } from './endpoint-record-of.js';
 
 const BODY_BYTES = 100_000;
+const SHORT_BYTES = 4_096;
 /** Longest block that a body is collected in, in bytes. */
 const BLOCK_BYTES = 16 * 1024;
 
@@ -33,4 +34,28 @@
     expect(attempt.takeBuffered().equals(Buffer.alloc(BODY_BYTES, 'x'))).to.equal(true);
     expect(attempt.heldBytes).to.equal(0);
   });
+
+  // All that was kept was split into events again for each chunk.
+  it('finds an event whose end comes in two chunks', () => {
+    ['data: a', '\n'].forEach((part) => attempt.buffer(Buffer.from(part)));
+    expect(attempt.hasEvent).to.equal(false);
+    attempt.buffer(Buffer.from('\ndata: b'));
+    expect(attempt.hasEvent).to.equal(true);
+  });
+
+  it('looks for events in a time that grows with the length of the answer', () => {
+    const durationMs = (bytes: number): number => {
+      const byte = Buffer.from('x');
+      const startMs = performance.now();
+      for (let index = 0; index < bytes; index += 1) {
+        attempt.buffer(byte);
+        expect(attempt.hasEvent).to.equal(false);
+      }
+      attempt.takeBuffered();
+      return performance.now() - startMs;
+    };
+    durationMs(SHORT_BYTES);
+    // The work of a square would be 256 times as much.
+    expect(durationMs(16 * SHORT_BYTES) / durationMs(SHORT_BYTES)).to.be.lessThan(64);
+  });
 });
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -11,6 +11,7 @@
 export { configSchemas } from './lib/config-schemas.js';
 export { keyDigestOf } from './lib/key-digest-of.js';
 export { shownDigestOf } from './lib/shown-digest-of.js';
+export { EventEndFinder } from './lib/event-end-finder.js';
 export type { Finding } from './lib/finding.js';
 export { formatFinding } from './lib/format-finding.js';
 export { matchesSelector } from './lib/matches-selector.js';
--- a/packages/model/src/lib/block-buffer.ts
+++ b/packages/model/src/lib/block-buffer.ts
@@ -43,6 +43,14 @@
     this.#length += part.length;
   }
 
+  /**
+   * @param bytes - number of bytes, not more than were collected nor than the first block holds
+   * @returns the first collected bytes
+   */
+  first(bytes: number): Buffer {
+    return this.#blocks[0].subarray(0, bytes);
+  }
+
   /** @returns all collected bytes */
   join(): Buffer {
     const last = this.#blocks.at(-1);
--- a/packages/model/src/test/block-buffer_test.ts
+++ b/packages/model/src/test/block-buffer_test.ts
@@ -30,6 +30,7 @@
 
   it('keeps nothing of what was taken', () => {
     const { buffer, bytes } = filled();
+    expect(buffer.first(4).equals(bytes.subarray(0, 4))).to.equal(true);
     expect(buffer.take().equals(bytes)).to.equal(true);
     expect(buffer).to.include({ length: 0, heldBytes: 0 });
     buffer.append(Buffer.from('next'));
