--- a/packages/gateway/src/lib/dispatch/stream-relay.ts
+++ b/packages/gateway/src/lib/dispatch/stream-relay.ts
@@ -72,15 +72,14 @@
    */
   push(chunk: Buffer): RelayResult {
     const gapMs = this.#recordChunk();
-    let isWritable = true;
     const events = this.#splitter.push(chunk);
     events.forEach(({ number, data }) => {
       // A resumed stream may repeat events that the caller has already.
       if (number !== undefined && number <= (this.#lastEvent ?? -1)) return;
       if (number !== undefined) this.#lastEvent = number;
-      isWritable = this.#exchange.write(data);
+      this.#exchange.write(data);
     });
-    return { isWritable, eventCount: events.length, gapMs };
+    return { isWritable: this.#exchange.isWritable, eventCount: events.length, gapMs };
   }
 
   /**
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { HeldMemory, MemoryBudget } from '@chervilseam/decisions';
+import { BlockBuffer } from '@chervilseam/model';
 import { MemoryKind } from './memory-kind.js';
 
 const MS_PER_SECOND = 1_000;
@@ -21,11 +22,17 @@
   readonly isFirst: boolean;
   /** Called once when the connection closes before the answer is complete. */
   onGone: () => void = () => {};
-  /** Called when the caller can take more data after `write` returned false. */
+  /** Called when more data can be written again, as `isWritable` tells. */
   onDrain: () => void = () => {};
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   #isOver = false;
+  /** Length of the memory that the write in progress keeps, in bytes; 0 without one. */
+  #writingBytes = 0;
+  /** What follows it. Each write takes some hundred bytes besides its data, and events may have two bytes. */
+  readonly #waiting = new BlockBuffer();
+  /** Whether no more data can be written until `onDrain` is called. */
+  #isFull = false;
   #unsent: HeldMemory | undefined;
 
   /**
@@ -51,6 +58,7 @@
     this.isFirst = isFirst;
     const { socket } = request;
     const onGone = (): void => {
+      this.#waiting.clear();
       if (this.#isOver) return;
       this.#isOver = true;
       this.onGone();
@@ -61,10 +69,6 @@
       socket.off('end', onGone);
       onGone();
     });
-    response.on('drain', () => {
-      this.#countUnsent();
-      this.onDrain();
-    });
   }
 
   /**
@@ -95,6 +99,11 @@
     return this.#response.headersSent;
   }
 
+  /** Whether more data can be written now; otherwise wait for `onDrain`. */
+  get isWritable(): boolean {
+    return !this.#isFull;
+  }
+
   /** Whether the answer was ended or cut, or the caller has gone. */
   get isOver(): boolean {
     return this.#isOver;
@@ -137,14 +146,14 @@
   /**
    * Sends a part of the body.
    *
-   * @param data - the bytes
-   * @returns whether more data can be written now; otherwise wait for `onDrain`
+   * @param data - the bytes; they are sent even if no more data can be written now
    */
-  write(data: Buffer): boolean {
-    if (this.#isOver) return true;
-    const isWritable = this.#response.write(data);
+  write(data: Buffer): void {
+    if (this.#isOver) return;
+    if (this.#writingBytes > 0) this.#waiting.append(data);
+    else this.#send(data);
     this.#countUnsent();
-    return isWritable || this.#response.writableLength < UNREAD_BYTES_MAX;
+    this.#isFull = this.#unsentBytes >= UNREAD_BYTES_MAX;
   }
 
   /**
@@ -155,7 +164,32 @@
   end(data?: Buffer): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    this.#endResponse(data);
+    if (this.#waiting.length === 0) {
+      this.#endResponse(data);
+      return;
+    }
+    if (data) this.#waiting.append(data);
+    this.#endResponse(this.#waiting.take());
+  }
+
+  get #unsentBytes(): number {
+    return this.#response.writableLength + this.#waiting.length;
+  }
+
+  #send(data: Buffer): void {
+    // A part keeps the whole of what was read in memory.
+    this.#writingBytes = data.buffer.byteLength;
+    this.#response.write(data, (error) => this.#onWritten(error));
+  }
+
+  #onWritten(error: Error | null | undefined): void {
+    this.#writingBytes = 0;
+    if (error || this.#isOver) return;
+    if (this.#waiting.length > 0) this.#send(this.#waiting.take());
+    this.#countUnsent();
+    if (!this.#isFull || this.#unsentBytes >= UNREAD_BYTES_MAX) return;
+    this.#isFull = false;
+    this.onDrain();
   }
 
   #endResponse(data?: Buffer): void {
@@ -166,7 +200,8 @@
   }
 
   #countUnsent(): void {
-    this.#unsent?.resize(this.#response.writableLength);
+    const writingBytes = Math.max(this.#response.writableLength, this.#writingBytes);
+    this.#unsent?.resize(writingBytes + this.#waiting.heldBytes);
   }
 
   /** Closes the connection, so that the caller cannot take a truncated answer for a complete one. */
--- a/packages/peer/src/lib/peer-stream.ts
+++ b/packages/peer/src/lib/peer-stream.ts
@@ -8,6 +8,9 @@
 /** Largest amount of data in one frame; longer data is sent in several. */
 const DATA_BYTES_MAX = 128 * 1024;
 
+/** Largest part that is sent together with those that follow in the same turn of the event loop, in bytes. */
+const JOINED_BYTES_MAX = 1024;
+
 /** Receives the events of a stream; the last call is `onEnd` or `onFail`. */
 interface StreamListener {
   /** The peer sent the head of its answer. */
@@ -39,6 +42,8 @@
   #isClosed = false;
   /** Data that arrived while paused; `undefined` while not paused. */
   #heldData: BlockBuffer | undefined;
+  /** Short parts that are sent in one frame at the end of this turn of the event loop: each frame has its own cost. */
+  readonly #joinedData = new BlockBuffer();
 
   /**
    * @param id - id of the stream, unique on its connection
@@ -54,6 +59,7 @@
   /** Sends the head of an answer. */
   head(params: unknown): void {
     if (this.#isLocalEnded) return;
+    this.#sendJoined();
     this.#send({ type: 'head', stream: this.#id, params });
   }
 
@@ -65,17 +71,37 @@
    */
   write(data: Uint8Array): boolean {
     if (this.#isLocalEnded) return true;
+    if (data.length <= JOINED_BYTES_MAX) {
+      this.#join(data);
+    } else {
+      this.#sendJoined();
+      this.#sendData(data);
+    }
+    this.#unacknowledgedBytes += data.length;
+    return this.#unacknowledgedBytes < WINDOW_BYTES;
+  }
+
+  #join(data: Uint8Array): void {
+    if (this.#joinedData.length === 0) process.nextTick(() => this.#sendJoined());
+    this.#joinedData.append(data);
+  }
+
+  #sendJoined(): void {
+    if (this.#joinedData.length === 0 || this.#isClosed) return;
+    this.#sendData(this.#joinedData.take());
+  }
+
+  #sendData(data: Uint8Array): void {
     for (let offset = 0; offset < data.length; offset += DATA_BYTES_MAX) {
       const part = data.subarray(offset, offset + DATA_BYTES_MAX);
       this.#send({ type: 'data', stream: this.#id, data: part });
     }
-    this.#unacknowledgedBytes += data.length;
-    return this.#unacknowledgedBytes < WINDOW_BYTES;
   }
 
   /** Ends this side normally; the peer's side stays open until the peer ends it. */
   end(params: unknown = null): void {
     if (this.#isLocalEnded) return;
+    this.#sendJoined();
     this.#send({ type: 'end', stream: this.#id, params });
     this.#endLocal();
   }
