--- a/packages/gateway/src/lib/ingress/body-reader.ts
+++ b/packages/gateway/src/lib/ingress/body-reader.ts
@@ -3,7 +3,7 @@
 import { BlockBuffer } from '@chervilseam/model';
 import type { MemoryKind } from './memory-kind.js';
 
-/** Bytes that are held for a request besides its body: its head and the state of its run. */
+/** Bytes that are held for an ordinary request besides its body: its head and the state of its run. */
 const REQUEST_BYTES = 4 * 1024;
 /** Bytes by which more is held for a body whose length is not known; the first ones are a small holding. */
 const STEP_BYTES = 64 * 1024 - REQUEST_BYTES;
@@ -32,6 +32,8 @@
   /** Time until the body has to be complete, in milliseconds. */
   readonly timeoutMs: number;
   readonly nowMs: () => number;
+  /** Memory that the head and the state of the run take, in bytes. */
+  readonly requestBytes: number;
   readonly admission: BodyAdmission<MemoryKind>;
   /** Memory of the request; the caller of this class ends that of a body that was read. */
   readonly held: HeldMemory;
@@ -98,7 +100,7 @@
 
   #start(): void {
     const request = this.#request;
-    const { bytesMax, timeoutMs } = this.#context;
+    const { bytesMax, timeoutMs, requestBytes } = this.#context;
     const declared = this.#declaredBytes;
     if (declared !== undefined && declared > bytesMax) {
       this.#settle({ kind: 'too-large' });
@@ -112,14 +114,15 @@
       declared === undefined
         ? STEP_BYTES
         : declared + Math.min(READING_BYTES_MAX, Math.ceil(READING_SHARE * declared));
-    this.#admit(REQUEST_BYTES + firstBytes, () =>
+    this.#admit(requestBytes + firstBytes, () =>
       request.on('data', (chunk: Buffer) => this.#onData(chunk)),
     );
   }
 
   #onEnd(): void {
     if (this.#isSettled) return;
-    this.#context.held.resize(REQUEST_BYTES + this.#bytes);
+    const { held, requestBytes } = this.#context;
+    held.resize(requestBytes + this.#bytes);
     this.#settle({ kind: 'whole', body: this.#buffer.join() });
   }
 
@@ -150,7 +153,7 @@
 
   #onData(chunk: Buffer): void {
     if (this.#isSettled) return;
-    const { bytesMax, held, nowMs } = this.#context;
+    const { bytesMax, held, nowMs, requestBytes } = this.#context;
     this.#lastByteMs = nowMs();
     this.#bytes += chunk.length;
     if (this.#bytes > bytesMax) {
@@ -158,7 +161,7 @@
       return;
     }
     this.#buffer.append(chunk);
-    if (this.#bytes + REQUEST_BYTES <= held.bytes) return;
+    if (this.#bytes + requestBytes <= held.bytes) return;
     this.#request.pause();
     this.#admit(STEP_BYTES, () => this.#request.resume());
   }
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -94,6 +94,12 @@
     return this.#request.headers;
   }
 
+  /** Frees the headers of a request that is not passed on: many short ones take far more than their length. */
+  dropHeaders(): void {
+    this.#request.rawHeaders.length = 0;
+    this.#request.headers = {};
+  }
+
   /** Whether the head of the answer has been sent. */
   get isAnswering(): boolean {
     return this.#response.headersSent;
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -24,17 +24,25 @@
 const IDLE_MARGIN_MS = 2_000;
 /** Bytes counted for each header name and each value: colon, space and CRLF are 4 for the two. */
 const SEPARATOR_BYTES = 2;
+/** Memory of a request without headers and body, with the state of its run, in bytes. */
+const REQUEST_BYTES = 3 * 1024;
+/** Memory of a parsed header besides the bytes of its name and value, in bytes: it is kept in a list and by name. */
+const HEADER_BYTES = 100;
+/** Largest head, with the state of its run, that may wait for memory rather than being refused, in bytes. */
+const WAITING_HEAD_BYTES_MAX = 64 * 1024;
 /** Longest time that a body may take, in milliseconds, if its caller does not say how long it waits. */
 const BODY_TIMEOUT_MS = 60_000;
 /** `Retry-After` of a request for which there is no memory, in milliseconds. */
 const NO_MEMORY_RETRY_MS = 500;
+/** Answer to a request that is not passed on. */
+interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
 /** How a request is refused whose body was not read, by the reason. */
-const refusalOf: Readonly<
-  Record<
-    'too-large' | 'no-memory' | 'late',
-    { readonly status: number; readonly reason: string; readonly retryAfterMs?: number }
-  >
-> = {
+const refusalOf: Readonly<Record<'too-large' | 'no-memory' | 'late', Refusal>> = {
   'too-large': { status: 413, reason: 'body too large' },
   'no-memory': {
     status: 503,
@@ -43,13 +51,19 @@
   },
   late: { status: 408, reason: 'body not complete in time' },
 };
+/** Answer to a request whose head is too large for the memory that is left. */
+const HEAD_REFUSAL: Refusal = {
+  status: 503,
+  reason: 'no memory for the head',
+  retryAfterMs: NO_MEMORY_RETRY_MS,
+};
 /** Time between two checks of incomplete heads, in milliseconds. */
 const HEADS_INTERVAL_MS = 100;
 /** Share of the memory budget that incomplete heads may take. */
 const HEADS_SHARE = 0.25;
 
 /** What was closed or given up to make room for others. */
-type ShedReason = 'connection' | 'stalled body';
+type ShedReason = 'connection' | 'stalled body' | 'head';
 
 /** Dependencies of the server. */
 interface IngressContext {
@@ -166,7 +180,7 @@
 
   async #onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { socket } = request;
-    const { nowMs, lagMs, limits, memory, readHead, onRequest } = this.#context;
+    const { nowMs, lagMs, limits, memory, readHead, onRequest, onShed } = this.#context;
     const feed = this.#feeds.get(socket);
     // What was read before the connection was closed for another reason.
     if (!feed || socket.destroyed) return;
@@ -188,7 +202,14 @@
     const { headerBytesMax = HEADER_BYTES_PARSED, bodyBytesMax = Infinity } = limits() ?? {};
     const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
     if (headerBytes + request.rawHeaders.length * SEPARATOR_BYTES > headerBytesMax) {
-      exchange.refuse(431, 'headers too large');
+      IngressServer.#refuseUnread(request, exchange, { status: 431, reason: 'headers too large' });
+      return;
+    }
+    const requestBytes =
+      REQUEST_BYTES + headerBytes + (request.rawHeaders.length / 2) * HEADER_BYTES;
+    if (requestBytes > WAITING_HEAD_BYTES_MAX && !memory.fits(requestBytes)) {
+      IngressServer.#refuseUnread(request, exchange, HEAD_REFUSAL);
+      onShed('head');
       return;
     }
     const held = memory.hold(MemoryKind.request);
@@ -199,6 +220,7 @@
       bytesMax: bodyBytesMax,
       timeoutMs: Math.min(BODY_TIMEOUT_MS, head.waitMs ?? BODY_TIMEOUT_MS),
       nowMs,
+      requestBytes,
       admission: this.#admission,
       held,
     });
@@ -211,8 +233,18 @@
       onRequest(exchange, head, result.body);
       return;
     }
-    const { status, reason, retryAfterMs } = refusalOf[result.kind];
+    IngressServer.#refuseUnread(request, exchange, refusalOf[result.kind]);
+  }
+
+  // The rest of the body is read and dropped, so that the connection can go on.
+  static #refuseUnread(
+    request: IncomingMessage,
+    exchange: CallerExchange,
+    { status, reason, retryAfterMs }: Refusal,
+  ): void {
     exchange.refuse(status, reason, retryAfterMs);
+    exchange.dropHeaders();
+    request.resume();
   }
 
   #onConnection(socket: Socket): void {
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -70,7 +70,7 @@
   );
   readonly shed = this.counter(
     'callers_shed_total',
-    'Connections closed, and bodies that did not go on given up, to make room for others.',
+    'Connections closed, bodies that did not go on given up and large heads refused, to make room for others.',
     ['what'],
   );
   readonly instances = this.gauge('instances', 'Instances that are heard, with this one.', []);
