--- a/packages/gateway/src/lib/ingress/body-reader.ts
+++ b/packages/gateway/src/lib/ingress/body-reader.ts
@@ -4,9 +4,9 @@
 import type { MemoryKind } from './memory-kind.js';
 
 /** Bytes that are held for an ordinary request besides its body: its head and the state of its run. */
-const REQUEST_BYTES = 4 * 1024;
+const ORDINARY_REQUEST_BYTES = 4 * 1024;
 /** Bytes by which more is held for a body whose length is not known; the first ones are a small holding. */
-const STEP_BYTES = 64 * 1024 - REQUEST_BYTES;
+const STEP_BYTES = 64 * 1024 - ORDINARY_REQUEST_BYTES;
 
 /**
  * What is held for a body of known length while it is read, as a share of its length and at most in bytes: what it was
