--- a/packages/decisions/src/test/serving/request-decisions_test.ts
+++ b/packages/decisions/src/test/serving/request-decisions_test.ts
@@ -170,7 +170,7 @@
     };
     const shortBytes = 16 * 1024;
     durationMs(shortBytes);
-    // The work of a square would be 256 times as much.
+    // Quadratic work would take 256 times as long.
     expect(durationMs(16 * shortBytes) / durationMs(shortBytes)).to.be.lessThan(64);
   });
 
--- a/packages/gateway/src/lib/ingress/body-reader.ts
+++ b/packages/gateway/src/lib/ingress/body-reader.ts
@@ -3,7 +3,7 @@
 import { BlockBuffer } from '@chervilseam/model';
 import type { MemoryKind } from './memory-kind.js';
 
-/** Bytes that are held for an ordinary request besides its body: its head and the state of its run. */
+/** Memory that the head of an ordinary request and the state of its run take, in bytes. */
 const ORDINARY_REQUEST_BYTES = 4 * 1024;
 /** Bytes by which more is held for a body whose length is not known; the first ones are a small holding. */
 const STEP_BYTES = 64 * 1024 - ORDINARY_REQUEST_BYTES;
--- a/packages/gateway/src/lib/ingress/caller-exchange.ts
+++ b/packages/gateway/src/lib/ingress/caller-exchange.ts
@@ -22,14 +22,14 @@
   readonly isFirst: boolean;
   /** Called once when the connection closes before the answer is complete. */
   onGone: () => void = () => {};
-  /** Called when more data can be written again, as `isWritable` tells. */
+  /** Called when `isWritable` becomes true again. */
   onDrain: () => void = () => {};
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   #isOver = false;
-  /** Length of the memory that the write in progress keeps, in bytes; 0 without one. */
+  /** Memory that the write in progress keeps, in bytes; 0 when there is none. */
   #writingBytes = 0;
-  /** What follows it. Each write takes some hundred bytes besides its data, and events may have two bytes. */
+  /** Data that follows it, which is then written at once: a write takes some hundred bytes besides its data. */
   readonly #waiting = new BlockBuffer();
   /** Whether no more data can be written until `onDrain` is called. */
   #isFull = false;
--- a/packages/gateway/src/lib/ingress/ingress-server.ts
+++ b/packages/gateway/src/lib/ingress/ingress-server.ts
@@ -34,6 +34,7 @@
 const BODY_TIMEOUT_MS = 60_000;
 /** `Retry-After` of a request for which there is no memory, in milliseconds. */
 const NO_MEMORY_RETRY_MS = 500;
+
 /** Answer to a request that is not passed on. */
 interface Refusal {
   readonly status: number;
--- a/packages/gateway/src/test/sent-attempt_test.ts
+++ b/packages/gateway/src/test/sent-attempt_test.ts
@@ -55,7 +55,7 @@
       return performance.now() - startMs;
     };
     durationMs(SHORT_BYTES);
-    // The work of a square would be 256 times as much.
+    // Quadratic work would take 256 times as long.
     expect(durationMs(16 * SHORT_BYTES) / durationMs(SHORT_BYTES)).to.be.lessThan(64);
   });
 });
--- a/packages/peer/src/test/frame-codec_test.ts
+++ b/packages/peer/src/test/frame-codec_test.ts
@@ -5,7 +5,7 @@
 const SHORT_BYTES = 32 * 1024;
 /** Length of the long frame, in short ones. */
 const FACTOR = 16;
-/** Largest ratio of the times: the work of a square would be 256 times as much. */
+/** Largest ratio of the times: quadratic work would take 256 times as long. */
 const RATIO_MAX = 64;
 
 const messageOf = (bytes: number): FrameMessage => ({
--- a/packages/peer/src/test/peer_test.ts
+++ b/packages/peer/src/test/peer_test.ts
@@ -138,7 +138,7 @@
     expect(received).to.deep.equal(['0123']);
   });
 
-  // Each byte of an answer in chunks of one byte took a frame, which is thirty times as long and is kept until it is sent.
+  // Each chunk of an answer took a frame of its own, thirty times as long as a chunk of one byte and kept until it was sent.
   it('sends what is written in the same turn in one frame, in order', async () => {
     const { opener, handler } = createStreamPair();
     const received: string[] = [];
