--- a/packages/daemon/src/lib/entry/event-stream.ts
+++ b/packages/daemon/src/lib/entry/event-stream.ts
@@ -36,7 +36,7 @@
       if (this.#incomplete.length > EVENT_BYTES_MAX) return undefined;
       return { events: undefined, tokenCount: 0, isDone: false };
     }
-    const events = this.#complete(data.subarray(0, endAt));
+    const events = this.#incomplete.takeWith(data.subarray(0, endAt));
     if (endAt < data.length) this.#incomplete.append(data.subarray(endAt));
     // The last two events of a stream carry no token: the one with the finish reason, and the end
     // marker.
@@ -49,11 +49,4 @@
     this.#incomplete.clear();
     this.#ends.reset();
   }
-
-  // Returns the events that a part ends; they are copied only if they came in several parts.
-  #complete(lastPart: Buffer): Buffer {
-    if (this.#incomplete.length === 0) return lastPart;
-    this.#incomplete.append(lastPart);
-    return this.#incomplete.take();
-  }
 }
--- a/packages/decisions/src/lib/serving/event-splitter.ts
+++ b/packages/decisions/src/lib/serving/event-splitter.ts
@@ -38,7 +38,7 @@
   push(chunk: Buffer): StreamEvent[] {
     let startAt = 0;
     const events = this.#ends.push(chunk).map((endAt) => {
-      const data = this.#complete(chunk.subarray(startAt, endAt));
+      const data = this.#pending.takeWith(chunk.subarray(startAt, endAt));
       startAt = endAt;
       return { number: EventSplitter.#number(data), data };
     });
@@ -46,13 +46,6 @@
     return events;
   }
 
-  // Returns the event that a part ends; it is copied only if it came in several parts.
-  #complete(lastPart: Buffer): Buffer {
-    if (this.#pending.length === 0) return lastPart;
-    this.#pending.append(lastPart);
-    return this.#pending.take();
-  }
-
   static #number(data: Buffer): number | undefined {
     const found = ID_LINE.exec(data.toString('latin1'));
     return found ? Number(found[1]) : undefined;
--- a/packages/model/src/lib/block-buffer.ts
+++ b/packages/model/src/lib/block-buffer.ts
@@ -66,6 +66,16 @@
     return bytes;
   }
 
+  /**
+   * @param lastPart - further bytes
+   * @returns all collected bytes and `lastPart`, which is copied only if there are others; they are not kept any longer
+   */
+  takeWith(lastPart: Buffer): Buffer {
+    if (this.#length === 0) return lastPart;
+    this.append(lastPart);
+    return this.take();
+  }
+
   /** Drops all collected bytes. */
   clear(): void {
     this.#blocks = [];
--- a/packages/model/src/test/block-buffer_test.ts
+++ b/packages/model/src/test/block-buffer_test.ts
@@ -37,6 +37,15 @@
     expect(buffer.take().toString()).to.equal('next');
   });
 
+  it('copies a last part only if there are others', () => {
+    const buffer = new BlockBuffer();
+    const last = Buffer.from('last');
+    expect(buffer.takeWith(last)).to.equal(last);
+    buffer.append(Buffer.from('first '));
+    expect(buffer.takeWith(last).toString()).to.equal('first last');
+    expect(buffer).to.include({ length: 0, heldBytes: 0 });
+  });
+
   it('may be empty', () => {
     expect(new BlockBuffer().join()).to.have.length(0);
     expect(new BlockBuffer(0).join()).to.have.length(0);
