Log how long models wait for a replica, what holds their moves, and returns that were not kept

New events replica_wait_ended and return_unkept, the metric returns_due_total, waitedMs in move and move_missing, heldBy in move_held.

--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -942,7 +942,7 @@
 
   // Ends a request that has not run and never will.
   #refuse(reason: string, returnAfterMs: number): true {
-    this.#context.onRefused(this.#head, this.#target);
+    this.#context.onRefused(this.#head, this.#target, returnAfterMs);
     this.#finish('refused', 503, reason, {
       priority: this.#priority,
       retryAfterMs: Math.round(returnAfterMs),
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -249,6 +249,7 @@
       onOrder: (outcome) => this.#metrics.orders.inc({ outcome }),
       onLeaving: (endpoint) => this.#noteLeaving(endpoint),
       onMoved: (step, afterMs) => this.#metrics.observe(step, afterMs),
+      onReturnDue: (isKept) => this.#metrics.returnsDue.inc({ kept: String(isKept) }),
       onPlanned: (busyMs) => this.#metrics.observe('plan', busyMs),
     });
     this.#quotas = this.#createQuotaKeeper();
@@ -606,8 +607,8 @@
       loadAdapter: (endpoint, model, adapter) =>
         this.#fleet.loadAdapterThroughOwner(endpoint, model, adapter),
       onReceived: (head, target) => this.#fleet.recordRequest(head, target),
-      onRefused: (head, target) => {
-        this.#fleet.recordRefusal(head, target);
+      onRefused: (head, target, returnAfterMs) => {
+        this.#fleet.recordRefusal(head, target, returnAfterMs);
         if (!target.charge) return;
         const isBack = this.#quotas.giveBack(target.charge);
         this.#metrics.quotaRefunds.inc({ outcome: isBack ? 'returned' : 'late' });
--- a/packages/gateway/src/lib/observe/gateway-metrics.ts
+++ b/packages/gateway/src/lib/observe/gateway-metrics.ts
@@ -53,6 +53,11 @@
     'Models whose loads are planned or held back here.',
     [],
   );
+  readonly returnsDue = this.counter(
+    'returns_due_total',
+    'Models whose refused callers were due to return, by whether a replica could serve them.',
+    ['kept'],
+  );
   readonly waitingBodies = this.gauge(
     'bodies_waiting',
     'Requests whose bodies wait unread for memory.',
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -1,4 +1,4 @@
-import { isPlanner, lossWeight, UnloadTime } from '@chervilseam/decisions';
+import { isPlanner, lossWeight, ReturnTimes, UnloadTime } from '@chervilseam/decisions';
 import type { OrderOutcome } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
@@ -60,6 +60,8 @@
   readonly onLeaving: (endpoint: Endpoint) => void;
   /** Called with the time from the decision on a move to the order of its load, and until its model can serve. */
   readonly onMoved: (step: 'move_order' | 'move_ready', afterMs: number) => void;
+  /** Called when refused callers of a model are due to return, with whether a replica can serve them. */
+  readonly onReturnDue: (isKept: boolean) => void;
   /** Called with the time that a round of placement planning took, in milliseconds. */
   readonly onPlanned: (busyMs: number) => void;
 }
@@ -71,6 +73,8 @@
 export class EngineFleet {
   readonly demand: DemandMeter;
   readonly handover: Handover;
+  /** When the callers that this instance refused return, by model. */
+  readonly #returns = new ReturnTimes();
   readonly #context: FleetContext;
   readonly #owners = new Map<
     string,
@@ -95,6 +99,7 @@
     this.#placement = new PlacementLoop({
       logger,
       nowMs,
+      endpoints: () => registry.all,
       endpointsOf: (service) => registry.ofService(service),
       endpoint: (id) => registry.get(id),
       engineState: (id) => this.stateOf(id),
@@ -124,6 +129,7 @@
     if (nowMs() - this.#windowStartMs >= DEMAND_WINDOW_MS) {
       this.#windowStartMs = nowMs();
       this.demand.tick(nowMs());
+      this.#returns.expire(nowMs()).forEach((model) => this.#noteReturnDue(model));
     }
     this.#activatePendingShares();
     registry.all.forEach((endpoint) => {
@@ -176,14 +182,19 @@
   }
 
   /**
-   * Takes back a part of the work that was counted for a request, because it is refused.
+   * Takes back a part of the work that was counted for a request, because it is refused, and expects its caller to
+   * return.
    *
    * @param head - the request
    * @param target - its route and service
+   * @param returnAfterMs - time after which its caller was told to return, in milliseconds
    */
-  recordRefusal(head: CallerHead, { service }: RunTarget): void {
+  recordRefusal(head: CallerHead, { service }: RunTarget, returnAfterMs: number): void {
     const { engine } = service;
-    if (engine?.models.has(head.model ?? '')) this.demand.recordRefusal(head, engine.slotCount);
+    const model = engine?.models.get(head.model ?? '');
+    if (!engine || !model) return;
+    this.demand.recordRefusal(head, engine.slotCount);
+    this.#returns.record(model.name, this.#context.nowMs() + returnAfterMs);
   }
 
   /**
@@ -300,6 +311,20 @@
     if (owner) sync.beginMove({ host: owner.host, port: owner.port }, endpoint, move);
   }
 
+  #noteReturnDue(model: string): void {
+    const { registry, logger, onReturnDue } = this.#context;
+    const isKept = registry.all.some(({ id }) => this.stateOf(id)?.models.includes(model) === true);
+    onReturnDue(isKept);
+    if (isKept) return;
+    logger.info(
+      'return_unkept',
+      'no replica of a model serves the callers who were told to return',
+      {
+        model,
+      },
+    );
+  }
+
   #collectOthers(): void {
     const { nowMs, peers } = this.#context;
     if (nowMs() - this.#othersMs <= STATES_CACHE_MS) return;
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -4,8 +4,9 @@
   orderDelayMs,
   placementSteps,
   relativeWeights,
+  ReplicaWaits,
 } from '@chervilseam/decisions';
-import type { PlacementInput, PlacementMove } from '@chervilseam/decisions';
+import type { EndedWait, PlacementInput, PlacementMove } from '@chervilseam/decisions';
 import type { EngineSpec, ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
@@ -96,6 +97,7 @@
 interface PlacementContext {
   readonly logger: PartLogger;
   readonly nowMs: () => number;
+  readonly endpoints: () => readonly Endpoint[];
   readonly endpointsOf: (service: string) => readonly Endpoint[];
   readonly endpoint: (id: string) => Endpoint | undefined;
   /** State that the owner of an engine published, or `undefined` while no owner is reachable. */
@@ -160,6 +162,9 @@
   /** Requested moves that the owner may not have published yet, by engine. */
   readonly #pending = new Map<string, PendingMove>();
   readonly #planned = new PlannedLoads();
+  readonly #waits = new ReplicaWaits();
+  /** Waits that have ended since the last round of an instance that plans. */
+  #endedWaits: readonly EndedWait[] = [];
   /** Models that were loaded only since there was free memory, and that no request has asked for since. */
   readonly #speculative = new Set<string>();
 
@@ -173,8 +178,8 @@
   }
 
   /**
-   * Records the loads from the weight store that the engines' owners published. All instances do so,
-   * because any of them may have to plan next.
+   * Records the loads from the weight store that the engines' owners published, and how long models without a
+   * replica have been asked for. All instances do so, because any of them may have to plan next.
    *
    * @param config - the configuration in force
    */
@@ -188,6 +193,10 @@
         );
       });
     });
+    this.#endedWaits = this.#waits.observe(
+      { requested: this.#requested(), ready: this.#readyModels() },
+      nowMs(),
+    );
   }
 
   /** Expected time until each model that is planned to be loaded can serve, in milliseconds. */
@@ -206,6 +215,7 @@
     if (this.#isPlanning || nowMs() < this.#nextRoundMs) return;
     this.#isPlanning = true;
     try {
+      this.#endedWaits.forEach((wait) => this.#logWait(wait));
       const startMs = nowMs();
       const busyMs = await this.#planServices(config, demand());
       this.#nextRoundMs = startMs + busyMs / PLANNING_SHARE_MAX;
@@ -215,6 +225,31 @@
     }
   }
 
+  #logWait({ model, waitedMs, isReady }: EndedWait): void {
+    const text = isReady ? 'a model has got a replica' : 'a model without a replica left the plan';
+    this.#context.logger.info('replica_wait_ended', text, {
+      model,
+      waitedMs: Math.round(waitedMs),
+      isReady,
+    });
+  }
+
+  // Models that callers ask for: requests that a load of their model would make late are refused while it has no
+  // replica, or before it is due, so none of them is queued, and its demand decides instead.
+  #requested(): ReadonlySet<string> {
+    const { awaited, lateAfterLoadModels, demand } = this.#context;
+    const tokens = demand();
+    const late = [...lateAfterLoadModels()].filter(
+      (model) => (tokens.get(model) ?? 0) > AWAITED_DEMAND,
+    );
+    return new Set([...awaited(), ...late]);
+  }
+
+  #readyModels(): ReadonlySet<string> {
+    const { endpoints, engineState } = this.#context;
+    return new Set(endpoints().flatMap(({ id }) => engineState(id)?.models ?? []));
+  }
+
   // Returns the time that planning took, in milliseconds.
   async #planServices(
     { services }: ServingConfig,
@@ -286,7 +321,7 @@
     const { nowMs, logger } = this.#context;
     const { engine, load, unload, unloadMs, reason, gain } = move;
     if (this.#isFixed(engine)) return;
-    const heldMs = this.#heldMs(move, service);
+    const { heldMs, heldBy } = this.#hold(move, service);
     // Only a model without a replica has callers who wait for its load.
     if (heldMs > 0 && reason !== MoveReason.reach) return;
     const readyMs = Math.round(nowMs() + heldMs + this.#durationMs(move, service.spec));
@@ -296,6 +331,7 @@
       unload,
       unloadMs: Math.round(unloadMs),
       heldMs: Math.round(heldMs),
+      waitedMs: Math.round(this.#waits.waitedMs(load, nowMs())),
       readyInMs: Math.round(readyMs - nowMs()),
       gain: Math.round(gain),
       demand: Math.round(service.demand.get(load) ?? 0),
@@ -304,19 +340,20 @@
     const isNew = this.#planned.add(load, readyMs);
     if (heldMs === 0) this.#request(move, readyMs);
     if (heldMs === 0) logger.info('move', reason, fields);
-    else if (isNew) logger.info('move_held', reason, fields);
+    else if (isNew) logger.info('move_held', reason, { ...fields, heldBy });
   }
 
-  // Time until a move may begin, in milliseconds.
-  #heldMs(move: PlacementMove, service: PlannedService): number {
+  // Time until a move may begin, in milliseconds, and which limit holds it back until then.
+  #hold(move: PlacementMove, service: PlannedService): { heldMs: number; heldBy: string } {
     const { load, reason } = move;
     const isUncriticalReach = service.lowPriority.has(load) && reason === MoveReason.reach;
     const isLowPriority = isUncriticalReach || reason === MoveReason.residence;
     const shareMax = isUncriticalReach ? TOLERANT_CHANGING_SHARE_MAX : changingShareMax[reason];
-    return Math.max(
-      this.#changeDelayMs(service.endpoints, shareMax),
-      this.#storeDelayMs(move, service, isLowPriority),
-    );
+    const changeMs = this.#changeDelayMs(service.endpoints, shareMax);
+    const storeMs = this.#storeDelayMs(move, service, isLowPriority);
+    return changeMs > storeMs
+      ? { heldMs: changeMs, heldBy: 'changing engines' }
+      : { heldMs: storeMs, heldBy: 'weight store' };
   }
 
   #request({ engine, load, unload, unloadMs, reason }: PlacementMove, readyMs: number): void {
@@ -335,7 +372,8 @@
     const retryInMs = Math.max(SHORTFALL_MIN_MS, loadMs);
     const isNew = this.#planned.add(load, this.#context.nowMs() + retryInMs + loadMs);
     if (!isNew) return;
-    const fields = { load, missingBytes, retryInMs };
+    const waitedMs = Math.round(this.#waits.waitedMs(load, this.#context.nowMs()));
+    const fields = { load, missingBytes, retryInMs, waitedMs };
     this.#context.logger.info('move_missing', 'no engine can take a model', fields);
   }
 
@@ -362,7 +400,7 @@
     demand: ReadonlyMap<string, number>,
     engines: readonly { readonly tokensPerSecond: number }[],
   ) {
-    const awaited = this.#context.awaited();
+    const requested = this.#requested();
     const urgent = this.#context.urgentModels();
     const lateAfterLoad = this.#context.lateAfterLoadModels();
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
@@ -374,10 +412,7 @@
         name,
         bytes: sizeMb * BYTES_PER_MB,
         mustStayResident: false,
-        // Requests that a load of their model would make late are refused while it has no replica, or before it
-        // is due, so none of them is queued. The model's demand decides instead.
-        hasWaitingRequests:
-          awaited.has(name) || (lateAfterLoad.has(name) && tokenDemand > AWAITED_DEMAND),
+        hasWaitingRequests: requested.has(name),
         isCritical: urgent.has(name),
         isLateAfterLoad: lateAfterLoad.has(name) && !urgent.has(name),
         isSpeculative: this.#speculative.has(name),
