An adapter that others leave no slot takes one after a second

What callers saw: requests for an adapter waited in vain while as many other adapters as an engine has slots were in constant use. SlotWaits remembers who asked; after a second the longest waiting adapter takes the slot of the one used least recently, and no other one takes a slot before it.

Evidence: 'gets one within two seconds' and 'gets one before others that came later' (engine-owner_test) fail on the code before (2 of 6) and pass now (6).

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -94,6 +94,7 @@
 export { WaitQueue } from './lib/serving/wait-queue.js';
 export type { Waiter } from './lib/serving/wait-queue.js';
 export { prefillLimitMs } from './lib/serving/prefill-limit-ms.js';
+export { SlotWaits } from './lib/serving/slot-waits.js';
 export { WorkspaceIndex } from './lib/serving/workspace-index.js';
 export { HoldTime } from './lib/serving/hold-time.js';
 export { placeEtaMs } from './lib/serving/place-eta-ms.js';
--- a/packages/gateway/src/lib/owner/engine-owner.ts
+++ b/packages/gateway/src/lib/owner/engine-owner.ts
@@ -3,6 +3,7 @@
   EngineInventory,
   orderDelayMs,
   OrderOutcome,
+  SlotWaits,
   UNLOAD_NOTICE_MS,
 } from '@chervilseam/decisions';
 import type { EngineOrder } from '@chervilseam/decisions';
@@ -23,6 +24,11 @@
 const ADAPTER_LOAD_MS = 11;
 /** An adapter that was used within this time is not evicted, in milliseconds. */
 const ADAPTER_IDLE_MIN_MS = 200;
+/**
+ * Time for which an adapter waits for a slot before it takes one whose adapter is in use, in milliseconds; no other one
+ * takes a slot before it then.
+ */
+const ADAPTER_WAIT_MAX_MS = 1_000;
 /**
  * Number of times that an unanswered order is sent again. All copies name the same number of previous
  * orders, so the engine accepts at most one of them.
@@ -76,6 +82,8 @@
   #queuedCount = 0;
   #lastOrderMs = -Infinity;
   #nextReportMs = 0;
+  /** Adapters that were asked for while no slot was free. */
+  readonly #slotWaits = new SlotWaits();
   #move: EngineMove | undefined;
   /** When the current or latest move began, in milliseconds. */
   #movedMs = 0;
@@ -236,15 +244,27 @@
     if (this.#engine.adapterState(model, adapter)) return;
     const load: EngineOrder = { action: 'load', model, adapter };
     const needsSlot = !this.#engine.holdsSlot(model, adapter);
-    if (needsSlot && this.#engine.adapterCount >= this.#spec.adapterSlotCount) {
+    if (needsSlot && !(await this.#freeSlot(`${model}/${adapter}`))) return;
+    await this.#order(load);
+  }
+
+  // Makes room for an adapter. Returns whether it may take a slot now.
+  async #freeSlot(item: string): Promise<boolean> {
+    const nowMs = this.#context.nowMs();
+    this.#slotWaits.ask(item, nowMs);
+    const longest = this.#slotWaits.longest(nowMs);
+    const isOverdue = longest !== undefined && longest.waitedMs > ADAPTER_WAIT_MAX_MS;
+    if (isOverdue && longest.item !== item) return false;
+    if (this.#engine.adapterCount >= this.#spec.adapterSlotCount) {
       // Its slot becomes free once no request uses it any more.
-      if (this.#engine.hasLeavingAdapters) return;
-      const unload = this.#engine.idleAdapterUnload(this.#context.nowMs() - ADAPTER_IDLE_MIN_MS);
-      if (!unload) return;
+      if (this.#engine.hasLeavingAdapters) return false;
+      const unload = this.#engine.idleAdapterUnload(nowMs - (isOverdue ? 0 : ADAPTER_IDLE_MIN_MS));
+      if (!unload) return false;
       await this.#order(unload);
-      if (this.#engine.hasLeavingAdapters) return;
+      if (this.#engine.hasLeavingAdapters) return false;
     }
-    await this.#order(load);
+    this.#slotWaits.end(item);
+    return true;
   }
 
   // The next step of the move: unloads its models one at a time, each after its notice, then loads the
--- a/packages/gateway/src/test/engine-owner_test.ts
+++ b/packages/gateway/src/test/engine-owner_test.ts
@@ -66,6 +66,23 @@
   }
 }
 
+const ownerOf = (calls: EngineCalls): EngineOwner =>
+  new EngineOwner(
+    {
+      instance: 'self',
+      calls,
+      logger: PartLogger.forInstance('self', 'fatal')('engine'),
+      nowMs: () => performance.now(),
+      token: () => 1,
+      onLeaving: () => undefined,
+      onChanged: () => undefined,
+      onMoved: () => undefined,
+      onSend: () => () => {},
+    },
+    new Endpoint(endpointRecordOf('i-1')),
+    spec,
+  );
+
 // An engine that is ordered to load more adapters than it has slots for crashes.
 describe('EngineOwner: adapters of one engine', () => {
   let engine: FakeEngine;
@@ -74,22 +91,7 @@
 
   beforeEach(async () => {
     engine = new FakeEngine();
-    const endpoint = new Endpoint(endpointRecordOf('i-1'));
-    owner = new EngineOwner(
-      {
-        instance: 'self',
-        calls: engine,
-        logger: PartLogger.forInstance('self', 'fatal')('engine'),
-        nowMs: () => performance.now(),
-        token: () => 1,
-        onLeaving: () => undefined,
-        onChanged: () => undefined,
-        onMoved: () => undefined,
-        onSend: () => () => {},
-      },
-      endpoint,
-      spec,
-    );
+    owner = ownerOf(engine);
     timer = setInterval(() => owner.tick(), 10);
     await sleep(IDLE_MS);
   });
@@ -118,6 +120,49 @@
   });
 });
 
+// Adapters in constant use kept every slot, and one that was asked for again and again never got any.
+describe('EngineOwner: an adapter that others leave no slot', () => {
+  let engine: FakeEngine;
+  let owner: EngineOwner;
+  let timers: NodeJS.Timeout[];
+
+  beforeEach(async () => {
+    engine = new FakeEngine();
+    owner = ownerOf(engine);
+    timers = [
+      setInterval(() => owner.tick(), 10),
+      setInterval(() => owner.recordUse(['m/a1', 'm/a2']), 20),
+    ];
+    await sleep(IDLE_MS);
+  });
+
+  afterEach(() => timers.forEach((timer) => clearInterval(timer)));
+
+  const askUntilLoaded = async (adapter: string, untilMs: number): Promise<boolean> => {
+    while (performance.now() < untilMs) {
+      // eslint-disable-next-line no-await-in-loop
+      if (await owner.loadAdapter('m', adapter, false)) return true;
+      // eslint-disable-next-line no-await-in-loop
+      await sleep(50);
+    }
+    return false;
+  };
+
+  it('gets one within two seconds', async () => {
+    expect(await askUntilLoaded('a3', performance.now() + 2_000)).to.equal(true);
+    expect(engine.adapterCountMax).to.be.at.most(SLOT_COUNT);
+  });
+
+  it('gets one before others that came later', async () => {
+    const untilMs = performance.now() + 5_000;
+    const first = askUntilLoaded('a3', untilMs).then(() => performance.now());
+    await sleep(100);
+    const second = askUntilLoaded('a4', untilMs).then(() => performance.now());
+    expect(await first).to.be.below(await second);
+    expect(await second).to.be.below(untilMs);
+  });
+});
+
 // An engine was ordered beyond its memory: its owner counted a model that a later configuration no longer
 // named as nothing, and did not learn of later configurations at all.
 describe('EngineOwner: an engine with models of an earlier configuration', () => {
