Models without a replica are loaded in turn

Change: instances publish the models whose refused callers hold a time to return, and those whose callers return soon; owners measure how long models have been asked for without a replica; after two seconds such a model is in turn, by its waiting time, for up to half of the engines and of the loads that the store sustains; latency-tolerant models have a quarter of the memory while one is in turn and then take each other's places; a first replica is kept for returning callers for up to six seconds; Retry-After follows the place in the line.

--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -14,6 +14,17 @@
   readonly isLatencyTolerant?: boolean;
   /** Whether the callers of a latency-tolerant model are served late if they wait for a load. */
   readonly isLateAfterLoad?: boolean;
+  /** Time for which callers have asked for the model while it had no replica, in milliseconds; 0 by default. */
+  readonly waitedMs?: number;
+  /**
+   * Whether callers wait for the model, or return before a load that begins now is done; by default the same as
+   * `hasWaitingRequests`.
+   */
+  readonly hasCallersSoon?: boolean;
+  /**
+   * Whether refused callers were told to return for the model about now: its last replica is kept for them.
+   */
+  readonly hasReturningCallers?: boolean;
   /** Whether the model was loaded only since there was free memory, and no request has asked for it since. */
   readonly isSpeculative?: boolean;
   /** Requested tokens per second. */
@@ -53,6 +64,12 @@
   readonly engines: readonly PlacementEngine[];
   /** Largest number of moves that may begin in this round. */
   readonly moveBudget: number;
+  /** Time without a replica after which a model is in turn, in milliseconds; unlimited by default. */
+  readonly turnMs?: number;
+  /** Largest number of moves for latency-tolerant models in turn; defaults to `moveBudget`. */
+  readonly turnMoveMax?: number;
+  /** The same for those that are not in turn yet. */
+  readonly latencyTolerantMoveMax?: number;
   /**
    * Largest loss that a move may cause by unloading other models, as a share of the engine's tokens
    * per second; unlimited by default.
--- a/packages/decisions/src/lib/placement/placement-plan.ts
+++ b/packages/decisions/src/lib/placement/placement-plan.ts
@@ -8,6 +8,8 @@
    * missing; 0 bytes when an engine could free enough memory, but only by a loss above the limit.
    */
   readonly shortfalls: readonly { readonly model: string; readonly bytes: number }[];
+  /** Latency-tolerant models that need a replica and are not planned yet, in the order in which they will be. */
+  readonly queued: readonly string[];
   /** Share of the demand that can be served once all moves are done; 0 to 1. */
   readonly servedShare: number;
 }
--- a/packages/decisions/src/lib/placement/placement-round.ts
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -30,6 +30,10 @@
  * one it cannot load anything else.
  */
 const RESIDENCE_LOAD_SHARE_MAX = 0.5;
+/** Share of the memory of all engines that is left to latency-tolerant models while one of them is in turn. */
+const TOLERANT_MEMORY_SHARE = 0.25;
+/** Precision of waits by which models without a replica are ordered, in milliseconds. */
+const WAIT_STEP_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 
 type Engine = PlacementInput['engines'][number];
@@ -47,14 +51,28 @@
 interface Eviction {
   readonly models: readonly Model[];
   readonly value: number;
+  /** The part of it that belongs to models that are not latency-tolerant. */
+  readonly criticalValue: number;
   /** Expected time until all are unloaded, in milliseconds. */
   readonly unloadMs: number;
 }
 
-const NO_EVICTION: Eviction = { models: [], value: 0, unloadMs: 0 };
+const NO_EVICTION: Eviction = { models: [], value: 0, criticalValue: 0, unloadMs: 0 };
+
+/** Reasons whose moves may unload the same replicas. */
+const evictionGroupOf = {
+  [MoveReason.reach]: 'reach',
+  [MoveReason.turn]: 'turn',
+  [MoveReason.capacity]: 'others',
+  [MoveReason.forecast]: 'others',
+  [MoveReason.residence]: 'others',
+} as const;
 
 const lossWeightOf = ({ lossWeight = 1 }: Model): number => lossWeight;
 
+// Demand decides between models that have waited about equally long.
+const waitedMsOf = ({ waitedMs = 0 }: Model): number => Math.floor(waitedMs / WAIT_STEP_MS);
+
 const forecastOf = ({ demand, forecast = demand }: Model): number => forecast;
 
 // What a delay on an engine is worth, in tokens per second.
@@ -83,12 +101,22 @@
   readonly #idleReplicaShare: number;
   readonly #latencyTolerantLossShareMax: number;
   readonly #loadMs: number;
+  readonly #turnMs: number;
+  /** Memory of all engines, in bytes. */
+  readonly #capacityBytes: number;
+  /** Memory of the replicas of latency-tolerant models, in bytes. */
+  #tolerantBytes = 0;
+  /** Whether a latency-tolerant model is in turn. */
+  readonly #hasTurn: boolean;
   /**
-   * Replicas that may be unloaded, by engine, for moves for reach and for all others: they are the same for
-   * every model to load, and kept until the next planned move.
+   * Replicas that may be unloaded, by the reason of the move and by engine: they are the same for every model to
+   * load, and kept until the next planned move.
    */
-  readonly #evictableForReach = new Map<Engine, readonly EvictableReplica[]>();
-  readonly #evictableForOthers = new Map<Engine, readonly EvictableReplica[]>();
+  readonly #evictableBy = {
+    reach: new Map<Engine, readonly EvictableReplica[]>(),
+    turn: new Map<Engine, readonly EvictableReplica[]>(),
+    others: new Map<Engine, readonly EvictableReplica[]>(),
+  };
   /** Free memory by engine, kept until the next planned move. */
   readonly #freeBytesByEngine = new Map<Engine, number>();
   /** Allocation of the present demand. */
@@ -105,12 +133,14 @@
     idleReplicaShare = lastReplicaShare,
     latencyTolerantLossShareMax = lossShareMax,
     typicalLoadMs = DEFAULT_LOAD_MS,
+    turnMs = Infinity,
   }: PlacementInput & Required<Pick<PlacementInput, 'gainShareMin'>>) {
     this.#lastReplicaShare = lastReplicaShare;
     this.#idleReplicaShare = idleReplicaShare;
     this.#latencyTolerantLossShareMax = latencyTolerantLossShareMax;
     this.#gainShareMin = gainShareMin;
     this.#loadMs = typicalLoadMs;
+    this.#turnMs = turnMs;
     this.#lossShareMax = lossShareMax;
     this.#models = new Map(models.map((model) => [model.name, model]));
     this.#engines = new Map(
@@ -130,15 +160,27 @@
     });
     this.#demandAllocation = this.#allocate(({ demand }) => demand);
     this.#forecastAllocation = this.#allocate(forecastOf);
+    this.#capacityBytes = engines.reduce((sum, { capacityBytes }) => sum + capacityBytes, 0);
+    this.#tolerantBytes = engines
+      .flatMap((engine) => engine.models)
+      .reduce((sum, name) => sum + this.#tolerantBytesOf(name), 0);
+    this.#hasTurn = this.unreachable().some(
+      (model) => model.isLatencyTolerant === true && this.isInTurn(model),
+    );
   }
 
   get unserved(): number {
     return this.#demandAllocation.unserved;
   }
 
+  /** Whether a model without a replica has waited so long that others wait for it now. */
+  isInTurn({ waitedMs = 0 }: Model): boolean {
+    return waitedMs >= this.#turnMs;
+  }
+
   /**
-   * Models that need a replica and have none: latency-critical ones first, then those with the
-   * highest demand.
+   * Models that need a replica and have none: latency-critical ones first, then those that have waited
+   * longest, then those with the highest demand.
    */
   unreachable(): Model[] {
     return [...this.#models.values()]
@@ -147,6 +189,7 @@
       .sort(
         (left, right) =>
           Number(left.isLatencyTolerant === true) - Number(right.isLatencyTolerant === true) ||
+          waitedMsOf(right) - waitedMsOf(left) ||
           lossWeightOf(right) * right.demand - lossWeightOf(left) * left.demand,
       );
   }
@@ -194,15 +237,16 @@
 
   /** Updates the state by a planned move. */
   apply(model: string, { engine, unload }: PlacementOption): void {
+    this.#tolerantBytes += this.#tolerantBytesOf(model);
     unload.forEach((other) => {
+      this.#tolerantBytes -= this.#tolerantBytesOf(other);
       this.#modelsByEngine.get(engine.name)?.delete(other);
       this.#replicasByModel.get(other)?.delete(engine.name);
       this.#readyByModel.get(other)?.delete(engine.name);
     });
     this.#modelsByEngine.get(engine.name)?.add(model);
     this.#replicasByModel.get(model)?.add(engine.name);
-    this.#evictableForReach.clear();
-    this.#evictableForOthers.clear();
+    Object.values(this.#evictableBy).forEach((evictable) => evictable.clear());
     this.#freeBytesByEngine.clear();
     this.#demandAllocation = this.#allocate(({ demand }) => demand);
     this.#forecastAllocation = this.#allocate(forecastOf);
@@ -268,13 +312,25 @@
     const { unloadMs } = eviction;
     const gainedShare = Math.max(0, 1 - unloadMs / (GAIN_SPAN_LOADS * this.#loadMs));
     const isGainEnough = gainedShare * gain >= gainShareMin * engine.tokensPerSecond;
-    if (reason !== MoveReason.reach && !isGainEnough) return undefined;
-    const lossShareLimit =
-      model.isLatencyTolerant === true ? this.#latencyTolerantLossShareMax : this.#lossShareMax;
-    if (lost > lossShareLimit * engine.tokensPerSecond) return undefined;
+    if (evictionGroupOf[reason] === 'others' && !isGainEnough) return undefined;
+    const limitedLoss = reason === MoveReason.turn ? eviction.criticalValue : lost;
+    if (limitedLoss > this.#lossShareLimit(model, reason) * engine.tokensPerSecond) {
+      return undefined;
+    }
     return { engine, unload: eviction.models.map(({ name }) => name), gain, unloadMs };
   }
 
+  // A latency-tolerant model in turn takes the place of another one whatever that one's demand, and of a further
+  // replica of any model as long as latency-tolerant ones have less than their share of the memory.
+  #lossShareLimit({ isLatencyTolerant, bytes }: Model, reason: MoveReason): number {
+    if (isLatencyTolerant !== true) return this.#lossShareMax;
+    const hasRoom =
+      this.#tolerantBytes === 0 ||
+      this.#tolerantBytes + bytes <= TOLERANT_MEMORY_SHARE * this.#capacityBytes;
+    const isFree = reason === MoveReason.turn && hasRoom;
+    return isFree ? Infinity : this.#latencyTolerantLossShareMax;
+  }
+
   // Value of a replica in tokens per second: its part of the model's demand, less what the model's
   // other engines could take over. The last replica has a value even without demand, since the
   // model's callers may turn out to be latency-critical. Requests that wait for another model outweigh
@@ -294,7 +350,9 @@
     const lateShare = model.isLateAfterLoad === true ? LATE_SHARE : 1;
     const keptShare = isIdle ? this.#idleReplicaShare : this.#lastReplicaShare;
     const lastReplicaShare = speculativeShare * lateShare * keptShare;
-    const isKept = model.isLatencyTolerant !== true || model.isLateAfterLoad === true;
+    // Among latency-tolerant models, the one in turn takes the place of one that has had its turn.
+    const isLateKept = model.isLateAfterLoad === true && reason !== MoveReason.turn;
+    const isKept = model.isLatencyTolerant !== true || isLateKept;
     const isLastToKeep = others.length === 0 && isKept;
     const lastReplicaValue = isLastToKeep ? lastReplicaShare * engine.tokensPerSecond : 0;
     const served = lossWeightOf(model) * Math.max(0, demandPerReplica - spare);
@@ -325,22 +383,24 @@
     if (missing <= 0) return NO_EVICTION;
     const models: Model[] = [];
     let value = 0;
+    let criticalValue = 0;
     let unloadMs = 0;
     this.#evictable(engine, reason).forEach((replica) => {
       if (missing <= 0) return;
       models.push(replica.model);
       value += replica.value;
+      if (replica.model.isLatencyTolerant !== true) criticalValue += replica.value;
       // The runs on all of them end side by side.
       unloadMs = Math.max(unloadMs, replica.unloadMs);
       missing -= replica.model.bytes;
     });
-    return missing <= 0 ? { models, value, unloadMs } : undefined;
+    return missing <= 0 ? { models, value, criticalValue, unloadMs } : undefined;
   }
 
   // Replicas that may be unloaded from an engine, the one first that is worth least and delays the load least.
   // Of equal ones, the one whose model has the most replicas comes first.
   #evictable(engine: Engine, reason: MoveReason): readonly EvictableReplica[] {
-    const cache = reason === MoveReason.reach ? this.#evictableForReach : this.#evictableForOthers;
+    const cache = this.#evictableBy[evictionGroupOf[reason]];
     const known = cache.get(engine);
     if (known) return known;
     const replicaCount = ({ name }: Model): number => this.#replicasByModel.get(name)?.size ?? 0;
@@ -361,8 +421,14 @@
   // The last ready replica of a model that a policy keeps resident is never unloaded, and a replica
   // that is still loading is not unloaded before it has served. The last ready replica of a model
   // that requests wait for is kept as well, unless the model is latency-tolerant and the move is
-  // made for capacity or forecast; one whose callers are late after a load is kept by its value.
+  // made for capacity or forecast; one whose callers are late after a load is kept by its value. The last ready
+  // replica of a model whose refused callers are due to return is kept until then. A model in turn takes no last
+  // replica with demand from a latency-critical one, and while one is in turn, latency-tolerant models keep their share
+  // of the memory.
   #evictableModels(engine: Engine, reason: MoveReason): Model[] {
+    const sharedBytes = TOLERANT_MEMORY_SHARE * this.#capacityBytes;
+    const isShareKept =
+      this.#hasTurn && evictionGroupOf[reason] === 'others' && this.#tolerantBytes <= sharedBytes;
     return [...(this.#modelsByEngine.get(engine.name) ?? [])]
       .flatMap((name) => this.#models.get(name) ?? [])
       .filter((model) => {
@@ -370,7 +436,15 @@
         const ready = this.#readyByModel.get(name);
         const isLate = model.isLateAfterLoad === true;
         const canYield = isLatencyTolerant === true && (isLate || reason !== MoveReason.reach);
-        const isProtected = mustStayResident || (hasWaitingRequests === true && !canYield);
+        const isInUse =
+          reason === MoveReason.turn && isLatencyTolerant !== true && model.demand > 0;
+        const isInShare = isShareKept && isLatencyTolerant === true;
+        const isProtected =
+          mustStayResident ||
+          model.hasReturningCallers === true ||
+          isInUse ||
+          isInShare ||
+          (hasWaitingRequests === true && !canYield);
         return ready?.has(engine.name) && (!isProtected || ready.size > 1);
       });
   }
@@ -382,6 +456,12 @@
     return this.#freeBytes(engine) + freed;
   }
 
+  // Bytes of a replica that count as memory of latency-tolerant models.
+  #tolerantBytesOf(name: string): number {
+    const model = this.#models.get(name);
+    return model?.isLatencyTolerant === true ? model.bytes : 0;
+  }
+
   #freeBytes(engine: Engine): number {
     const known = this.#freeBytesByEngine.get(engine);
     if (known !== undefined) return known;
--- a/packages/decisions/src/lib/placement/placement-steps.ts
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -5,6 +5,8 @@
 import type { PlacementPlan } from './placement-plan.js';
 import { PlacementRound } from './placement-round.js';
 
+type PlacementModel = PlacementInput['models'][number];
+
 /**
  * Least gain of a move, as a share of the engine's tokens per second: less is not worth the load
  * time.
@@ -44,8 +46,36 @@
 export function* placementSteps(input: PlacementInput): Generator<void, PlacementPlan, void> {
   const { gainShareMin = GAIN_SHARE_MIN } = input;
   const round = new PlacementRound({ ...input, gainShareMin });
+  const { latencyTolerantMoveMax = input.moveBudget, turnMoveMax = input.moveBudget } = input;
   const moves: PlacementMove[] = [];
   const shortfalls: { model: string; bytes: number }[] = [];
+  const add = (model: string, reason: MoveReason, options: readonly PlacementOption[]): void => {
+    moves.push(toMove(model, reason, options));
+    round.apply(model, options[0]);
+  };
+  // Adds first replicas in the order of the models, and up to a number of them of latency-tolerant ones.
+  function* addFirstReplicas(
+    models: readonly PlacementModel[],
+    moveEnd: number,
+    tolerantCountMax: number,
+  ): Generator<void, void, void> {
+    let tolerantCount = 0;
+    for (let index = 0; index < models.length; index += 1) {
+      const model = models[index];
+      const isTolerant = model.isLatencyTolerant === true;
+      const reason = isTolerant && round.isInTurn(model) ? MoveReason.turn : MoveReason.reach;
+      const options = round.options(model, reason);
+      const isOverLimit =
+        moves.length >= moveEnd || (isTolerant && tolerantCount >= tolerantCountMax);
+      if (options.length === 0) {
+        shortfalls.push({ model: model.name, bytes: round.shortfall(model) });
+      } else if (!isOverLimit) {
+        add(model.name, reason, options);
+        if (isTolerant) tolerantCount += 1;
+      }
+      yield;
+    }
+  }
   // Adds replicas of the models with the most unserved demand, as long as each move gains enough.
   function* addReplicas(
     reason: MoveReason,
@@ -65,12 +95,22 @@
       if (options.length === 0) {
         skipped.add(model.name);
       } else {
-        moves.push(toMove(model.name, reason, options));
-        round.apply(model.name, options[0]);
+        add(model.name, reason, options);
       }
       yield;
     }
   }
+  // Models in turn come first, up to half of the moves: whatever comes before them in each round, however little it
+  // gains, could keep them waiting for good.
+  const unreachable = round.unreachable();
+  const inTurn = unreachable
+    .filter((model) => round.isInTurn(model))
+    .sort(
+      (left, right) =>
+        Number(right.hasCallersSoon !== false) - Number(left.hasCallersSoon !== false) ||
+        (right.waitedMs ?? 0) - (left.waitedMs ?? 0),
+    );
+  yield* addFirstReplicas(inTurn, Math.ceil(input.moveBudget / 2), turnMoveMax);
   // A model whose unserved demand exceeds a whole engine keeps more callers waiting than a rarely
   // requested model without a replica, so up to half of the moves go to such models first.
   yield* addReplicas(
@@ -78,18 +118,8 @@
     round.fastestTokensPerSecond,
     Math.floor(input.moveBudget / 2),
   );
-  const unreachable = round.unreachable();
-  for (let index = 0; index < unreachable.length; index += 1) {
-    const model = unreachable[index];
-    const options = round.options(model, MoveReason.reach);
-    if (options.length === 0) {
-      shortfalls.push({ model: model.name, bytes: round.shortfall(model) });
-    } else if (moves.length < input.moveBudget) {
-      moves.push(toMove(model.name, MoveReason.reach, options));
-      round.apply(model.name, options[0]);
-    }
-    yield;
-  }
+  const others = unreachable.filter((model) => !round.isInTurn(model));
+  yield* addFirstReplicas(others, input.moveBudget, latencyTolerantMoveMax);
   // Moves with a small present gain come after those for the forecast: they must not take an engine
   // that is needed within a few seconds.
   const largeGainShareMin = LARGE_GAIN_FACTOR * gainShareMin;
@@ -98,15 +128,15 @@
   yield* addReplicas(MoveReason.capacity, 0, input.moveBudget);
   const absent = round.absent();
   for (let index = 0; index < absent.length && moves.length < input.moveBudget; index += 1) {
-    const model = absent[index];
-    const options = round.vacancies(model);
-    if (options.length > 0) {
-      moves.push(toMove(model.name, MoveReason.residence, options));
-      round.apply(model.name, options[0]);
-    }
+    const options = round.vacancies(absent[index]);
+    if (options.length > 0) add(absent[index].name, MoveReason.residence, options);
     yield;
   }
   const totalDemand = input.models.reduce((sum, { demand }) => sum + demand, 0);
   const servedShare = totalDemand === 0 ? 1 : 1 - round.unserved / totalDemand;
-  return { moves, shortfalls, servedShare };
+  const planned = new Set(moves.map(({ load }) => load));
+  const queued = [...inTurn, ...others]
+    .filter(({ name, isLatencyTolerant }) => isLatencyTolerant === true && !planned.has(name))
+    .map(({ name }) => name);
+  return { moves, shortfalls, queued, servedShare };
 }
--- a/packages/decisions/src/test/placement/plan-placement_test.ts
+++ b/packages/decisions/src/test/placement/plan-placement_test.ts
@@ -70,7 +70,12 @@
       engines: [engine('e1', ['a']), engine('e2', ['b'])],
       moveBudget: 3,
     };
-    expect(planPlacement(input)).to.deep.equal({ moves: [], shortfalls: [], servedShare: 1 });
+    expect(planPlacement(input)).to.deep.equal({
+      moves: [],
+      shortfalls: [],
+      queued: [],
+      servedShare: 1,
+    });
   });
 
   // Rare models of a large fleet: there are more models than places, so nearly every replica is the last
--- a/packages/gateway/src/lib/dispatch/request-run.ts
+++ b/packages/gateway/src/lib/dispatch/request-run.ts
@@ -942,7 +942,9 @@
 
   // Ends a request that has not run and never will.
   #refuse(reason: string, returnAfterMs: number): true {
-    this.#context.onRefused(this.#head, this.#target, returnAfterMs);
+    const { onRefused, nowMs } = this.#context;
+    const returnMs = nowMs() + returnAfterMs;
+    onRefused(this.#head, this.#target, { returnMs, deadlineMs: this.#deadlineMs });
     this.#finish('refused', 503, reason, {
       priority: this.#priority,
       retryAfterMs: Math.round(returnAfterMs),
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -607,8 +607,8 @@
       loadAdapter: (endpoint, model, adapter) =>
         this.#fleet.loadAdapterThroughOwner(endpoint, model, adapter),
       onReceived: (head, target) => this.#fleet.recordRequest(head, target),
-      onRefused: (head, target, returnAfterMs) => {
-        this.#fleet.recordRefusal(head, target, returnAfterMs);
+      onRefused: (head, target, caller) => {
+        this.#fleet.recordRefusal(head, target, caller);
         if (!target.charge) return;
         const isBack = this.#quotas.giveBack(target.charge);
         this.#metrics.quotaRefunds.inc({ outcome: isBack ? 'returned' : 'late' });
@@ -806,6 +806,8 @@
       urgentModels: this.#fleet.demand.urgentModels(nowMs),
       lateAfterLoadModels: this.#fleet.demand.lateAfterLoadModels(nowMs),
       awaited: this.#services.awaitedModels,
+      returning: this.#fleet.returning,
+      returningSoon: this.#fleet.returningSoon,
       usedAdapters: Object.fromEntries(used),
       generation: this.#member.generation,
       hasLapsed: this.#member.hasLapsed,
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -41,6 +41,9 @@
  */
 const LOAD_START_MS = 700;
 
+/** Time by which a replica should be ready before callers return for it, in milliseconds. */
+const RETURN_EARLY_MS = 1_500;
+
 /** Dependencies of the fleet. */
 interface FleetContext {
   readonly settings: GatewaySettings;
@@ -75,6 +78,8 @@
   readonly handover: Handover;
   /** When the callers that this instance refused return, by model. */
   readonly #returns = new ReturnTimes();
+  /** Time to load each of their models from the weight store, in milliseconds. */
+  readonly #loadMs = new Map<string, number>();
   readonly #context: FleetContext;
   readonly #owners = new Map<
     string,
@@ -115,6 +120,9 @@
           ...this.demand.lateAfterLoadModels(nowMs()),
         ]),
       awaited: () => new Set([...context.peers.awaited(nowMs()), ...context.awaited()]),
+      returning: () => new Set([...context.peers.returning(nowMs()), ...this.returning]),
+      returningSoon: () =>
+        new Set([...context.peers.returningSoon(nowMs()), ...this.returningSoon]),
       unloadMs: (endpoint, peerRuns, model) => this.#unloadMs(endpoint, peerRuns, model),
       peerLoads: () => context.peers.loads(nowMs()),
       loadWindowMs: settings.loadWindowMs,
@@ -187,14 +195,19 @@
    *
    * @param head - the request
    * @param target - its route and service
-   * @param returnAfterMs - time after which its caller was told to return, in milliseconds
+   * @param caller - when its caller was told to return, and its deadline
    */
-  recordRefusal(head: CallerHead, { service }: RunTarget, returnAfterMs: number): void {
+  recordRefusal(
+    head: CallerHead,
+    { service }: RunTarget,
+    caller: Parameters<ReturnTimes['record']>[1],
+  ): void {
     const { engine } = service;
     const model = engine?.models.get(head.model ?? '');
     if (!engine || !model) return;
     this.demand.recordRefusal(head, engine.slotCount);
-    this.#returns.record(model.name, this.#context.nowMs() + returnAfterMs);
+    this.#returns.record(model.name, caller);
+    this.#loadMs.set(model.name, model.storeLoadMs);
   }
 
   /**
@@ -221,6 +234,17 @@
     return Object.fromEntries(active.map(([id, { owner }]) => [id, owner.state]));
   }
 
+  /** Models whose callers this instance refused and told to return about now or later. */
+  get returning(): readonly string[] {
+    return this.#returns.models(this.#context.nowMs());
+  }
+
+  /** Those of them of which a caller returns before a load that begins now is done. */
+  get returningSoon(): readonly string[] {
+    const horizonMs = (model: string): number => LOAD_START_MS + (this.#loadMs.get(model) ?? 0);
+    return this.#returns.due(this.#context.nowMs(), (model) => RETURN_EARLY_MS + horizonMs(model));
+  }
+
   /** Expected time until each model that this instance has planned to load can serve, in milliseconds. */
   get planned(): Readonly<Record<string, number>> {
     return this.#placement.planned;
@@ -312,6 +336,7 @@
   }
 
   #noteReturnDue(model: string): void {
+    this.#loadMs.delete(model);
     const { registry, logger, onReturnDue } = this.#context;
     const isKept = registry.all.some(({ id }) => this.stateOf(id)?.models.includes(model) === true);
     onReturnDue(isKept);
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -12,9 +12,11 @@
 import type { Endpoint } from '../feed/endpoint.js';
 import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
+import { getOrCreate } from '../get-or-create.js';
 import { isFromStore } from './is-from-store.js';
 import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
+import { PlannedState } from './planned-state.js';
 import { PlannedLoads } from './planned-loads.js';
 import { runInSlices } from './run-in-slices.js';
 import { StoreLoads } from './store-loads.js';
@@ -62,10 +64,16 @@
   [MoveReason.capacity]: 1,
   [MoveReason.forecast]: 0.75,
   [MoveReason.reach]: 1,
+  [MoveReason.turn]: 1,
   [MoveReason.residence]: 0.34,
 };
 /** The same for moves for reach that load a latency-tolerant model. */
 const TOLERANT_CHANGING_SHARE_MAX = 0.34;
+/**
+ * Greatest fraction of the engines, and of the loads that the weight store sustains at a time, that latency-tolerant
+ * models use at a time when they are in turn.
+ */
+const TURN_SHARE_MAX = 0.5;
 /**
  * Time that a requested move counts as pending, in milliseconds: by then the state that the engine's
  * owner publishes shows it.
@@ -86,6 +94,18 @@
 const SLICE_MS = 8;
 /** Greatest fraction of the processor's time that is spent on planning. */
 const PLANNING_SHARE_MAX = 0.2;
+/**
+ * Time for which a model without a replica waits before it is in turn, in milliseconds: until then, loads of
+ * latency-critical models go first.
+ */
+const TURN_MS = 2_000;
+/**
+ * Longest time for which the first replica of a model is kept for callers who were told to return, in milliseconds.
+ */
+const RETURN_KEEP_MS = 6_000;
+/** Time from the decision on a load until its order, in milliseconds. */
+const LOAD_START_MS = 700;
+const MS_PER_SECOND = 1_000;
 const BYTES_PER_MB = 1_000_000;
 
 const nameOf = ({ name }: { readonly name: string }): string => name;
@@ -114,6 +134,10 @@
   readonly lateAfterLoadModels: () => ReadonlySet<string>;
   /** Models that queued requests of any instance wait for. */
   readonly awaited: () => ReadonlySet<string>;
+  /** Models whose callers any instance refused and told to return about now or later. */
+  readonly returning: () => ReadonlySet<string>;
+  /** Those of them of which a caller returns before a load that begins now is done. */
+  readonly returningSoon: () => ReadonlySet<string>;
   /** Requests of other instances that are in progress, by endpoint. */
   readonly peerLoads: () => Readonly<Record<string, EndpointLoad>>;
   /** Expected time to unload a model from an engine with those runs of other instances, in milliseconds. */
@@ -156,6 +180,8 @@
   /** The same, rebuilt by the current round from the replicas that still exist. */
   #nextFirstSeenMs = new Map<string, number>();
   readonly #storeLoads: StoreLoads;
+  /** When each model that can serve got its first replica, in milliseconds. */
+  readonly #readySinceMs = new Map<string, number>();
   #isPlanning = false;
   /** When the next round may begin, in milliseconds. */
   #nextRoundMs = -Infinity;
@@ -163,6 +189,8 @@
   readonly #pending = new Map<string, PendingMove>();
   readonly #planned = new PlannedLoads();
   readonly #waits = new ReplicaWaits();
+  /** Models whose latest callers could wait for a load. */
+  readonly #latencyTolerant = new Set<string>();
   /** Waits that have ended since the last round of an instance that plans. */
   #endedWaits: readonly EndedWait[] = [];
   /** Models that were loaded only since there was free memory, and that no request has asked for since. */
@@ -193,10 +221,18 @@
         );
       });
     });
-    this.#endedWaits = this.#waits.observe(
-      { requested: this.#requested(), ready: this.#readyModels() },
-      nowMs(),
+    const ready = this.#readyModels();
+    const requested = this.#requested();
+    const urgent = this.#context.urgentModels();
+    [...requested, ...this.#context.demand().keys()].forEach((model) =>
+      this.#latencyTolerant.add(model),
     );
+    urgent.forEach((model) => this.#latencyTolerant.delete(model));
+    this.#endedWaits = this.#waits.observe({ requested, ready }, nowMs());
+    this.#readySinceMs.forEach((_, model) => {
+      if (!ready.has(model)) this.#readySinceMs.delete(model);
+    });
+    ready.forEach((model) => getOrCreate(this.#readySinceMs, model, nowMs));
   }
 
   /** Expected time until each model that is planned to be loaded can serve, in milliseconds. */
@@ -234,15 +270,16 @@
     });
   }
 
-  // Models that callers ask for: requests that a load of their model would make late are refused while it has no
-  // replica, or before it is due, so none of them is queued, and its demand decides instead.
+  // Models that callers ask for. Requests that a load of their model would make late are refused while it has no
+  // replica, or before it is due, so none of them is queued: its demand decides instead, and as its demand fades
+  // while its callers wait to return, the time that they were told.
   #requested(): ReadonlySet<string> {
-    const { awaited, lateAfterLoadModels, demand } = this.#context;
+    const { awaited, returning, lateAfterLoadModels, demand } = this.#context;
     const tokens = demand();
     const late = [...lateAfterLoadModels()].filter(
       (model) => (tokens.get(model) ?? 0) > AWAITED_DEMAND,
     );
-    return new Set([...awaited(), ...late]);
+    return new Set([...awaited(), ...returning(), ...late]);
   }
 
   #readyModels(): ReadonlySet<string> {
@@ -292,12 +329,16 @@
       .sort((left, right) => (left.name < right.name ? -1 : 1));
     const models = this.#models(spec, demand, engines);
     const lowPriority = new Set(models.filter(({ isCritical }) => !isCritical).map(nameOf));
+    const typicalLoadMs = PlacementLoop.#typicalLoadMs(spec);
+    const turnMax = PlacementLoop.#turnMax(spec, endpoints.length, typicalLoadMs);
     const input: PlacementInput = {
       models,
       engines,
       moveBudget: MOVE_MAX,
+      turnMs: TURN_MS,
+      turnMoveMax: Math.max(0, turnMax - this.#loadingCount(endpoints, lowPriority)),
       gainShareMin: GAIN_SHARE_MIN,
-      typicalLoadMs: PlacementLoop.#typicalLoadMs(spec),
+      typicalLoadMs,
       lossShareMax: LOSS_SHARE_MAX,
       latencyTolerantLossShareMax: TOLERANT_LOSS_SHARE_MAX,
       lastReplicaShare: LAST_REPLICA_SHARE,
@@ -311,7 +352,10 @@
     });
     const planned = { spec, endpoints, lowPriority, demand, servedShare: plan.servedShare };
     plan.moves.forEach((move) => this.#begin(move, planned));
-    plan.shortfalls.forEach(({ model, bytes }) => this.#noteShortfall(model, bytes, spec));
+    this.#announceQueue(plan.queued, turnMax, planned);
+    plan.shortfalls
+      .filter(({ model }) => !plan.queued.includes(model))
+      .forEach(({ model, bytes }) => this.#noteShortfall(model, bytes, spec));
     return preparedMs + busyMs;
   }
 
@@ -323,7 +367,8 @@
     if (this.#isFixed(engine)) return;
     const { heldMs, heldBy } = this.#hold(move, service);
     // Only a model without a replica has callers who wait for its load.
-    if (heldMs > 0 && reason !== MoveReason.reach) return;
+    const isFirst = reason === MoveReason.reach || reason === MoveReason.turn;
+    if (heldMs > 0 && !isFirst) return;
     const readyMs = Math.round(nowMs() + heldMs + this.#durationMs(move, service.spec));
     const fields = {
       endpoint: engine,
@@ -337,7 +382,11 @@
       demand: Math.round(service.demand.get(load) ?? 0),
       servedShare: service.servedShare,
     };
-    const isNew = this.#planned.add(load, readyMs);
+    const isNew = this.#planned.add(
+      load,
+      readyMs,
+      heldMs > 0 ? PlannedState.held : PlannedState.begun,
+    );
     if (heldMs === 0) this.#request(move, readyMs);
     if (heldMs === 0) logger.info('move', reason, fields);
     else if (isNew) logger.info('move_held', reason, { ...fields, heldBy });
@@ -366,11 +415,51 @@
     requestMove(engine, move);
   }
 
+  // Tells the callers of latency-tolerant models that are not planned yet when their turn is expected.
+  #announceQueue(queue: readonly string[], turnMax: number, service: PlannedService): void {
+    const { nowMs, logger } = this.#context;
+    const { spec, endpoints } = service;
+    const typicalLoadMs = PlacementLoop.#typicalLoadMs(spec);
+    const nextMs = this.#nextReadyMs(endpoints);
+    queue.forEach((load, place) => {
+      const turnCount = Math.floor(place / turnMax);
+      const startMs = nextMs + turnCount * (LOAD_START_MS + typicalLoadMs);
+      const readyInMs = startMs + LOAD_START_MS + (spec.models.get(load)?.storeLoadMs ?? 0);
+      if (!this.#planned.add(load, nowMs() + readyInMs, PlannedState.queued)) return;
+      logger.info('move_queued', 'a model without a replica waits for its turn', {
+        load,
+        place,
+        readyInMs: Math.round(readyInMs),
+        waitedMs: Math.round(this.#waits.waitedMs(load, nowMs())),
+      });
+    });
+  }
+
+  // Time until the first engine that is changing is done, in milliseconds; 0 if none is.
+  #nextReadyMs(endpoints: readonly Endpoint[]): number {
+    const leftMs = endpoints.flatMap(({ id }) =>
+      (this.#context.engineState(id)?.loading ?? []).map(({ remainingMs }) => remainingMs),
+    );
+    return leftMs.length > 0 ? Math.min(...leftMs) : 0;
+  }
+
+  // Number of engines that load one of some models, or were asked to.
+  #loadingCount(endpoints: readonly Endpoint[], models: ReadonlySet<string>): number {
+    return endpoints.filter(({ id }) => {
+      const loading = this.#context.engineState(id)?.loading ?? [];
+      const pending = this.#pendingOf(id);
+      return (
+        loading.some(({ model }) => models.has(model)) || (pending && models.has(pending.load))
+      );
+    }).length;
+  }
+
   // No engine can take the model now: its callers are told when a place may be found.
   #noteShortfall(load: string, missingBytes: number, spec: EngineSpec): void {
     const loadMs = spec.models.get(load)?.storeLoadMs ?? 0;
     const retryInMs = Math.max(SHORTFALL_MIN_MS, loadMs);
-    const isNew = this.#planned.add(load, this.#context.nowMs() + retryInMs + loadMs);
+    const readyMs = this.#context.nowMs() + retryInMs + loadMs;
+    const isNew = this.#planned.add(load, readyMs, PlannedState.missing);
     if (!isNew) return;
     const waitedMs = Math.round(this.#waits.waitedMs(load, this.#context.nowMs()));
     const fields = { load, missingBytes, retryInMs, waitedMs };
@@ -400,19 +489,25 @@
     demand: ReadonlyMap<string, number>,
     engines: readonly { readonly tokensPerSecond: number }[],
   ) {
+    const { nowMs } = this.#context;
     const requested = this.#requested();
+    const returning = this.#context.returning();
+    const soon = new Set([...this.#context.awaited(), ...this.#context.returningSoon()]);
     const urgent = this.#context.urgentModels();
     const lateAfterLoad = this.#context.lateAfterLoadModels();
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
-      const isLatencyTolerant = tokenDemand > 0 && !urgent.has(name);
+      const isLatencyTolerant = this.#latencyTolerant.has(name);
       if (tokenDemand > 0) this.#speculative.delete(name);
       return {
         name,
         bytes: sizeMb * BYTES_PER_MB,
         mustStayResident: false,
         hasWaitingRequests: requested.has(name),
+        hasReturningCallers: returning.has(name) && this.#hasYoungReplica(name),
+        waitedMs: this.#waits.waitedMs(name, nowMs()),
+        hasCallersSoon: soon.has(name),
         isCritical: urgent.has(name),
         isLateAfterLoad: lateAfterLoad.has(name) && !urgent.has(name),
         isSpeculative: this.#speculative.has(name),
@@ -473,6 +568,12 @@
     };
   }
 
+  // Whether a model got a replica so recently that the callers who were told to return for it may not have come yet.
+  #hasYoungReplica(model: string): boolean {
+    const sinceMs = this.#readySinceMs.get(model);
+    return sinceMs !== undefined && this.#context.nowMs() < sinceMs + RETURN_KEEP_MS;
+  }
+
   // Whether a replica has served long enough to be unloaded for another model.
   #isSettled(endpoint: string, model: string): boolean {
     const key = `${endpoint}/${model}`;
@@ -504,9 +605,15 @@
     return undefined;
   }
 
+  // Number of latency-tolerant models in turn that may be loaded at a time.
+  static #turnMax(spec: EngineSpec, engineCount: number, typicalLoadMs: number): number {
+    const sustainedCount = (spec.storeLoadsPerSecond * typicalLoadMs) / MS_PER_SECOND;
+    return Math.max(1, Math.floor(TURN_SHARE_MAX * Math.min(engineCount, sustainedCount)));
+  }
+
   // Mean time to load a model from the weight store, in milliseconds.
-  static #typicalLoadMs({ models }: EngineSpec): number | undefined {
-    if (models.size === 0) return undefined;
+  static #typicalLoadMs({ models }: EngineSpec): number {
+    if (models.size === 0) return 1;
     const sumMs = [...models.values()].reduce((sum, { storeLoadMs }) => sum + storeLoadMs, 0);
     return Math.max(1, sumMs / models.size);
   }
--- /dev/null
+++ b/packages/gateway/src/lib/owner/planned-state.ts
@@ -0,0 +1,13 @@
+/** How far the plan to load a model has come. */
+export const PlannedState = {
+  /** The engine's owner was asked to load it. */
+  begun: 'begun',
+  /** An engine is chosen, and a limit holds the load back. */
+  held: 'held',
+  /** Other models come first. */
+  queued: 'queued',
+  /** No engine can take it now. */
+  missing: 'missing',
+} as const;
+
+export type PlannedState = (typeof PlannedState)[keyof typeof PlannedState];
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -4,8 +4,8 @@
 
 /**
  * State that an instance publishes to the others several times a second. An instance that aggregates
- * the states of followers includes them in `instanceCount`, `loads`, `demand`, `urgentModels` and
- * `awaited`. The property names are the keys on the wire.
+ * the states of followers includes them in `instanceCount`, `loads`, `demand`, `urgentModels`,
+ * `awaited`, `returning` and `returningSoon`. The property names are the keys on the wire.
  */
 export interface InstanceState {
   readonly instance: string;
@@ -43,6 +43,13 @@
   readonly lateAfterLoadModels?: readonly string[];
   /** Models that queued requests wait for. */
   readonly awaited: readonly string[];
+  /**
+   * Models whose refused callers were told to return about now or later; `undefined` from an instance of an earlier
+   * version.
+   */
+  readonly returning?: readonly string[];
+  /** Those of them of which a caller returns before a load that begins now is done. */
+  readonly returningSoon?: readonly string[];
   /** Adapters used since the previous state, each as `model/adapter`, by endpoint. */
   readonly usedAdapters: Readonly<Record<string, readonly string[]>>;
   /** Generation of the group in which `shares` were assigned. */
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -33,6 +33,8 @@
   urgentModels: [],
   lateAfterLoadModels: [],
   awaited: [],
+  returning: [],
+  returningSoon: [],
 };
 
 const overviewEngineOf = (engine: OwnedEngineState): OwnedEngineState => ({
@@ -220,6 +222,16 @@
     return sumOf.awaited(this.#all(nowMs));
   }
 
+  /** @returns models whose callers other instances refused and told to return about now or later */
+  returning(nowMs: number): readonly string[] {
+    return sumOf.returning(this.#all(nowMs));
+  }
+
+  /** @returns those of them of which a caller returns before a load that begins now is done */
+  returningSoon(nowMs: number): readonly string[] {
+    return sumOf.returningSoon(this.#all(nowMs));
+  }
+
   /** @returns state of the reachable instance that owns a share in the newest generation, if any */
   ownerOf(share: number, nowMs: number): InstanceState | undefined {
     return this.fresh(nowMs)
--- a/packages/gateway/src/lib/peer/state-sums.ts
+++ b/packages/gateway/src/lib/peer/state-sums.ts
@@ -10,4 +10,6 @@
   | 'urgentModels'
   | 'lateAfterLoadModels'
   | 'awaited'
+  | 'returning'
+  | 'returningSoon'
 >;
--- a/packages/gateway/src/lib/peer/sum-of.ts
+++ b/packages/gateway/src/lib/peer/sum-of.ts
@@ -69,4 +69,9 @@
     ),
 
   awaited: (parts: Parts): string[] => unionOf(parts.map(({ awaited }) => awaited)),
+
+  returning: (parts: Parts): string[] => unionOf(parts.map(({ returning }) => returning ?? [])),
+
+  returningSoon: (parts: Parts): string[] =>
+    unionOf(parts.map(({ returningSoon }) => returningSoon ?? [])),
 };
--- a/packages/gateway/src/lib/peer/sum-states.ts
+++ b/packages/gateway/src/lib/peer/sum-states.ts
@@ -13,4 +13,6 @@
   urgentModels: sumOf.urgentModels(parts),
   lateAfterLoadModels: sumOf.lateAfterLoadModels(parts),
   awaited: sumOf.awaited(parts),
+  returning: sumOf.returning(parts),
+  returningSoon: sumOf.returningSoon(parts),
 });
