Turns come after the time of a load; one replica for a busy model; the line tells when

Causes: a model that demand had moved to got two replicas in a round (the list of models without a replica was made before the moves for capacity; 'loads one replica of it' fails on the code before); idle replicas of models that were once asked for by patient callers counted as worth nothing; models were in turn after two seconds, before the ordinary rules had loaded them.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -61,6 +61,7 @@
 export { lossWeight } from './lib/placement/loss-weight.js';
 export type { EndedWait } from './lib/placement/ended-wait.js';
 export { ReplicaWaits } from './lib/placement/replica-waits.js';
+export { turnTimesMs } from './lib/placement/turn-times-ms.js';
 export { relativeWeights } from './lib/placement/relative-weights.js';
 export { MoveReason } from './lib/placement/move-reason.js';
 export type { PlacementInput } from './lib/placement/placement-input.js';
--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -68,8 +68,6 @@
   readonly turnMs?: number;
   /** Largest number of moves for latency-tolerant models in turn; defaults to `moveBudget`. */
   readonly turnMoveMax?: number;
-  /** The same for those that are not in turn yet. */
-  readonly latencyTolerantMoveMax?: number;
   /**
    * Largest loss that a move may cause by unloading other models, as a share of the engine's tokens
    * per second; unlimited by default.
--- a/packages/decisions/src/lib/placement/placement-steps.ts
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -46,7 +46,7 @@
 export function* placementSteps(input: PlacementInput): Generator<void, PlacementPlan, void> {
   const { gainShareMin = GAIN_SHARE_MIN } = input;
   const round = new PlacementRound({ ...input, gainShareMin });
-  const { latencyTolerantMoveMax = input.moveBudget, turnMoveMax = input.moveBudget } = input;
+  const { turnMoveMax = input.moveBudget } = input;
   const moves: PlacementMove[] = [];
   const shortfalls: { model: string; bytes: number }[] = [];
   const add = (model: string, reason: MoveReason, options: readonly PlacementOption[]): void => {
@@ -118,8 +118,11 @@
     round.fastestTokensPerSecond,
     Math.floor(input.moveBudget / 2),
   );
-  const others = unreachable.filter((model) => !round.isInTurn(model));
-  yield* addFirstReplicas(others, input.moveBudget, latencyTolerantMoveMax);
+  // Without those that have got a replica by now, and those that have lost one in this round.
+  const others = round
+    .unreachable()
+    .filter((model) => unreachable.includes(model) && !round.isInTurn(model));
+  yield* addFirstReplicas(others, input.moveBudget, input.moveBudget);
   // Moves with a small present gain come after those for the forecast: they must not take an engine
   // that is needed within a few seconds.
   const largeGainShareMin = LARGE_GAIN_FACTOR * gainShareMin;
--- a/packages/decisions/src/test/placement/turns_test.ts
+++ b/packages/decisions/src/test/placement/turns_test.ts
@@ -112,3 +112,17 @@
     expect(queued).to.deep.equal(['w6000', 'w3000']);
   });
 });
+
+// A model that demand had moved to got two replicas at once, one for its demand and one since it had none.
+describe('planPlacement for a busy model without a replica', () => {
+  it('loads one replica of it', () => {
+    const { moves } = planPlacement({
+      ...limits,
+      models: [{ ...busy('new', 1_200), hasWaitingRequests: true }, busy('idle', 0)],
+      engines: [engine('e1', ['idle'], 1), engine('e2', [], 1), engine('e3', ['idle'], 1)],
+      moveBudget: 4,
+    });
+    expect(moves.filter(({ reason }) => reason === MoveReason.reach)).to.deep.equal([]);
+    expect(moves[0].reason).to.equal(MoveReason.capacity);
+  });
+});
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -5,6 +5,7 @@
   placementSteps,
   relativeWeights,
   ReplicaWaits,
+  turnTimesMs,
 } from '@chervilseam/decisions';
 import type { EndedWait, PlacementInput, PlacementMove } from '@chervilseam/decisions';
 import type { EngineSpec, ServingConfig } from '@chervilseam/model';
@@ -94,17 +95,14 @@
 const SLICE_MS = 8;
 /** Greatest fraction of the processor's time that is spent on planning. */
 const PLANNING_SHARE_MAX = 0.2;
-/**
- * Time for which a model without a replica waits before it is in turn, in milliseconds: until then, loads of
- * latency-critical models go first.
- */
-const TURN_MS = 2_000;
+/** Time for which a model without a replica waits before it is in turn, as a multiple of the time of a load. */
+const TURN_LOADS = 1;
+/** Time from the decision on a load until its order, in milliseconds. */
+const LOAD_START_MS = 700;
 /**
  * Longest time for which the first replica of a model is kept for callers who were told to return, in milliseconds.
  */
 const RETURN_KEEP_MS = 6_000;
-/** Time from the decision on a load until its order, in milliseconds. */
-const LOAD_START_MS = 700;
 const MS_PER_SECOND = 1_000;
 const BYTES_PER_MB = 1_000_000;
 
@@ -165,6 +163,10 @@
   /** Models that are not latency-critical. */
   readonly lowPriority: ReadonlySet<string>;
   readonly demand: ReadonlyMap<string, number>;
+  /** Number of latency-tolerant models that are loaded at a time. */
+  readonly turnMax: number;
+  /** Latency-tolerant models whose moves are held back, in order. */
+  readonly line: string[];
   /** Share of the demand that can be served once all moves are done. */
   readonly servedShare: number;
 }
@@ -189,8 +191,6 @@
   readonly #pending = new Map<string, PendingMove>();
   readonly #planned = new PlannedLoads();
   readonly #waits = new ReplicaWaits();
-  /** Models whose latest callers could wait for a load. */
-  readonly #latencyTolerant = new Set<string>();
   /** Waits that have ended since the last round of an instance that plans. */
   #endedWaits: readonly EndedWait[] = [];
   /** Models that were loaded only since there was free memory, and that no request has asked for since. */
@@ -222,12 +222,8 @@
       });
     });
     const ready = this.#readyModels();
-    const requested = this.#requested();
-    const urgent = this.#context.urgentModels();
-    [...requested, ...this.#context.demand().keys()].forEach((model) =>
-      this.#latencyTolerant.add(model),
-    );
-    urgent.forEach((model) => this.#latencyTolerant.delete(model));
+    // The demand for a model fades while its callers wait to return, but its wait goes on.
+    const requested = new Set([...this.#requested(), ...this.#context.returning()]);
     this.#endedWaits = this.#waits.observe({ requested, ready }, nowMs());
     this.#readySinceMs.forEach((_, model) => {
       if (!ready.has(model)) this.#readySinceMs.delete(model);
@@ -270,16 +266,15 @@
     });
   }
 
-  // Models that callers ask for. Requests that a load of their model would make late are refused while it has no
-  // replica, or before it is due, so none of them is queued: its demand decides instead, and as its demand fades
-  // while its callers wait to return, the time that they were told.
+  // Models that callers ask for now: requests that a load of their model would make late are refused while it has no
+  // replica, or before it is due, so none of them is queued, and its demand decides instead.
   #requested(): ReadonlySet<string> {
-    const { awaited, returning, lateAfterLoadModels, demand } = this.#context;
+    const { awaited, lateAfterLoadModels, demand } = this.#context;
     const tokens = demand();
     const late = [...lateAfterLoadModels()].filter(
       (model) => (tokens.get(model) ?? 0) > AWAITED_DEMAND,
     );
-    return new Set([...awaited(), ...returning(), ...late]);
+    return new Set([...awaited(), ...late]);
   }
 
   #readyModels(): ReadonlySet<string> {
@@ -327,16 +322,17 @@
         this.#engine(endpoint, spec, medianInterEventMs, peerLoads[endpoint.id]?.runs),
       )
       .sort((left, right) => (left.name < right.name ? -1 : 1));
-    const models = this.#models(spec, demand, engines);
-    const lowPriority = new Set(models.filter(({ isCritical }) => !isCritical).map(nameOf));
     const typicalLoadMs = PlacementLoop.#typicalLoadMs(spec);
+    const turnMs = TURN_LOADS * (LOAD_START_MS + typicalLoadMs);
+    const models = this.#models(spec, demand, engines, turnMs);
+    const lowPriority = new Set(models.filter(({ isCritical }) => !isCritical).map(nameOf));
     const turnMax = PlacementLoop.#turnMax(spec, endpoints.length, typicalLoadMs);
     const input: PlacementInput = {
       models,
       engines,
       moveBudget: MOVE_MAX,
-      turnMs: TURN_MS,
-      turnMoveMax: Math.max(0, turnMax - this.#loadingCount(endpoints, lowPriority)),
+      turnMs,
+      turnMoveMax: Math.max(0, turnMax - this.#remainingMs(endpoints, lowPriority).length),
       gainShareMin: GAIN_SHARE_MIN,
       typicalLoadMs,
       lossShareMax: LOSS_SHARE_MAX,
@@ -350,9 +346,17 @@
       nowMs,
       sliceMs: SLICE_MS,
     });
-    const planned = { spec, endpoints, lowPriority, demand, servedShare: plan.servedShare };
+    const planned: PlannedService = {
+      turnMax,
+      line: [],
+      spec,
+      endpoints,
+      lowPriority,
+      demand,
+      servedShare: plan.servedShare,
+    };
     plan.moves.forEach((move) => this.#begin(move, planned));
-    this.#announceQueue(plan.queued, turnMax, planned);
+    this.#announceQueue(plan.queued, planned);
     plan.shortfalls
       .filter(({ model }) => !plan.queued.includes(model))
       .forEach(({ model, bytes }) => this.#noteShortfall(model, bytes, spec));
@@ -369,7 +373,11 @@
     // Only a model without a replica has callers who wait for its load.
     const isFirst = reason === MoveReason.reach || reason === MoveReason.turn;
     if (heldMs > 0 && !isFirst) return;
-    const readyMs = Math.round(nowMs() + heldMs + this.#durationMs(move, service.spec));
+    const isInLine = heldMs > 0 && service.lowPriority.has(load);
+    if (isInLine) service.line.push(load);
+    const lineMs = isInLine ? this.#lineTimesMs(service.line, service)[service.line.length - 1] : 0;
+    const readyInMs = Math.max(lineMs, heldMs + this.#durationMs(move, service.spec));
+    const readyMs = Math.round(nowMs() + readyInMs);
     const fields = {
       endpoint: engine,
       load,
@@ -416,15 +424,12 @@
   }
 
   // Tells the callers of latency-tolerant models that are not planned yet when their turn is expected.
-  #announceQueue(queue: readonly string[], turnMax: number, service: PlannedService): void {
+  #announceQueue(queue: readonly string[], service: PlannedService): void {
     const { nowMs, logger } = this.#context;
-    const { spec, endpoints } = service;
-    const typicalLoadMs = PlacementLoop.#typicalLoadMs(spec);
-    const nextMs = this.#nextReadyMs(endpoints);
-    queue.forEach((load, place) => {
-      const turnCount = Math.floor(place / turnMax);
-      const startMs = nextMs + turnCount * (LOAD_START_MS + typicalLoadMs);
-      const readyInMs = startMs + LOAD_START_MS + (spec.models.get(load)?.storeLoadMs ?? 0);
+    const timesMs = this.#lineTimesMs([...service.line, ...queue], service);
+    queue.forEach((load, index) => {
+      const place = service.line.length + index;
+      const readyInMs = timesMs[place];
       if (!this.#planned.add(load, nowMs() + readyInMs, PlannedState.queued)) return;
       logger.info('move_queued', 'a model without a replica waits for its turn', {
         load,
@@ -435,23 +440,27 @@
     });
   }
 
-  // Time until the first engine that is changing is done, in milliseconds; 0 if none is.
-  #nextReadyMs(endpoints: readonly Endpoint[]): number {
-    const leftMs = endpoints.flatMap(({ id }) =>
-      (this.#context.engineState(id)?.loading ?? []).map(({ remainingMs }) => remainingMs),
-    );
-    return leftMs.length > 0 ? Math.min(...leftMs) : 0;
+  // Expected time until each model of a line can serve, in milliseconds.
+  #lineTimesMs(
+    line: readonly string[],
+    { spec, endpoints, lowPriority, turnMax }: PlannedService,
+  ): number[] {
+    return turnTimesMs({
+      loadsMs: line.map((load) => spec.models.get(load)?.storeLoadMs ?? 0),
+      remainingMs: this.#remainingMs(endpoints, lowPriority),
+      countMax: turnMax,
+    });
   }
 
-  // Number of engines that load one of some models, or were asked to.
-  #loadingCount(endpoints: readonly Endpoint[], models: ReadonlySet<string>): number {
-    return endpoints.filter(({ id }) => {
-      const loading = this.#context.engineState(id)?.loading ?? [];
+  // Time until each load of one of some models that was requested or is in progress is done, in milliseconds.
+  #remainingMs(endpoints: readonly Endpoint[], models: ReadonlySet<string>): number[] {
+    const { nowMs, engineState } = this.#context;
+    return endpoints.flatMap(({ id }) => {
+      const loading = engineState(id)?.loading.find(({ model }) => models.has(model));
+      if (loading) return [loading.remainingMs];
       const pending = this.#pendingOf(id);
-      return (
-        loading.some(({ model }) => models.has(model)) || (pending && models.has(pending.load))
-      );
-    }).length;
+      return pending && models.has(pending.load) ? [pending.readyMs - nowMs()] : [];
+    });
   }
 
   // No engine can take the model now: its callers are told when a place may be found.
@@ -488,6 +497,7 @@
     spec: EngineSpec,
     demand: ReadonlyMap<string, number>,
     engines: readonly { readonly tokensPerSecond: number }[],
+    turnMs: number,
   ) {
     const { nowMs } = this.#context;
     const requested = this.#requested();
@@ -498,15 +508,18 @@
     const tokensPerSecond = engines.reduce((sum, engine) => sum + engine.tokensPerSecond, 0);
     const models = [...spec.models.values()].map(({ name, sizeMb }) => {
       const tokenDemand = demand.get(name) ?? 0;
-      const isLatencyTolerant = this.#latencyTolerant.has(name);
+      const waitedMs = this.#waits.waitedMs(name, nowMs());
+      const isInTurn = waitedMs >= turnMs;
+      const isLatencyTolerant = (tokenDemand > 0 || isInTurn) && !urgent.has(name);
       if (tokenDemand > 0) this.#speculative.delete(name);
       return {
         name,
         bytes: sizeMb * BYTES_PER_MB,
         mustStayResident: false,
-        hasWaitingRequests: requested.has(name),
-        hasReturningCallers: returning.has(name) && this.#hasYoungReplica(name),
-        waitedMs: this.#waits.waitedMs(name, nowMs()),
+        hasWaitingRequests: requested.has(name) || isInTurn,
+        hasReturningCallers:
+          isLatencyTolerant && returning.has(name) && this.#hasYoungReplica(name),
+        waitedMs,
         hasCallersSoon: soon.has(name),
         isCritical: urgent.has(name),
         isLateAfterLoad: lateAfterLoad.has(name) && !urgent.has(name),
