--- a/packages/decisions/src/lib/placement/placement-round.ts
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -30,7 +30,7 @@
  * one it cannot load anything else.
  */
 const RESIDENCE_LOAD_SHARE_MAX = 0.5;
-/** Share of the memory of all engines that is left to latency-tolerant models while one of them is in turn. */
+/** Share of the memory of all engines up to which latency-tolerant models in turn take further replicas of others. */
 const TOLERANT_MEMORY_SHARE = 0.25;
 /** Precision of waits by which models without a replica are ordered, in milliseconds. */
 const WAIT_STEP_MS = 1_000;
@@ -106,8 +106,6 @@
   readonly #capacityBytes: number;
   /** Memory of the replicas of latency-tolerant models, in bytes. */
   #tolerantBytes = 0;
-  /** Whether a latency-tolerant model is in turn. */
-  readonly #hasTurn: boolean;
   /**
    * Replicas that may be unloaded, by the reason of the move and by engine: they are the same for every model to
    * load, and kept until the next planned move.
@@ -164,9 +162,6 @@
     this.#tolerantBytes = engines
       .flatMap((engine) => engine.models)
       .reduce((sum, name) => sum + this.#tolerantBytesOf(name), 0);
-    this.#hasTurn = this.unreachable().some(
-      (model) => model.isLatencyTolerant === true && this.isInTurn(model),
-    );
   }
 
   get unserved(): number {
@@ -423,12 +418,8 @@
   // that requests wait for is kept as well, unless the model is latency-tolerant and the move is
   // made for capacity or forecast; one whose callers are late after a load is kept by its value. The last ready
   // replica of a model whose refused callers are due to return is kept until then. A model in turn takes no last
-  // replica with demand from a latency-critical one, and while one is in turn, latency-tolerant models keep their share
-  // of the memory.
+  // replica with demand from a latency-critical one.
   #evictableModels(engine: Engine, reason: MoveReason): Model[] {
-    const sharedBytes = TOLERANT_MEMORY_SHARE * this.#capacityBytes;
-    const isShareKept =
-      this.#hasTurn && evictionGroupOf[reason] === 'others' && this.#tolerantBytes <= sharedBytes;
     return [...(this.#modelsByEngine.get(engine.name) ?? [])]
       .flatMap((name) => this.#models.get(name) ?? [])
       .filter((model) => {
@@ -438,12 +429,10 @@
         const canYield = isLatencyTolerant === true && (isLate || reason !== MoveReason.reach);
         const isInUse =
           reason === MoveReason.turn && isLatencyTolerant !== true && model.demand > 0;
-        const isInShare = isShareKept && isLatencyTolerant === true;
         const isProtected =
           mustStayResident ||
           model.hasReturningCallers === true ||
           isInUse ||
-          isInShare ||
           (hasWaitingRequests === true && !canYield);
         return ready?.has(engine.name) && (!isProtected || ready.size > 1);
       });
--- a/packages/decisions/src/lib/placement/placement-steps.ts
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -7,6 +7,8 @@
 
 type PlacementModel = PlacementInput['models'][number];
 
+const isTolerant = ({ isLatencyTolerant }: PlacementModel): boolean => isLatencyTolerant === true;
+
 /**
  * Least gain of a move, as a share of the engine's tokens per second: less is not worth the load
  * time.
@@ -48,7 +50,7 @@
   const round = new PlacementRound({ ...input, gainShareMin });
   const { turnMoveMax = input.moveBudget } = input;
   const moves: PlacementMove[] = [];
-  const shortfalls: { model: string; bytes: number }[] = [];
+  const shortfalls = new Map<string, number>();
   const add = (model: string, reason: MoveReason, options: readonly PlacementOption[]): void => {
     moves.push(toMove(model, reason, options));
     round.apply(model, options[0]);
@@ -62,16 +64,17 @@
     let tolerantCount = 0;
     for (let index = 0; index < models.length; index += 1) {
       const model = models[index];
-      const isTolerant = model.isLatencyTolerant === true;
-      const reason = isTolerant && round.isInTurn(model) ? MoveReason.turn : MoveReason.reach;
+      const isPatient = isTolerant(model);
+      const reason = isPatient && round.isInTurn(model) ? MoveReason.turn : MoveReason.reach;
       const options = round.options(model, reason);
       const isOverLimit =
-        moves.length >= moveEnd || (isTolerant && tolerantCount >= tolerantCountMax);
+        moves.length >= Math.min(moveEnd, input.moveBudget) ||
+        (isPatient && tolerantCount >= tolerantCountMax);
       if (options.length === 0) {
-        shortfalls.push({ model: model.name, bytes: round.shortfall(model) });
+        shortfalls.set(model.name, round.shortfall(model));
       } else if (!isOverLimit) {
         add(model.name, reason, options);
-        if (isTolerant) tolerantCount += 1;
+        if (isPatient) tolerantCount += 1;
       }
       yield;
     }
@@ -100,17 +103,23 @@
       yield;
     }
   }
-  // Models in turn come first, up to half of the moves: whatever comes before them in each round, however little it
-  // gains, could keep them waiting for good.
   const unreachable = round.unreachable();
   const inTurn = unreachable
-    .filter((model) => round.isInTurn(model))
+    .filter((model) => isTolerant(model) && round.isInTurn(model))
     .sort(
       (left, right) =>
         Number(right.hasCallersSoon !== false) - Number(left.hasCallersSoon !== false) ||
         (right.waitedMs ?? 0) - (left.waitedMs ?? 0),
     );
-  yield* addFirstReplicas(inTurn, Math.ceil(input.moveBudget / 2), turnMoveMax);
+  // Models in turn come before further replicas of others: whatever comes before them in each round, however little it
+  // gains, could keep them waiting for good. Only latency-critical models without a replica go first; they stay once
+  // they are loaded.
+  if (inTurn.length > 0) {
+    const halfBudget = Math.ceil(input.moveBudget / 2);
+    const critical = unreachable.filter((model) => !isTolerant(model));
+    yield* addFirstReplicas(critical, halfBudget, 0);
+    yield* addFirstReplicas(inTurn, moves.length + halfBudget, turnMoveMax);
+  }
   // A model whose unserved demand exceeds a whole engine keeps more callers waiting than a rarely
   // requested model without a replica, so up to half of the moves go to such models first.
   yield* addReplicas(
@@ -121,7 +130,7 @@
   // Without those that have got a replica by now, and those that have lost one in this round.
   const others = round
     .unreachable()
-    .filter((model) => unreachable.includes(model) && !round.isInTurn(model));
+    .filter((model) => unreachable.includes(model) && !inTurn.includes(model));
   yield* addFirstReplicas(others, input.moveBudget, input.moveBudget);
   // Moves with a small present gain come after those for the forecast: they must not take an engine
   // that is needed within a few seconds.
@@ -141,5 +150,10 @@
   const queued = [...inTurn, ...others]
     .filter(({ name, isLatencyTolerant }) => isLatencyTolerant === true && !planned.has(name))
     .map(({ name }) => name);
-  return { moves, shortfalls, queued, servedShare };
+  return {
+    moves,
+    shortfalls: [...shortfalls].map(([model, bytes]) => ({ model, bytes })),
+    queued,
+    servedShare,
+  };
 }
