--- a/packages/decisions/src/lib/placement/placement-steps.ts
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -152,7 +152,9 @@
     .map(({ name }) => name);
   return {
     moves,
-    shortfalls: [...shortfalls].map(([model, bytes]) => ({ model, bytes })),
+    shortfalls: [...shortfalls].flatMap(([model, bytes]) =>
+      planned.has(model) ? [] : [{ model, bytes }],
+    ),
     queued,
     servedShare,
   };
