Turns come later and use a third of the engines

Change: a model is in turn eight seconds and a load after it was first asked for, not a load after; a third of the engines and loads, not a half.

--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -74,7 +74,7 @@
  * Greatest fraction of the engines, and of the loads that the weight store sustains at a time, that latency-tolerant
  * models use at a time when they are in turn.
  */
-const TURN_SHARE_MAX = 0.5;
+const TURN_SHARE_MAX = 0.34;
 /**
  * Time that a requested move counts as pending, in milliseconds: by then the state that the engine's
  * owner publishes shows it.
@@ -95,10 +95,8 @@
 const SLICE_MS = 8;
 /** Greatest fraction of the processor's time that is spent on planning. */
 const PLANNING_SHARE_MAX = 0.2;
-/** Time for which a model without a replica waits before it is in turn, as a multiple of the time of a load. */
-const TURN_LOADS = 1;
-/** Time from the decision on a load until its order, in milliseconds. */
-const LOAD_START_MS = 700;
+/** Time for which a model without a replica waits before it is in turn, besides the time of a load, in milliseconds. */
+const TURN_WAIT_MS = 8_000;
 /**
  * Longest time for which the first replica of a model is kept for callers who were told to return, in milliseconds.
  */
@@ -323,7 +321,7 @@
       )
       .sort((left, right) => (left.name < right.name ? -1 : 1));
     const typicalLoadMs = PlacementLoop.#typicalLoadMs(spec);
-    const turnMs = TURN_LOADS * (LOAD_START_MS + typicalLoadMs);
+    const turnMs = TURN_WAIT_MS + typicalLoadMs;
     const models = this.#models(spec, demand, engines, turnMs);
     const lowPriority = new Set(models.filter(({ isCritical }) => !isCritical).map(nameOf));
     const turnMax = PlacementLoop.#turnMax(spec, endpoints.length, typicalLoadMs);
