--- a/packages/gateway/src/test/placement/turns_test.ts
+++ b/packages/gateway/src/test/placement/turns_test.ts
@@ -4,15 +4,10 @@
 const LOAD_MS = 5_000;
 const ENGINE_COUNT = 8;
 const DURATION_MS = 240_000;
-/** A third of the engines load models in turn at a time. */
-const TURN_COUNT = Math.floor(ENGINE_COUNT / 3);
-/** A load, the unload and the notice before it, and the time for which a replica is kept, in milliseconds. */
-const TURN_MS = LOAD_MS + 1_000 + 6_000;
-
 const rareModels = Array.from({ length: 30 }, (_, index) => `rare${index}`);
 
-/** Longest time that a model may wait: until all others have had a turn before it, in milliseconds. */
-const WAIT_MAX_MS = Math.ceil(rareModels.length / TURN_COUNT) * TURN_MS;
+/** Longest time that callers may ask for a model in vain, in milliseconds. */
+const WAIT_MAX_MS = 96_000;
 
 const scene = {
   engineCount: ENGINE_COUNT,
@@ -44,7 +39,7 @@
 
         before(() => placement.run(DURATION_MS));
 
-        it('serves callers of every model, each within the time of a turn of all', () => {
+        it('gives every model a replica within a bounded time', () => {
           const late = [...placement.callers.records].filter(
             ([, { servedCount, waitMaxMs }]) => servedCount === 0 || waitMaxMs > WAIT_MAX_MS,
           );
