One constant for the start of a load, one type for a refused caller; load times come from the configuration

LOAD_START_MS stood in the fleet and in turnTimesMs, a refused caller's times were written out in three places, and the fleet kept load times beside the configuration that has them. Comments say Retry-After.

--- a/packages/decisions/src/lib/placement/move-reason.ts
+++ b/packages/decisions/src/lib/placement/move-reason.ts
@@ -2,7 +2,7 @@
 export const MoveReason = {
   /** The model must have a replica, by a policy or for waiting requests, and has none. */
   reach: 'no replica can be reached',
-  /** Callers of a latency-tolerant model have waited for a replica for as long as a turn takes. */
+  /** A latency-tolerant model has waited so long for a replica that it goes before further replicas of others. */
   turn: 'a model without a replica has its turn',
   /** The present demand exceeds what the model's engines can serve. */
   capacity: 'more is wanted than its engines make',
--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -21,9 +21,7 @@
    * `hasWaitingRequests`.
    */
   readonly hasCallersSoon?: boolean;
-  /**
-   * Whether refused callers were told to return for the model about now: its last replica is kept for them.
-   */
+  /** Whether refused callers of the model are due to retry: its last replica is kept for them. */
   readonly hasReturningCallers?: boolean;
   /** Whether the model was loaded only since there was free memory, and no request has asked for it since. */
   readonly isSpeculative?: boolean;
--- a/packages/decisions/src/lib/placement/turn-times-ms.ts
+++ b/packages/decisions/src/lib/placement/turn-times-ms.ts
@@ -1,8 +1,7 @@
-/** Time from the decision on a load until its order, in milliseconds. */
-const LOAD_START_MS = 700;
+import { LOAD_START_MS } from './load-start-ms.js';
 
-/** The line of models that wait for a turn. */
-interface TurnLine {
+/** Models that wait for their turn. */
+interface TurnQueue {
   /** Time to load each of them, in the order in which they come, in milliseconds. */
   readonly loadsMs: readonly number[];
   /** Time until each load of models in turn that is in progress is done, in milliseconds. */
@@ -14,10 +13,10 @@
 /**
  * Estimates when models that wait for a turn can serve. Each begins when a load before it is done.
  *
- * @param line - the models, and the loads in progress
+ * @param queue - the models, and the loads in progress
  * @returns time until each of them can serve, in their order, in milliseconds
  */
-export function turnTimesMs({ loadsMs, remainingMs, countMax }: TurnLine): number[] {
+export function turnTimesMs({ loadsMs, remainingMs, countMax }: TurnQueue): number[] {
   const longest = [...remainingMs].sort((left, right) => right - left).slice(0, countMax);
   const idle = new Array<number>(countMax - longest.length).fill(0);
   const freeMs = [...longest, ...idle];
--- a/packages/decisions/src/lib/serving/return-times.ts
+++ b/packages/decisions/src/lib/serving/return-times.ts
@@ -1,28 +1,22 @@
-/** Time after the announced one within which a caller still returns, in milliseconds. */
+import type { RefusedCaller } from './refused-caller.js';
+
+/** Time after the end of its `Retry-After` within which a caller still returns, in milliseconds. */
 const RETURN_SLACK_MS = 1_000;
-/** Largest number of return times that are kept for a model. */
+/** Largest number of callers of a model that are kept. */
 const TIME_COUNT_MAX = 16;
 
-/** A caller that was refused. */
-interface RefusedCaller {
-  /** When it was told to return, by a monotonic clock, in milliseconds. */
-  readonly returnMs: number;
-  /** When its time ends, by the same clock, in milliseconds: one that is told to return later can't. */
-  readonly deadlineMs: number;
-}
-
-/** Times at which the refused callers of each model were told to return. */
+/** When the refused callers of each model return: at the ends of their `Retry-After`. */
 export class ReturnTimes {
-  /** The latest time for each model, in milliseconds. */
+  /** Latest end of a `Retry-After`, by model, in milliseconds. */
   readonly #untilMs = new Map<string, number>();
-  /** Times of the callers of each model who can return by their deadlines, in milliseconds. */
+  /** Ends of the `Retry-After` of callers who return before their deadlines, by model, in milliseconds. */
   readonly #timesMs = new Map<string, readonly number[]>();
 
   /**
    * Records that a caller was refused.
    *
-   * @param model - the model that it asked for
-   * @param caller - when it was told to return
+   * @param model - the model that it requested
+   * @param caller - its `Retry-After` and deadline
    */
   record(model: string, { returnMs, deadlineMs }: RefusedCaller): void {
     this.#untilMs.set(model, Math.max(returnMs, this.#untilMs.get(model) ?? -Infinity));
@@ -35,7 +29,7 @@
 
   /**
    * @param nowMs - current time of the same clock, in milliseconds
-   * @returns models whose callers may still return as they were told
+   * @returns models with callers who have yet to return
    */
   models(nowMs: number): string[] {
     return [...this.#untilMs].flatMap(([model, untilMs]) =>
@@ -57,7 +51,7 @@
   }
 
   /**
-   * Forgets the models whose callers should all have returned.
+   * Forgets the models whose callers have all returned or given up.
    *
    * @param nowMs - current time of the same clock, in milliseconds
    * @returns those models
--- a/packages/gateway/src/lib/dispatch/run-context.ts
+++ b/packages/gateway/src/lib/dispatch/run-context.ts
@@ -3,6 +3,7 @@
   HoldTime,
   MemoryBudget,
   PriorityMix,
+  RefusedCaller,
   SharedRetryBudget,
   WaitQueue,
 } from '@chervilseam/decisions';
@@ -55,12 +56,8 @@
   readonly loadAdapter: (endpoint: Endpoint, model: string, adapter: string) => Promise<boolean>;
   /** Called once when a request arrives: it counts as demand for its model. */
   readonly onReceived: (head: CallerHead, target: RunTarget) => void;
-  /** Called when a request is refused, with when its caller was told to return and its deadline, in milliseconds. */
-  readonly onRefused: (
-    head: CallerHead,
-    target: RunTarget,
-    caller: { readonly returnMs: number; readonly deadlineMs: number },
-  ) => void;
+  /** Called when a request is refused; its caller may retry. */
+  readonly onRefused: (head: CallerHead, target: RunTarget, caller: RefusedCaller) => void;
   /** Called when a request is sent to an endpoint. */
   readonly onSent: (endpoint: Endpoint, head: CallerHead) => void;
   /** Called when a request that was queued leaves the queue after `waitedMs` milliseconds. */
--- a/packages/gateway/src/lib/owner/engine-fleet.ts
+++ b/packages/gateway/src/lib/owner/engine-fleet.ts
@@ -1,5 +1,11 @@
-import { isPlanner, lossWeight, ReturnTimes, UnloadTime } from '@chervilseam/decisions';
-import type { OrderOutcome } from '@chervilseam/decisions';
+import {
+  isPlanner,
+  LOAD_START_MS,
+  lossWeight,
+  ReturnTimes,
+  UnloadTime,
+} from '@chervilseam/decisions';
+import type { OrderOutcome, RefusedCaller } from '@chervilseam/decisions';
 import type { ServingConfig } from '@chervilseam/model';
 import type { PartLogger } from '@chervilseam/observe';
 import type { Endpoint } from '../feed/endpoint.js';
@@ -35,12 +41,6 @@
  */
 const URGENT_SHARE = 0.5;
 
-/**
- * Time from the arrival of a request for a model that no engine holds until its load begins, in milliseconds:
- * callers whose objective is shorter than this and the load together are not served in time by waiting.
- */
-const LOAD_START_MS = 700;
-
 /** Time by which a replica should be ready before callers return for it, in milliseconds. */
 const RETURN_EARLY_MS = 1_500;
 
@@ -63,7 +63,7 @@
   readonly onLeaving: (endpoint: Endpoint) => void;
   /** Called with the time from the decision on a move to the order of its load, and until its model can serve. */
   readonly onMoved: (step: 'move_order' | 'move_ready', afterMs: number) => void;
-  /** Called when refused callers of a model are due to return, with whether a replica can serve them. */
+  /** Called when the refused callers of a model should have returned, with whether a replica can serve them. */
   readonly onReturnDue: (isKept: boolean) => void;
   /** Called with the time that a round of placement planning took, in milliseconds. */
   readonly onPlanned: (busyMs: number) => void;
@@ -76,10 +76,8 @@
 export class EngineFleet {
   readonly demand: DemandMeter;
   readonly handover: Handover;
-  /** When the callers that this instance refused return, by model. */
+  /** When the callers whom this instance refused return, by model. */
   readonly #returns = new ReturnTimes();
-  /** Time to load each of their models from the weight store, in milliseconds. */
-  readonly #loadMs = new Map<string, number>();
   readonly #context: FleetContext;
   readonly #owners = new Map<
     string,
@@ -195,19 +193,14 @@
    *
    * @param head - the request
    * @param target - its route and service
-   * @param caller - when its caller was told to return, and its deadline
+   * @param caller - its caller's `Retry-After` and deadline
    */
-  recordRefusal(
-    head: CallerHead,
-    { service }: RunTarget,
-    caller: Parameters<ReturnTimes['record']>[1],
-  ): void {
+  recordRefusal(head: CallerHead, { service }: RunTarget, caller: RefusedCaller): void {
     const { engine } = service;
     const model = engine?.models.get(head.model ?? '');
     if (!engine || !model) return;
     this.demand.recordRefusal(head, engine.slotCount);
     this.#returns.record(model.name, caller);
-    this.#loadMs.set(model.name, model.storeLoadMs);
   }
 
   /**
@@ -234,15 +227,17 @@
     return Object.fromEntries(active.map(([id, { owner }]) => [id, owner.state]));
   }
 
-  /** Models whose callers this instance refused and told to return about now or later. */
+  /** Models whose callers this instance refused and who have yet to return. */
   get returning(): readonly string[] {
     return this.#returns.models(this.#context.nowMs());
   }
 
-  /** Those of them of which a caller returns before a load that begins now is done. */
+  /** Those of them with a caller who returns before a load that begins now is done. */
   get returningSoon(): readonly string[] {
-    const horizonMs = (model: string): number => LOAD_START_MS + (this.#loadMs.get(model) ?? 0);
-    return this.#returns.due(this.#context.nowMs(), (model) => RETURN_EARLY_MS + horizonMs(model));
+    return this.#returns.due(
+      this.#context.nowMs(),
+      (model) => LOAD_START_MS + this.#storeLoadMs(model) + RETURN_EARLY_MS,
+    );
   }
 
   /** Expected time until each model that this instance has planned to load can serve, in milliseconds. */
@@ -335,19 +330,23 @@
     if (owner) sync.beginMove({ host: owner.host, port: owner.port }, endpoint, move);
   }
 
+  // Time to load a model from the weight store, in milliseconds; 0 for one that no service has.
+  #storeLoadMs(model: string): number {
+    const services = [...(this.#context.config()?.services.values() ?? [])];
+    return Math.max(
+      0,
+      ...services.map(({ engine }) => engine?.models.get(model)?.storeLoadMs ?? 0),
+    );
+  }
+
   #noteReturnDue(model: string): void {
-    this.#loadMs.delete(model);
     const { registry, logger, onReturnDue } = this.#context;
     const isKept = registry.all.some(({ id }) => this.stateOf(id)?.models.includes(model) === true);
     onReturnDue(isKept);
     if (isKept) return;
-    logger.info(
-      'return_unkept',
-      'no replica of a model serves the callers who were told to return',
-      {
-        model,
-      },
-    );
+    logger.info('return_unkept', 'a model has no replica though its callers’ Retry-After is over', {
+      model,
+    });
   }
 
   #collectOthers(): void {
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -130,9 +130,9 @@
   readonly lateAfterLoadModels: () => ReadonlySet<string>;
   /** Models that queued requests of any instance wait for. */
   readonly awaited: () => ReadonlySet<string>;
-  /** Models whose callers any instance refused and told to return about now or later. */
+  /** Models whose callers any instance refused and who have yet to return. */
   readonly returning: () => ReadonlySet<string>;
-  /** Those of them of which a caller returns before a load that begins now is done. */
+  /** Those of them with a caller who returns before a load that begins now is done. */
   readonly returningSoon: () => ReadonlySet<string>;
   /** Requests of other instances that are in progress, by endpoint. */
   readonly peerLoads: () => Readonly<Record<string, EndpointLoad>>;
--- a/packages/gateway/src/lib/peer/instance-state.ts
+++ b/packages/gateway/src/lib/peer/instance-state.ts
@@ -44,11 +44,10 @@
   /** Models that queued requests wait for. */
   readonly awaited: readonly string[];
   /**
-   * Models whose refused callers were told to return about now or later; `undefined` from an instance of an earlier
-   * version.
+   * Models whose callers were refused and have yet to return; `undefined` from an instance of an earlier version.
    */
   readonly returning?: readonly string[];
-  /** Those of them of which a caller returns before a load that begins now is done. */
+  /** Those of them with a caller who returns before a load that begins now is done. */
   readonly returningSoon?: readonly string[];
   /** Adapters used since the previous state, each as `model/adapter`, by endpoint. */
   readonly usedAdapters: Readonly<Record<string, readonly string[]>>;
--- a/packages/gateway/src/lib/peer/peer-table.ts
+++ b/packages/gateway/src/lib/peer/peer-table.ts
@@ -222,12 +222,12 @@
     return sumOf.awaited(this.#all(nowMs));
   }
 
-  /** @returns models whose callers other instances refused and told to return about now or later */
+  /** @returns models whose callers other instances refused and who have yet to return */
   returning(nowMs: number): readonly string[] {
     return sumOf.returning(this.#all(nowMs));
   }
 
-  /** @returns those of them of which a caller returns before a load that begins now is done */
+  /** @returns those of them with a caller who returns before a load that begins now is done */
   returningSoon(nowMs: number): readonly string[] {
     return sumOf.returningSoon(this.#all(nowMs));
   }
