First replicas are added by reason, with one limit a call

addFirstReplicas had two limits and worked the reason out for each model; latency-critical models that no engine can take were ranked twice in a round while a model was in turn.

--- a/packages/decisions/src/lib/placement/placement-round.ts
+++ b/packages/decisions/src/lib/placement/placement-round.ts
@@ -168,9 +168,9 @@
     return this.#demandAllocation.unserved;
   }
 
-  /** Whether a model without a replica has waited so long that others wait for it now. */
-  isInTurn({ waitedMs = 0 }: Model): boolean {
-    return waitedMs >= this.#turnMs;
+  /** Whether a latency-tolerant model without a replica has waited so long that others wait for it now. */
+  isInTurn({ isLatencyTolerant, waitedMs = 0 }: Model): boolean {
+    return isLatencyTolerant === true && waitedMs >= this.#turnMs;
   }
 
   /**
--- a/packages/decisions/src/lib/placement/placement-steps.ts
+++ b/packages/decisions/src/lib/placement/placement-steps.ts
@@ -46,36 +46,26 @@
  * @returns steps; the value of the last one is the plan
  */
 export function* placementSteps(input: PlacementInput): Generator<void, PlacementPlan, void> {
-  const { gainShareMin = GAIN_SHARE_MIN } = input;
+  const { gainShareMin = GAIN_SHARE_MIN, turnMoveMax = input.moveBudget } = input;
   const round = new PlacementRound({ ...input, gainShareMin });
-  const { turnMoveMax = input.moveBudget } = input;
   const moves: PlacementMove[] = [];
   const shortfalls = new Map<string, number>();
   const add = (model: string, reason: MoveReason, options: readonly PlacementOption[]): void => {
     moves.push(toMove(model, reason, options));
     round.apply(model, options[0]);
   };
-  // Adds first replicas in the order of the models, and up to a number of them of latency-tolerant ones.
+  // Adds first replicas in the order of the models.
   function* addFirstReplicas(
+    reason: MoveReason,
     models: readonly PlacementModel[],
-    moveEnd: number,
-    tolerantCountMax: number,
+    moveCountMax: number,
   ): Generator<void, void, void> {
-    let tolerantCount = 0;
+    const end = Math.min(input.moveBudget, moves.length + moveCountMax);
     for (let index = 0; index < models.length; index += 1) {
       const model = models[index];
-      const isPatient = isTolerant(model);
-      const reason = isPatient && round.isInTurn(model) ? MoveReason.turn : MoveReason.reach;
       const options = round.options(model, reason);
-      const isOverLimit =
-        moves.length >= Math.min(moveEnd, input.moveBudget) ||
-        (isPatient && tolerantCount >= tolerantCountMax);
-      if (options.length === 0) {
-        shortfalls.set(model.name, round.shortfall(model));
-      } else if (!isOverLimit) {
-        add(model.name, reason, options);
-        if (isPatient) tolerantCount += 1;
-      }
+      if (options.length === 0) shortfalls.set(model.name, round.shortfall(model));
+      else if (moves.length < end) add(model.name, reason, options);
       yield;
     }
   }
@@ -105,7 +95,7 @@
   }
   const unreachable = round.unreachable();
   const inTurn = unreachable
-    .filter((model) => isTolerant(model) && round.isInTurn(model))
+    .filter((model) => round.isInTurn(model))
     .sort(
       (left, right) =>
         Number(right.hasCallersSoon !== false) - Number(left.hasCallersSoon !== false) ||
@@ -117,8 +107,8 @@
   if (inTurn.length > 0) {
     const halfBudget = Math.ceil(input.moveBudget / 2);
     const critical = unreachable.filter((model) => !isTolerant(model));
-    yield* addFirstReplicas(critical, halfBudget, 0);
-    yield* addFirstReplicas(inTurn, moves.length + halfBudget, turnMoveMax);
+    yield* addFirstReplicas(MoveReason.reach, critical, halfBudget);
+    yield* addFirstReplicas(MoveReason.turn, inTurn, Math.min(halfBudget, turnMoveMax));
   }
   // A model whose unserved demand exceeds a whole engine keeps more callers waiting than a rarely
   // requested model without a replica, so up to half of the moves go to such models first.
@@ -127,11 +117,12 @@
     round.fastestTokensPerSecond,
     Math.floor(input.moveBudget / 2),
   );
-  // Without those that have got a replica by now, and those that have lost one in this round.
+  // Without those that have a replica by now, those that have lost one in this round, and those that no engine can take.
+  const candidates = new Set(unreachable.filter((model) => !inTurn.includes(model)));
   const others = round
     .unreachable()
-    .filter((model) => unreachable.includes(model) && !inTurn.includes(model));
-  yield* addFirstReplicas(others, input.moveBudget, input.moveBudget);
+    .filter((model) => candidates.has(model) && !shortfalls.has(model.name));
+  yield* addFirstReplicas(MoveReason.reach, others, input.moveBudget);
   // Moves with a small present gain come after those for the forecast: they must not take an engine
   // that is needed within a few seconds.
   const largeGainShareMin = LARGE_GAIN_FACTOR * gainShareMin;
@@ -148,7 +139,7 @@
   const servedShare = totalDemand === 0 ? 1 : 1 - round.unserved / totalDemand;
   const planned = new Set(moves.map(({ load }) => load));
   const queued = [...inTurn, ...others]
-    .filter(({ name, isLatencyTolerant }) => isLatencyTolerant === true && !planned.has(name))
+    .filter((model) => isTolerant(model) && !planned.has(model.name))
     .map(({ name }) => name);
   return {
     moves,
