Ended waits are logged in every round; loads in progress and times of replicas are worked out in one place

Ended waits were lost when a round was skipped: they were logged only after the check that skips it. Loads that are requested or in progress stood in StoreLoads and in the planner's loop (now loadsInProgress), and the loop kept beside ReplicaWaits since when models have a replica. The queue of models is called a queue.

--- a/packages/decisions/src/test/placement/replica-waits_test.ts
+++ b/packages/decisions/src/test/placement/replica-waits_test.ts
@@ -25,6 +25,18 @@
     expect(waits.waitedMs('m', 9_000)).to.equal(0);
   });
 
+  it('measures for how long a model has had a replica', () => {
+    const waits = new ReplicaWaits();
+    const ready = new Set(['m']);
+    waits.observe({ requested: none, ready }, 1_000);
+    waits.observe({ requested: none, ready }, 2_000);
+    expect(waits.readyMs('m', 4_000)).to.equal(3_000);
+    waits.observe({ requested: none, ready: none }, 5_000);
+    waits.observe({ requested: none, ready }, 6_000);
+    expect(waits.readyMs('m', 6_500)).to.equal(500);
+    expect(waits.readyMs('other', 6_500)).to.equal(0);
+  });
+
   it('measures no wait of a model that can serve', () => {
     const waits = new ReplicaWaits();
     waits.observe({ requested, ready: requested }, 0);
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -13,8 +13,9 @@
 import type { Endpoint } from '../feed/endpoint.js';
 import type { EndpointLoad } from '../peer/endpoint-load.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
-import { getOrCreate } from '../get-or-create.js';
 import { isFromStore } from './is-from-store.js';
+import type { LoadContext } from './load-context.js';
+import { loadsInProgress } from './loads-in-progress.js';
 import { loadTimeMs } from './load-time-ms.js';
 import type { EngineMove } from './engine-move.js';
 import { PlannedState } from './planned-state.js';
@@ -97,9 +98,7 @@
 const PLANNING_SHARE_MAX = 0.2;
 /** Time for which a model without a replica waits before it is in turn, besides the time of a load, in milliseconds. */
 const TURN_WAIT_MS = 8_000;
-/**
- * Longest time for which the first replica of a model is kept for callers who were told to return, in milliseconds.
- */
+/** Longest time for which a model's first replica is kept for callers who have yet to return, in milliseconds. */
 const RETURN_KEEP_MS = 6_000;
 const MS_PER_SECOND = 1_000;
 const BYTES_PER_MB = 1_000_000;
@@ -164,7 +163,7 @@
   /** Number of latency-tolerant models that are loaded at a time. */
   readonly turnMax: number;
   /** Latency-tolerant models whose moves are held back, in order. */
-  readonly line: string[];
+  readonly held: string[];
   /** Share of the demand that can be served once all moves are done. */
   readonly servedShare: number;
 }
@@ -179,9 +178,8 @@
   #firstSeenMs = new Map<string, number>();
   /** The same, rebuilt by the current round from the replicas that still exist. */
   #nextFirstSeenMs = new Map<string, number>();
+  readonly #loadContext: LoadContext;
   readonly #storeLoads: StoreLoads;
-  /** When each model that can serve got its first replica, in milliseconds. */
-  readonly #readySinceMs = new Map<string, number>();
   #isPlanning = false;
   /** When the next round may begin, in milliseconds. */
   #nextRoundMs = -Infinity;
@@ -189,7 +187,7 @@
   readonly #pending = new Map<string, PendingMove>();
   readonly #planned = new PlannedLoads();
   readonly #waits = new ReplicaWaits();
-  /** Waits that have ended since the last round of an instance that plans. */
+  /** Waits that ended when they were last observed; the instance that plans logs them. */
   #endedWaits: readonly EndedWait[] = [];
   /** Models that were loaded only since there was free memory, and that no request has asked for since. */
   readonly #speculative = new Set<string>();
@@ -197,10 +195,8 @@
   /** @param context - dependencies of the loop */
   constructor(context: PlacementContext) {
     this.#context = context;
-    this.#storeLoads = new StoreLoads({
-      ...context,
-      pendingOf: (engine) => this.#pendingOf(engine),
-    });
+    this.#loadContext = { ...context, pendingOf: (engine) => this.#pendingOf(engine) };
+    this.#storeLoads = new StoreLoads({ ...context, ...this.#loadContext });
   }
 
   /**
@@ -219,14 +215,9 @@
         );
       });
     });
-    const ready = this.#readyModels();
     // The demand for a model fades while its callers wait to return, but its wait goes on.
     const requested = new Set([...this.#requested(), ...this.#context.returning()]);
-    this.#endedWaits = this.#waits.observe({ requested, ready }, nowMs());
-    this.#readySinceMs.forEach((_, model) => {
-      if (!ready.has(model)) this.#readySinceMs.delete(model);
-    });
-    ready.forEach((model) => getOrCreate(this.#readySinceMs, model, nowMs));
+    this.#endedWaits = this.#waits.observe({ requested, ready: this.#readyModels() }, nowMs());
   }
 
   /** Expected time until each model that is planned to be loaded can serve, in milliseconds. */
@@ -242,10 +233,10 @@
    */
   async tick(config: ServingConfig): Promise<void> {
     const { nowMs, demand, onPlanned } = this.#context;
+    this.#endedWaits.forEach((wait) => this.#logWait(wait));
     if (this.#isPlanning || nowMs() < this.#nextRoundMs) return;
     this.#isPlanning = true;
     try {
-      this.#endedWaits.forEach((wait) => this.#logWait(wait));
       const startMs = nowMs();
       const busyMs = await this.#planServices(config, demand());
       this.#nextRoundMs = startMs + busyMs / PLANNING_SHARE_MAX;
@@ -256,7 +247,9 @@
   }
 
   #logWait({ model, waitedMs, isReady }: EndedWait): void {
-    const text = isReady ? 'a model has got a replica' : 'a model without a replica left the plan';
+    const text = isReady
+      ? 'a model has got a replica'
+      : 'callers gave up a model without a replica';
     this.#context.logger.info('replica_wait_ended', text, {
       model,
       waitedMs: Math.round(waitedMs),
@@ -346,7 +339,7 @@
     });
     const planned: PlannedService = {
       turnMax,
-      line: [],
+      held: [],
       spec,
       endpoints,
       lowPriority,
@@ -371,10 +364,10 @@
     // Only a model without a replica has callers who wait for its load.
     const isFirst = reason === MoveReason.reach || reason === MoveReason.turn;
     if (heldMs > 0 && !isFirst) return;
-    const isInLine = heldMs > 0 && service.lowPriority.has(load);
-    if (isInLine) service.line.push(load);
-    const lineMs = isInLine ? this.#lineTimesMs(service.line, service)[service.line.length - 1] : 0;
-    const readyInMs = Math.max(lineMs, heldMs + this.#durationMs(move, service.spec));
+    const isQueued = heldMs > 0 && service.lowPriority.has(load);
+    if (isQueued) service.held.push(load);
+    const turnMs = isQueued ? (this.#turnTimesMs(service.held, service).at(-1) ?? 0) : 0;
+    const readyInMs = Math.max(turnMs, heldMs + this.#durationMs(move, service.spec));
     const readyMs = Math.round(nowMs() + readyInMs);
     const fields = {
       endpoint: engine,
@@ -421,12 +414,12 @@
     requestMove(engine, move);
   }
 
-  // Tells the callers of latency-tolerant models that are not planned yet when their turn is expected.
+  // Publishes when latency-tolerant models that are not planned yet are expected to serve: Retry-After follows it.
   #announceQueue(queue: readonly string[], service: PlannedService): void {
     const { nowMs, logger } = this.#context;
-    const timesMs = this.#lineTimesMs([...service.line, ...queue], service);
+    const timesMs = this.#turnTimesMs([...service.held, ...queue], service);
     queue.forEach((load, index) => {
-      const place = service.line.length + index;
+      const place = service.held.length + index;
       const readyInMs = timesMs[place];
       if (!this.#planned.add(load, nowMs() + readyInMs, PlannedState.queued)) return;
       logger.info('move_queued', 'a model without a replica waits for its turn', {
@@ -438,13 +431,13 @@
     });
   }
 
-  // Expected time until each model of a line can serve, in milliseconds.
-  #lineTimesMs(
-    line: readonly string[],
+  // Expected time until each model of a queue can serve, in milliseconds.
+  #turnTimesMs(
+    queue: readonly string[],
     { spec, endpoints, lowPriority, turnMax }: PlannedService,
   ): number[] {
     return turnTimesMs({
-      loadsMs: line.map((load) => spec.models.get(load)?.storeLoadMs ?? 0),
+      loadsMs: queue.map((load) => spec.models.get(load)?.storeLoadMs ?? 0),
       remainingMs: this.#remainingMs(endpoints, lowPriority),
       countMax: turnMax,
     });
@@ -452,13 +445,9 @@
 
   // Time until each load of one of some models that was requested or is in progress is done, in milliseconds.
   #remainingMs(endpoints: readonly Endpoint[], models: ReadonlySet<string>): number[] {
-    const { nowMs, engineState } = this.#context;
-    return endpoints.flatMap(({ id }) => {
-      const loading = engineState(id)?.loading.find(({ model }) => models.has(model));
-      if (loading) return [loading.remainingMs];
-      const pending = this.#pendingOf(id);
-      return pending && models.has(pending.load) ? [pending.readyMs - nowMs()] : [];
-    });
+    return endpoints
+      .flatMap((endpoint) => loadsInProgress(endpoint, this.#loadContext))
+      .flatMap(({ model, remainingMs }) => (models.has(model) ? [Math.max(0, remainingMs)] : []));
   }
 
   // No engine can take the model now: its callers are told when a place may be found.
@@ -515,8 +504,11 @@
         bytes: sizeMb * BYTES_PER_MB,
         mustStayResident: false,
         hasWaitingRequests: requested.has(name) || isInTurn,
+        // Callers who have not come by then are late, and others wait.
         hasReturningCallers:
-          isLatencyTolerant && returning.has(name) && this.#hasYoungReplica(name),
+          isLatencyTolerant &&
+          returning.has(name) &&
+          this.#waits.readyMs(name, nowMs()) < RETURN_KEEP_MS,
         waitedMs,
         hasCallersSoon: soon.has(name),
         isCritical: urgent.has(name),
@@ -579,12 +571,6 @@
     };
   }
 
-  // Whether a model got a replica so recently that the callers who were told to return for it may not have come yet.
-  #hasYoungReplica(model: string): boolean {
-    const sinceMs = this.#readySinceMs.get(model);
-    return sinceMs !== undefined && this.#context.nowMs() < sinceMs + RETURN_KEEP_MS;
-  }
-
   // Whether a replica has served long enough to be unloaded for another model.
   #isSettled(endpoint: string, model: string): boolean {
     const key = `${endpoint}/${model}`;
--- a/packages/gateway/src/lib/owner/planned-state.ts
+++ b/packages/gateway/src/lib/owner/planned-state.ts
@@ -2,7 +2,7 @@
 export const PlannedState = {
   /** The engine's owner was asked to load it. */
   begun: 'begun',
-  /** An engine is chosen, and a limit holds the load back. */
+  /** A limit on loads delays it. */
   held: 'held',
   /** Other models come first. */
   queued: 'queued',
--- a/packages/gateway/src/lib/owner/store-loads.ts
+++ b/packages/gateway/src/lib/owner/store-loads.ts
@@ -4,6 +4,8 @@
 import type { Endpoint } from '../feed/endpoint.js';
 import type { OwnedEngineState } from '../peer/owned-engine-state.js';
 import { isFromStore } from './is-from-store.js';
+import type { LoadContext } from './load-context.js';
+import { loadsInProgress } from './loads-in-progress.js';
 
 /** Assumed rest of a load that takes longer than expected, in milliseconds. */
 const LATE_LOAD_MS = 600;
@@ -17,15 +19,8 @@
 }
 
 /** Dependencies of the loads. */
-interface StoreLoadsContext {
+interface StoreLoadsContext extends LoadContext {
   readonly logger: PartLogger;
-  readonly nowMs: () => number;
-  /** State that the owner of an engine published, or `undefined` while no owner is reachable. */
-  readonly engineState: (endpoint: string) => OwnedEngineState | undefined;
-  /** Move of an engine that its owner may not have published yet, and when its model is expected to serve. */
-  readonly pendingOf: (
-    endpoint: string,
-  ) => { readonly load: string; readonly readyMs: number } | undefined;
   /** Length of the window over which the weight store limits loads, in milliseconds. */
   readonly loadWindowMs: number;
   /** Factor that is applied to the number of loads that the store's rate allows in that window. */
@@ -102,18 +97,10 @@
 
   // Loads from the weight store that are planned or in progress.
   #inProgress(endpoints: readonly Endpoint[], spec: EngineSpec): OwnedEngineState['loading'] {
-    const { nowMs, engineState, pendingOf } = this.#context;
-    return endpoints.flatMap(({ id, record }) => {
-      const loading = engineState(id)?.loading ?? [];
-      const pending = pendingOf(id);
-      const isPublished = loading.some(({ model }) => model === pending?.load);
-      const upcoming =
-        pending && !isPublished
-          ? [{ model: pending.load, remainingMs: pending.readyMs - nowMs() }]
-          : [];
-      return [...loading, ...upcoming].filter(
-        ({ model }) => spec.models.has(model) && isFromStore(record, model),
-      );
-    });
+    return endpoints.flatMap((endpoint) =>
+      loadsInProgress(endpoint, this.#context).filter(
+        ({ model }) => spec.models.has(model) && isFromStore(endpoint.record, model),
+      ),
+    );
   }
 }
