--- a/packages/gateway/src/test/engine-owner_test.ts
+++ b/packages/gateway/src/test/engine-owner_test.ts
@@ -66,7 +66,7 @@
   }
 }
 
-const ownerOf = (calls: EngineCalls): EngineOwner =>
+const ownerOf = (calls: EngineCalls, engineSpec = spec): EngineOwner =>
   new EngineOwner(
     {
       instance: 'self',
@@ -80,7 +80,7 @@
       onSend: () => () => {},
     },
     new Endpoint(endpointRecordOf('i-1')),
-    spec,
+    engineSpec,
   );
 
 // An engine that is ordered to load more adapters than it has slots for crashes.
@@ -196,21 +196,7 @@
           pendingAdapters: [],
         }),
     };
-    const owner = new EngineOwner(
-      {
-        instance: 'self',
-        calls,
-        logger: PartLogger.forInstance('self', 'fatal')('engine'),
-        nowMs: () => performance.now(),
-        token: () => 1,
-        onLeaving: () => undefined,
-        onChanged: () => undefined,
-        onMoved: () => undefined,
-        onSend: () => () => {},
-      },
-      new Endpoint(endpointRecordOf('i-1')),
-      specOf('old', 'older'),
-    );
+    const owner = ownerOf(calls, specOf('old', 'older'));
     timer = setInterval(() => owner.tick(), 10);
     await sleep(50);
     act(owner);
