--- a/packages/decisions/src/lib/placement/placement-input.ts
+++ b/packages/decisions/src/lib/placement/placement-input.ts
@@ -14,7 +14,7 @@
   readonly isLatencyTolerant?: boolean;
   /** Whether the callers of a latency-tolerant model are served late if they wait for a load. */
   readonly isLateAfterLoad?: boolean;
-  /** Time for which callers have asked for the model while it had no replica, in milliseconds; 0 by default. */
+  /** Time for which callers have requested the model while it had no replica, in milliseconds; 0 by default. */
   readonly waitedMs?: number;
   /**
    * Whether callers wait for the model, or return before a load that begins now is done; by default the same as
--- a/packages/gateway/src/lib/owner/placement-loop.ts
+++ b/packages/gateway/src/lib/owner/placement-loop.ts
@@ -201,7 +201,7 @@
 
   /**
    * Records the loads from the weight store that the engines' owners published, and how long models without a
-   * replica have been asked for. All instances do so, because any of them may have to plan next.
+   * replica have been requested. All instances do so, because any of them may have to plan next.
    *
    * @param config - the configuration in force
    */
